Lay out the design, the build and the interfaces between parts

Cause: the repository was empty; parts that are built in parallel need fixed interfaces and one build that checks format, style, nullness and the boundary of the decision logic. Change: design page and glossary, Maven build with Spotless, Checkstyle, Error Prone with NullAway and ArchUnit, message records, store and proxy interfaces. Conclusion: the parts can start.

--- /dev/null
+++ b/src/main/java/org/auburnhoist/core/message/ClaimOutcome.java
@@ -0,0 +1,13 @@
+package org.auburnhoist.core.message;
+
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Reports the end of a granted claim to the operation's home.
+ *
+ * @param operationId the operation
+ * @param result how it ended
+ * @param recorded the upstream's answer, only with {@link ClaimResult#ANSWERED}
+ */
+public record ClaimOutcome(
+        String operationId, ClaimResult result, @Nullable RecordedAnswer recorded) implements Message {}
--- /dev/null
+++ b/src/main/java/org/auburnhoist/core/message/ClaimRequest.java
@@ -0,0 +1,10 @@
+package org.auburnhoist.core.message;
+
+/**
+ * Asks an operation's home for the right to run it.
+ *
+ * @param operationId the operation
+ * @param team the caller's team
+ * @param fingerprint hash of the request, so that an id is not used for two different requests
+ */
+public record ClaimRequest(String operationId, String team, long fingerprint) implements Message {}
--- /dev/null
+++ b/src/main/java/org/auburnhoist/core/message/DocumentKind.java
@@ -0,0 +1,7 @@
+package org.auburnhoist.core.message;
+
+/** The replicated documents. */
+public enum DocumentKind {
+    CONFIGURATION,
+    ROSTER
+}
--- /dev/null
+++ b/src/main/java/org/auburnhoist/core/message/Message.java
@@ -0,0 +1,21 @@
+package org.auburnhoist.core.message;
+
+/** A message between hosts. */
+public sealed interface Message
+        permits PullRequest,
+                PullAnswer,
+                DocumentRequest,
+                DocumentAnswer,
+                ChunkRequest,
+                ChunkAnswer,
+                TokenRequest,
+                TokenAnswer,
+                TokenReturn,
+                ClaimRequest,
+                ClaimAnswer,
+                ClaimOutcome,
+                SlotRequest,
+                SlotAnswer,
+                SlotRelease,
+                HandoverRequest,
+                Acknowledgement {}
--- /dev/null
+++ b/src/main/java/org/auburnhoist/core/message/SlotRequest.java
@@ -0,0 +1,31 @@
+package org.auburnhoist.core.message;
+
+import java.util.List;
+import org.auburnhoist.core.TrafficClass;
+
+/**
+ * Asks a service's dispatcher for a server with a free slot.
+ *
+ * @param service the service's name
+ * @param route the route's name
+ * @param team the team's name, empty on open routes without a key
+ * @param trafficClass kind of work
+ * @param deadlineMillis time from now within which the grant is of use
+ * @param fingerprint hash of the request
+ * @param excludedServers servers that this request has already failed on
+ */
+public record SlotRequest(
+        String service,
+        String route,
+        String team,
+        TrafficClass trafficClass,
+        long deadlineMillis,
+        long fingerprint,
+        List<String> excludedServers)
+        implements Message {
+
+    /** Copies the list. */
+    public SlotRequest {
+        excludedServers = List.copyOf(excludedServers);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/auburnhoist/store/ReadResult.java
@@ -0,0 +1,26 @@
+package org.auburnhoist.store;
+
+import java.util.List;
+
+/** Result of a read. */
+public sealed interface ReadResult {
+    /**
+     * The store answered.
+     *
+     * @param entries the keys that exist, in key order
+     * @param revision the store's revision at the time of the read
+     */
+    record Found(List<Entry> entries, long revision) implements ReadResult {
+        /** Copies the list. */
+        public Found {
+            entries = List.copyOf(entries);
+        }
+    }
+
+    /**
+     * The store did not answer.
+     *
+     * @param reason for logs and messages
+     */
+    record Unavailable(String reason) implements ReadResult {}
+}
