Add authenticated links between hosts

Cause: hosts exchange membership, token, claim and slot messages. Conclusion: the host process can build on it.

--- /dev/null
+++ b/src/main/java/org/auburnhoist/peer/FrameChannel.java
@@ -0,0 +1,177 @@
+package org.auburnhoist.peer;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.AsynchronousSocketChannel;
+import java.nio.channels.CompletionHandler;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Reads and writes length-prefixed frames on one connection without blocking.
+ *
+ * <p>A frame is a four-byte length followed by that many bytes. Writes are queued up to a bound; a peer that does not
+ * read is disconnected rather than buffered for.
+ */
+final class FrameChannel {
+    /** Largest frame accepted or sent, in bytes. */
+    static final int MAXIMUM_FRAME_BYTES = 2 << 20;
+
+    private static final int LENGTH_BYTES = 4;
+    private static final int INITIAL_BUFFER_BYTES = 4096;
+    private static final int MAXIMUM_QUEUED_BYTES = 2 * MAXIMUM_FRAME_BYTES;
+    private static final int MAXIMUM_GATHERED_FRAMES = 64;
+
+    private final AsynchronousSocketChannel channel;
+    private final FrameListener listener;
+    private final Deque<ByteBuffer> writeQueue = new ArrayDeque<>();
+    private final TrafficCounter traffic;
+    private ByteBuffer readBuffer = ByteBuffer.allocate(INITIAL_BUFFER_BYTES);
+    private int queuedBytes;
+    private boolean writing;
+    private boolean closed;
+
+    FrameChannel(AsynchronousSocketChannel channel, FrameListener listener, TrafficCounter traffic) {
+        this.channel = channel;
+        this.listener = listener;
+        this.traffic = traffic;
+    }
+
+    /** Receives what happens on a channel; calls come one at a time. */
+    interface FrameListener {
+        /** A whole frame has arrived. */
+        void frameReceived(byte[] content);
+
+        /** The connection is gone; called once. */
+        void channelClosed(String reason);
+    }
+
+    void startReading() {
+        channel.read(readBuffer, null, new ReadHandler());
+    }
+
+    void send(byte[] content) {
+        ByteBuffer frame = ByteBuffer.allocate(LENGTH_BYTES + content.length);
+        frame.putInt(content.length).put(content).flip();
+        synchronized (writeQueue) {
+            if (closed) {
+                return;
+            }
+            queuedBytes += frame.remaining();
+            if (queuedBytes <= MAXIMUM_QUEUED_BYTES) {
+                writeQueue.add(frame);
+                if (!writing) {
+                    writing = true;
+                    writeQueued();
+                }
+                return;
+            }
+        }
+        close("peer does not read: more than " + MAXIMUM_QUEUED_BYTES + " bytes queued");
+    }
+
+    void close(String reason) {
+        synchronized (writeQueue) {
+            if (closed) {
+                return;
+            }
+            closed = true;
+            writeQueue.clear();
+        }
+        try {
+            channel.close();
+        } catch (IOException ignored) {
+            // The connection is being given up; its descriptor is released in any case.
+        }
+        listener.channelClosed(reason);
+    }
+
+    private boolean isClosed() {
+        synchronized (writeQueue) {
+            return closed;
+        }
+    }
+
+    private void writeQueued() {
+        ByteBuffer[] buffers =
+                writeQueue.stream().limit(MAXIMUM_GATHERED_FRAMES).toArray(ByteBuffer[]::new);
+        channel.write(buffers, 0, buffers.length, 0, TimeUnit.MILLISECONDS, null, new WriteHandler());
+    }
+
+    private void parseFrames() {
+        readBuffer.flip();
+        while (!isClosed() && readBuffer.remaining() >= LENGTH_BYTES) {
+            int length = readBuffer.getInt(readBuffer.position());
+            if (length < 0 || length > MAXIMUM_FRAME_BYTES) {
+                close("frame length: expected 0 to " + MAXIMUM_FRAME_BYTES + ", got " + length);
+                return;
+            }
+            if (readBuffer.remaining() < LENGTH_BYTES + length) {
+                growFor(LENGTH_BYTES + length);
+                break;
+            }
+            readBuffer.getInt();
+            byte[] content = new byte[length];
+            readBuffer.get(content);
+            listener.frameReceived(content);
+        }
+        compact();
+    }
+
+    private void growFor(int wanted) {
+        if (readBuffer.capacity() < wanted) {
+            readBuffer = ByteBuffer.allocate(wanted).put(readBuffer).flip();
+        }
+    }
+
+    private void compact() {
+        if (!readBuffer.hasRemaining() && readBuffer.capacity() > 16 * INITIAL_BUFFER_BYTES) {
+            readBuffer = ByteBuffer.allocate(INITIAL_BUFFER_BYTES);
+        } else {
+            readBuffer.compact();
+        }
+    }
+
+    private final class ReadHandler implements CompletionHandler<Integer, Void> {
+        @Override
+        public void completed(Integer count, Void attachment) {
+            if (count < 0) {
+                close("peer closed the connection");
+                return;
+            }
+            traffic.received(count);
+            parseFrames();
+            if (!isClosed()) {
+                channel.read(readBuffer, null, this);
+            }
+        }
+
+        @Override
+        public void failed(Throwable cause, Void attachment) {
+            close("read failed: " + cause);
+        }
+    }
+
+    private final class WriteHandler implements CompletionHandler<Long, Void> {
+        @Override
+        public void completed(Long count, Void attachment) {
+            traffic.sent(count);
+            synchronized (writeQueue) {
+                queuedBytes -= (int) (long) count;
+                while (!writeQueue.isEmpty() && !writeQueue.peek().hasRemaining()) {
+                    writeQueue.poll();
+                }
+                writing = !closed && !writeQueue.isEmpty();
+                if (writing) {
+                    writeQueued();
+                }
+            }
+        }
+
+        @Override
+        public void failed(Throwable cause, Void attachment) {
+            close("write failed: " + cause);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/auburnhoist/peer/Handshake.java
@@ -0,0 +1,153 @@
+package org.auburnhoist.peer;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.security.GeneralSecurityException;
+import java.security.MessageDigest;
+import java.util.Arrays;
+import javax.crypto.Mac;
+import javax.crypto.spec.SecretKeySpec;
+import org.auburnhoist.core.HostId;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessagePackException;
+import org.msgpack.core.MessageUnpacker;
+
+/**
+ * Mutual proof of knowing the fleet secret, and the session key that follows from it.
+ *
+ * <p>The connecting host sends its id and a nonce; the accepting host answers with its own id, a nonce and a proof; the
+ * connecting host answers with its proof. A proof is an HMAC-SHA-256 over role, both ids and both nonces, so it cannot
+ * be reflected or replayed. Each later frame carries a code over its direction and number.
+ */
+final class Handshake {
+    static final int NONCE_BYTES = 16;
+
+    private static final String ALGORITHM = "HmacSHA256";
+    private static final int CODE_BYTES = 16;
+    private static final int MAXIMUM_NAME_LENGTH = 255;
+
+    private Handshake() {}
+
+    /** Who speaks; part of every proof and code. */
+    enum Role {
+        CONNECTING,
+        ACCEPTING
+    }
+
+    /** First frame of either side. */
+    @SuppressWarnings("ArrayRecordComponent")
+    record Hello(int protocolVersion, HostId host, byte[] nonce, byte[] proof) {}
+
+    static byte[] encode(Hello hello) {
+        try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
+            packer.packInt(hello.protocolVersion());
+            packer.packString(hello.host().name());
+            packer.packLong(hello.host().incarnation());
+            MessageCodec.writeBytes(packer, hello.nonce());
+            MessageCodec.writeBytes(packer, hello.proof());
+            return packer.toByteArray();
+        } catch (IOException cause) {
+            throw new IllegalStateException("encoding into memory failed", cause);
+        }
+    }
+
+    static Hello decode(byte[] content) throws MalformedMessageException {
+        try (MessageUnpacker in = MessagePack.newDefaultUnpacker(content)) {
+            int version = in.unpackInt();
+            if (version != MessageCodec.PROTOCOL_VERSION) {
+                throw new MalformedMessageException(
+                        "protocol version: expected " + MessageCodec.PROTOCOL_VERSION + ", got " + version);
+            }
+            String name = in.unpackString();
+            if (name.length() > MAXIMUM_NAME_LENGTH) {
+                throw new MalformedMessageException(
+                        "host name: expected at most " + MAXIMUM_NAME_LENGTH + " characters, got " + name.length());
+            }
+            HostId host = new HostId(name, in.unpackLong());
+            return new Hello(version, host, MessageCodec.readBytes(in), MessageCodec.readBytes(in));
+        } catch (IOException | MessagePackException | IllegalArgumentException cause) {
+            throw new MalformedMessageException("hello: " + cause.getMessage(), cause);
+        }
+    }
+
+    static byte[] proof(byte[] secret, Role role, Hello connecting, Hello accepting) {
+        return code(secret, transcript(role.name(), connecting, accepting));
+    }
+
+    static byte[] sessionKey(byte[] secret, Hello connecting, Hello accepting) {
+        return code(secret, transcript("SESSION", connecting, accepting));
+    }
+
+    static boolean matches(byte[] expected, byte[] actual) {
+        return MessageDigest.isEqual(expected, actual);
+    }
+
+    /** Appends the code of frame number {@code sequence} from a side. */
+    static byte[] seal(byte[] sessionKey, Role sender, long sequence, byte[] content) {
+        byte[] code = frameCode(sessionKey, sender, sequence, content, content.length);
+        byte[] sealed = Arrays.copyOf(content, content.length + CODE_BYTES);
+        System.arraycopy(code, 0, sealed, content.length, CODE_BYTES);
+        return sealed;
+    }
+
+    /**
+     * Checks and removes the code of a frame.
+     *
+     * @throws MalformedMessageException if the code does not match
+     */
+    static byte[] open(byte[] sessionKey, Role sender, long sequence, byte[] sealed) throws MalformedMessageException {
+        int length = sealed.length - CODE_BYTES;
+        if (length < 0) {
+            throw new MalformedMessageException(
+                    "frame: expected at least " + CODE_BYTES + " bytes, got " + sealed.length);
+        }
+        byte[] expected = Arrays.copyOf(frameCode(sessionKey, sender, sequence, sealed, length), CODE_BYTES);
+        byte[] actual = Arrays.copyOfRange(sealed, length, sealed.length);
+        if (!matches(expected, actual)) {
+            throw new MalformedMessageException("frame: its authentication code does not match");
+        }
+        return Arrays.copyOf(sealed, length);
+    }
+
+    private static byte[] frameCode(byte[] sessionKey, Role sender, long sequence, byte[] content, int length) {
+        Mac mac = mac(sessionKey);
+        mac.update((byte) sender.ordinal());
+        mac.update(ByteBuffer.allocate(Long.BYTES).putLong(sequence).flip());
+        mac.update(content, 0, length);
+        return mac.doFinal();
+    }
+
+    private static byte[] transcript(String label, Hello connecting, Hello accepting) {
+        try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
+            packer.packString(label);
+            for (Hello hello : new Hello[] {connecting, accepting}) {
+                packer.packString(hello.host().name());
+                packer.packLong(hello.host().incarnation());
+                MessageCodec.writeBytes(packer, hello.nonce());
+            }
+            return packer.toByteArray();
+        } catch (IOException cause) {
+            throw new IllegalStateException("encoding into memory failed", cause);
+        }
+    }
+
+    private static byte[] code(byte[] key, byte[] content) {
+        return mac(key).doFinal(content);
+    }
+
+    private static Mac mac(byte[] key) {
+        try {
+            Mac mac = Mac.getInstance(ALGORITHM);
+            mac.init(new SecretKeySpec(key, ALGORITHM));
+            return mac;
+        } catch (GeneralSecurityException cause) {
+            throw new IllegalStateException(ALGORITHM + " is missing from this Java runtime", cause);
+        }
+    }
+
+    static byte[] secretBytes(String secret) {
+        return secret.getBytes(StandardCharsets.UTF_8);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/auburnhoist/peer/MessageFormat.java
@@ -0,0 +1,249 @@
+package org.auburnhoist.peer;
+
+import static org.auburnhoist.peer.MessageCodec.readBytes;
+import static org.auburnhoist.peer.MessageCodec.readEnum;
+import static org.auburnhoist.peer.MessageCodec.readRecorded;
+import static org.auburnhoist.peer.MessageCodec.readStrings;
+import static org.auburnhoist.peer.MessageCodec.writeBytes;
+import static org.auburnhoist.peer.MessageCodec.writeRecorded;
+import static org.auburnhoist.peer.MessageCodec.writeStrings;
+
+import java.io.IOException;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.auburnhoist.core.TrafficClass;
+import org.auburnhoist.core.message.Acknowledgement;
+import org.auburnhoist.core.message.AttemptOutcome;
+import org.auburnhoist.core.message.ChunkAnswer;
+import org.auburnhoist.core.message.ChunkRequest;
+import org.auburnhoist.core.message.ClaimAnswer;
+import org.auburnhoist.core.message.ClaimOutcome;
+import org.auburnhoist.core.message.ClaimRequest;
+import org.auburnhoist.core.message.ClaimResult;
+import org.auburnhoist.core.message.ClaimVerdict;
+import org.auburnhoist.core.message.DocumentAnswer;
+import org.auburnhoist.core.message.DocumentKind;
+import org.auburnhoist.core.message.DocumentRequest;
+import org.auburnhoist.core.message.HandoverRequest;
+import org.auburnhoist.core.message.Message;
+import org.auburnhoist.core.message.PullAnswer;
+import org.auburnhoist.core.message.PullRequest;
+import org.auburnhoist.core.message.SlotAnswer;
+import org.auburnhoist.core.message.SlotRelease;
+import org.auburnhoist.core.message.SlotRequest;
+import org.auburnhoist.core.message.SlotVerdict;
+import org.auburnhoist.core.message.TokenAnswer;
+import org.auburnhoist.core.message.TokenRequest;
+import org.auburnhoist.core.message.TokenReturn;
+import org.msgpack.core.MessagePacker;
+import org.msgpack.core.MessageUnpacker;
+
+/**
+ * How the fields of one kind of message are written and read.
+ *
+ * @param kind number on the wire; never reused for another message
+ * @param type the message's class
+ * @param writer writes the fields in order
+ * @param reader reads the fields in the same order
+ */
+record MessageFormat<T extends Message>(int kind, Class<T> type, Writer<T> writer, Reader<T> reader) {
+    private static final List<MessageFormat<? extends Message>> FORMATS = List.of(
+            new MessageFormat<>(1, PullRequest.class, MessageFormat::writePullRequest, MessageFormat::readPullRequest),
+            new MessageFormat<>(2, PullAnswer.class, MessageFormat::writePullAnswer, MessageFormat::readPullAnswer),
+            new MessageFormat<>(
+                    3,
+                    DocumentRequest.class,
+                    (message, packer) ->
+                            packer.packInt(message.kind().ordinal()).packLong(message.version()),
+                    in -> new DocumentRequest(readEnum(in, DocumentKind.values()), in.unpackLong())),
+            new MessageFormat<>(
+                    4,
+                    DocumentAnswer.class,
+                    (message, packer) -> {
+                        packer.packInt(message.kind().ordinal()).packLong(message.version());
+                        writeBytes(packer, message.content());
+                    },
+                    in -> new DocumentAnswer(readEnum(in, DocumentKind.values()), in.unpackLong(), readBytes(in))),
+            new MessageFormat<>(
+                    5,
+                    ChunkRequest.class,
+                    (message, packer) -> packer.packString(message.digest()),
+                    in -> new ChunkRequest(in.unpackString())),
+            new MessageFormat<>(
+                    6,
+                    ChunkAnswer.class,
+                    (message, packer) -> {
+                        packer.packString(message.digest()).packBoolean(message.found());
+                        writeBytes(packer, message.content());
+                    },
+                    in -> new ChunkAnswer(in.unpackString(), in.unpackBoolean(), readBytes(in))),
+            new MessageFormat<>(
+                    7,
+                    TokenRequest.class,
+                    (message, packer) -> packer.packString(message.team())
+                            .packInt(message.bucket())
+                            .packInt(message.wanted()),
+                    in -> new TokenRequest(in.unpackString(), in.unpackInt(), in.unpackInt())),
+            new MessageFormat<>(
+                    8,
+                    TokenAnswer.class,
+                    (message, packer) -> packer.packBoolean(message.owner())
+                            .packInt(message.granted())
+                            .packLong(message.retryAfterMillis()),
+                    in -> new TokenAnswer(in.unpackBoolean(), in.unpackInt(), in.unpackLong())),
+            new MessageFormat<>(
+                    9,
+                    TokenReturn.class,
+                    (message, packer) -> packer.packString(message.team())
+                            .packInt(message.bucket())
+                            .packInt(message.count()),
+                    in -> new TokenReturn(in.unpackString(), in.unpackInt(), in.unpackInt())),
+            new MessageFormat<>(
+                    10,
+                    ClaimRequest.class,
+                    (message, packer) -> packer.packString(message.operationId())
+                            .packString(message.team())
+                            .packLong(message.fingerprint()),
+                    in -> new ClaimRequest(in.unpackString(), in.unpackString(), in.unpackLong())),
+            new MessageFormat<>(
+                    11,
+                    ClaimAnswer.class,
+                    (message, packer) -> {
+                        packer.packInt(message.verdict().ordinal());
+                        writeRecorded(packer, message.recorded());
+                    },
+                    in -> new ClaimAnswer(readEnum(in, ClaimVerdict.values()), readRecorded(in))),
+            new MessageFormat<>(
+                    12,
+                    ClaimOutcome.class,
+                    (message, packer) -> {
+                        packer.packString(message.operationId())
+                                .packInt(message.result().ordinal());
+                        writeRecorded(packer, message.recorded());
+                    },
+                    in -> new ClaimOutcome(in.unpackString(), readEnum(in, ClaimResult.values()), readRecorded(in))),
+            new MessageFormat<>(13, SlotRequest.class, MessageFormat::writeSlotRequest, MessageFormat::readSlotRequest),
+            new MessageFormat<>(
+                    14,
+                    SlotAnswer.class,
+                    (message, packer) -> packer.packInt(message.verdict().ordinal())
+                            .packString(message.server())
+                            .packLong(message.grantId())
+                            .packLong(message.retryAfterMillis()),
+                    in -> new SlotAnswer(
+                            readEnum(in, SlotVerdict.values()), in.unpackString(), in.unpackLong(), in.unpackLong())),
+            new MessageFormat<>(
+                    15,
+                    SlotRelease.class,
+                    (message, packer) -> packer.packString(message.service())
+                            .packLong(message.grantId())
+                            .packInt(message.outcome().ordinal())
+                            .packLong(message.latencyMicros()),
+                    in -> new SlotRelease(
+                            in.unpackString(),
+                            in.unpackLong(),
+                            readEnum(in, AttemptOutcome.values()),
+                            in.unpackLong())),
+            new MessageFormat<>(
+                    16,
+                    HandoverRequest.class,
+                    (message, packer) -> {
+                        packer.packInt(message.kind().ordinal());
+                        writeBytes(packer, message.content());
+                    },
+                    in -> new HandoverRequest(readEnum(in, HandoverRequest.HandoverKind.values()), readBytes(in))),
+            new MessageFormat<>(
+                    17,
+                    Acknowledgement.class,
+                    (message, packer) -> packer.packBoolean(message.accepted()),
+                    in -> new Acknowledgement(in.unpackBoolean())));
+
+    private static final Map<Class<?>, MessageFormat<? extends Message>> BY_TYPE = indexByType();
+    private static final Map<Integer, MessageFormat<? extends Message>> BY_KIND = indexByKind();
+
+    /** Writes a message's fields. */
+    interface Writer<T> {
+        void write(T message, MessagePacker packer) throws IOException;
+    }
+
+    /** Reads a message's fields. */
+    interface Reader<T> {
+        T read(MessageUnpacker unpacker) throws IOException;
+    }
+
+    static MessageFormat<? extends Message> forMessage(Message message) {
+        MessageFormat<? extends Message> format = BY_TYPE.get(message.getClass());
+        if (format == null) {
+            throw new IllegalStateException("message: expected a class with a format, got " + message.getClass());
+        }
+        return format;
+    }
+
+    static MessageFormat<? extends Message> forKind(int kind) {
+        MessageFormat<? extends Message> format = BY_KIND.get(kind);
+        if (format == null) {
+            throw new IllegalArgumentException("kind: expected 1 to " + FORMATS.size() + ", got " + kind);
+        }
+        return format;
+    }
+
+    void write(Message message, MessagePacker packer) throws IOException {
+        writer.write(type.cast(message), packer);
+    }
+
+    T read(MessageUnpacker unpacker) throws IOException {
+        return reader.read(unpacker);
+    }
+
+    private static void writePullRequest(PullRequest message, MessagePacker packer) throws IOException {
+        packer.packLong(message.rosterVersion()).packLong(message.configurationVersion());
+    }
+
+    private static PullRequest readPullRequest(MessageUnpacker in) throws IOException {
+        return new PullRequest(in.unpackLong(), in.unpackLong());
+    }
+
+    private static void writePullAnswer(PullAnswer message, MessagePacker packer) throws IOException {
+        packer.packLong(message.rosterVersion()).packLong(message.configurationVersion());
+        packer.packInt(message.storeAge());
+        writeBytes(packer, message.memberAges());
+        writeBytes(packer, message.acknowledgedRosters());
+        writeBytes(packer, message.acknowledgedConfigurations());
+    }
+
+    private static PullAnswer readPullAnswer(MessageUnpacker in) throws IOException {
+        return new PullAnswer(
+                in.unpackLong(), in.unpackLong(), in.unpackInt(), readBytes(in), readBytes(in), readBytes(in));
+    }
+
+    private static void writeSlotRequest(SlotRequest message, MessagePacker packer) throws IOException {
+        packer.packString(message.service()).packString(message.route()).packString(message.team());
+        packer.packInt(message.trafficClass().ordinal());
+        packer.packLong(message.deadlineMillis()).packLong(message.fingerprint());
+        writeStrings(packer, message.excludedServers());
+    }
+
+    private static SlotRequest readSlotRequest(MessageUnpacker in) throws IOException {
+        return new SlotRequest(
+                in.unpackString(),
+                in.unpackString(),
+                in.unpackString(),
+                readEnum(in, TrafficClass.values()),
+                in.unpackLong(),
+                in.unpackLong(),
+                readStrings(in));
+    }
+
+    private static Map<Class<?>, MessageFormat<? extends Message>> indexByType() {
+        Map<Class<?>, MessageFormat<? extends Message>> index = new HashMap<>();
+        FORMATS.forEach(format -> index.put(format.type(), format));
+        return Map.copyOf(index);
+    }
+
+    private static Map<Integer, MessageFormat<? extends Message>> indexByKind() {
+        Map<Integer, MessageFormat<? extends Message>> index = new HashMap<>();
+        FORMATS.forEach(format -> index.put(format.kind(), format));
+        return Map.copyOf(index);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/auburnhoist/peer/PeerLink.java
@@ -0,0 +1,182 @@
+package org.auburnhoist.peer;
+
+import java.net.InetSocketAddress;
+import java.nio.channels.AsynchronousSocketChannel;
+import java.nio.channels.CompletionHandler;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import org.auburnhoist.core.HostId;
+import org.auburnhoist.core.message.Message;
+import org.jspecify.annotations.Nullable;
+
+/** One link to a peer that this host opened: handshake, then requests with answers in any order. */
+final class PeerLink implements FrameChannel.FrameListener {
+    private static final int MAXIMUM_PENDING = 20_000;
+
+    private final PeerSettings settings;
+    private final FrameChannel channel;
+    private final Handshake.Hello hello;
+    private final Map<Long, Call> pending = new HashMap<>();
+    private final List<Call> waitingForHandshake = new ArrayList<>();
+    private @Nullable HostId peer;
+    private byte @Nullable [] sessionKey;
+    private @Nullable String closedReason;
+    private long nextCorrelationId;
+    private long sentFrames;
+    private long receivedFrames;
+    private volatile long lastUsedNanos;
+
+    PeerLink(PeerSettings settings, AsynchronousSocketChannel socket, byte[] nonce, TrafficCounter traffic) {
+        this.settings = settings;
+        this.channel = new FrameChannel(socket, this, traffic);
+        this.hello = new Handshake.Hello(MessageCodec.PROTOCOL_VERSION, settings.self(), nonce, new byte[0]);
+    }
+
+    /** A request on its way. */
+    private record Call(long correlationId, Message request, CompletableFuture<CallResult> result) {}
+
+    void connect(AsynchronousSocketChannel socket, InetSocketAddress address) {
+        socket.connect(address, null, new CompletionHandler<Void, @Nullable Void>() {
+            @Override
+            public void completed(Void result, @Nullable Void attachment) {
+                channel.startReading();
+                channel.send(Handshake.encode(hello));
+            }
+
+            @Override
+            public void failed(Throwable cause, @Nullable Void attachment) {
+                channel.close("connect failed: " + cause);
+            }
+        });
+    }
+
+    /** Sends a request; the returned handle forgets it when its time limit has passed. */
+    Runnable send(Message request, CompletableFuture<CallResult> result, long nowNanos) {
+        lastUsedNanos = nowNanos;
+        Call call;
+        synchronized (this) {
+            if (closedReason != null) {
+                result.complete(new CallResult.NotSent(closedReason));
+                return () -> {};
+            }
+            if (pending.size() + waitingForHandshake.size() >= MAXIMUM_PENDING) {
+                result.complete(new CallResult.NotSent("more than " + MAXIMUM_PENDING + " requests are pending"));
+                return () -> {};
+            }
+            call = new Call(nextCorrelationId++, request, result);
+            byte[] key = sessionKey;
+            if (key == null) {
+                waitingForHandshake.add(call);
+            } else {
+                write(key, call);
+            }
+        }
+        return () -> forget(call);
+    }
+
+    boolean isClosed() {
+        synchronized (this) {
+            return closedReason != null;
+        }
+    }
+
+    boolean isReady() {
+        synchronized (this) {
+            return sessionKey != null;
+        }
+    }
+
+    boolean isIdleSince(long limitNanos) {
+        synchronized (this) {
+            return pending.isEmpty() && waitingForHandshake.isEmpty() && lastUsedNanos - limitNanos < 0;
+        }
+    }
+
+    void close(String reason) {
+        channel.close(reason);
+    }
+
+    @Override
+    public void frameReceived(byte[] content) {
+        try {
+            byte[] key;
+            synchronized (this) {
+                key = sessionKey;
+            }
+            if (key == null) {
+                completeHandshake(Handshake.decode(content));
+            } else {
+                completeCall(key, content);
+            }
+        } catch (MalformedMessageException cause) {
+            channel.close(String.valueOf(cause.getMessage()));
+        }
+    }
+
+    @Override
+    public void channelClosed(String reason) {
+        List<Call> notSent;
+        List<Call> unanswered;
+        synchronized (this) {
+            closedReason = reason;
+            notSent = List.copyOf(waitingForHandshake);
+            unanswered = List.copyOf(pending.values());
+            waitingForHandshake.clear();
+            pending.clear();
+        }
+        notSent.forEach(call -> call.result().complete(new CallResult.NotSent(reason)));
+        unanswered.forEach(call -> call.result().complete(new CallResult.NoAnswer(reason)));
+    }
+
+    private void completeHandshake(Handshake.Hello answer) throws MalformedMessageException {
+        byte[] secret = settings.secretBytes();
+        byte[] expected = Handshake.proof(secret, Handshake.Role.ACCEPTING, hello, answer);
+        if (!Handshake.matches(expected, answer.proof())) {
+            throw new MalformedMessageException("handshake: the peer does not know the fleet secret");
+        }
+        synchronized (this) {
+            channel.send(Handshake.proof(secret, Handshake.Role.CONNECTING, hello, answer));
+            byte[] key = Handshake.sessionKey(secret, hello, answer);
+            sessionKey = key;
+            peer = answer.host();
+            waitingForHandshake.forEach(call -> write(key, call));
+            waitingForHandshake.clear();
+        }
+    }
+
+    private void write(byte[] key, Call call) {
+        pending.put(call.correlationId(), call);
+        byte[] content = MessageCodec.encode(call.correlationId(), call.request());
+        channel.send(Handshake.seal(key, Handshake.Role.CONNECTING, sentFrames++, content));
+    }
+
+    private void completeCall(byte[] key, byte[] content) throws MalformedMessageException {
+        byte[] opened = Handshake.open(key, Handshake.Role.ACCEPTING, receivedFrames++, content);
+        MessageCodec.Envelope envelope = MessageCodec.decode(opened);
+        Call call;
+        HostId from;
+        synchronized (this) {
+            call = pending.remove(envelope.correlationId());
+            from = peer;
+        }
+        if (call != null && from != null) {
+            call.result().complete(new CallResult.Answered(from, envelope.message()));
+        }
+    }
+
+    private void forget(Call call) {
+        boolean wasWaiting;
+        synchronized (this) {
+            wasWaiting = waitingForHandshake.remove(call);
+            pending.remove(call.correlationId());
+        }
+        if (wasWaiting) {
+            call.result().complete(new CallResult.NotSent("time limit passed before the link was ready"));
+        } else {
+            call.result().complete(new CallResult.NoAnswer("time limit passed"));
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/auburnhoist/peer/PeerServer.java
@@ -0,0 +1,201 @@
+package org.auburnhoist.peer;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
+import java.nio.channels.AsynchronousChannelGroup;
+import java.nio.channels.AsynchronousServerSocketChannel;
+import java.nio.channels.AsynchronousSocketChannel;
+import java.nio.channels.CompletionHandler;
+import java.security.SecureRandom;
+import java.util.Arrays;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import org.auburnhoist.core.HostId;
+import org.auburnhoist.core.message.Message;
+import org.auburnhoist.support.Event;
+import org.jspecify.annotations.Nullable;
+
+/** Accepts links from other hosts and answers their requests. */
+public final class PeerServer implements AutoCloseable {
+    private final PeerSettings settings;
+    private final PeerRequestHandler handler;
+    private final AsynchronousServerSocketChannel acceptor;
+    private final TrafficCounter traffic;
+    private final SecureRandom random = new SecureRandom();
+    private final Set<Session> sessions = ConcurrentHashMap.newKeySet();
+
+    private PeerServer(
+            PeerSettings settings,
+            PeerRequestHandler handler,
+            AsynchronousServerSocketChannel acceptor,
+            TrafficCounter traffic) {
+        this.settings = settings;
+        this.handler = handler;
+        this.acceptor = acceptor;
+        this.traffic = traffic;
+    }
+
+    /**
+     * Starts to listen.
+     *
+     * @param settings this host's identity and secret
+     * @param address where to listen; port 0 takes a free port
+     * @param group threads that run the handler
+     * @param handler answers the requests
+     * @param traffic counts bytes
+     * @throws IOException if the address is not available
+     */
+    public static PeerServer start(
+            PeerSettings settings,
+            InetSocketAddress address,
+            AsynchronousChannelGroup group,
+            PeerRequestHandler handler,
+            TrafficCounter traffic)
+            throws IOException {
+        AsynchronousServerSocketChannel acceptor = AsynchronousServerSocketChannel.open(group)
+                .setOption(StandardSocketOptions.SO_REUSEADDR, true)
+                .bind(address);
+        PeerServer server = new PeerServer(settings, handler, acceptor, traffic);
+        server.acceptNext();
+        return server;
+    }
+
+    /** The address that the server listens on. */
+    public InetSocketAddress address() {
+        try {
+            return (InetSocketAddress) acceptor.getLocalAddress();
+        } catch (IOException cause) {
+            throw new IllegalStateException("the server is closed", cause);
+        }
+    }
+
+    @Override
+    public void close() throws IOException {
+        acceptor.close();
+        sessions.forEach(session -> session.close("server is closed"));
+    }
+
+    private void acceptNext() {
+        acceptor.accept(null, new AcceptHandler());
+    }
+
+    private final class AcceptHandler implements CompletionHandler<AsynchronousSocketChannel, Void> {
+        @Override
+        public void completed(AsynchronousSocketChannel channel, Void attachment) {
+            new Session(channel).start();
+            acceptNext();
+        }
+
+        @Override
+        public void failed(Throwable cause, Void attachment) {
+            if (acceptor.isOpen()) {
+                Event.named("peer-accept-failed").with("cause", cause).warn();
+                acceptNext();
+            }
+        }
+    }
+
+    /** One accepted link: first the handshake, then requests. */
+    private final class Session implements FrameChannel.FrameListener {
+        private final FrameChannel channel;
+        private final Object sendLock = new Object();
+        private Handshake.@Nullable Hello connecting;
+        private Handshake.@Nullable Hello accepting;
+        private byte @Nullable [] sessionKey;
+        private long receivedFrames;
+        private long sentFrames;
+
+        Session(AsynchronousSocketChannel socket) {
+            channel = new FrameChannel(socket, this, traffic);
+            try {
+                socket.setOption(StandardSocketOptions.TCP_NODELAY, true);
+            } catch (IOException cause) {
+                channel.close("socket option: " + cause);
+            }
+        }
+
+        void start() {
+            sessions.add(this);
+            channel.startReading();
+        }
+
+        void close(String reason) {
+            channel.close(reason);
+        }
+
+        @Override
+        public void frameReceived(byte[] content) {
+            try {
+                Handshake.Hello hello = connecting;
+                byte[] key = sessionKey;
+                if (hello == null) {
+                    answerHello(Handshake.decode(content));
+                } else if (key == null) {
+                    checkProof(hello, content);
+                } else {
+                    answerRequest(hello.host(), key, content);
+                }
+            } catch (MalformedMessageException cause) {
+                Event.named("peer-link-refused")
+                        .with("cause", String.valueOf(cause.getMessage()))
+                        .warn();
+                channel.close(String.valueOf(cause.getMessage()));
+            }
+        }
+
+        @Override
+        public void channelClosed(String reason) {
+            sessions.remove(this);
+        }
+
+        private void answerHello(Handshake.Hello hello) {
+            byte[] nonce = new byte[Handshake.NONCE_BYTES];
+            random.nextBytes(nonce);
+            Handshake.Hello unproved =
+                    new Handshake.Hello(MessageCodec.PROTOCOL_VERSION, settings.self(), nonce, new byte[0]);
+            byte[] proof = Handshake.proof(settings.secretBytes(), Handshake.Role.ACCEPTING, hello, unproved);
+            connecting = hello;
+            accepting = unproved;
+            channel.send(Handshake.encode(
+                    new Handshake.Hello(MessageCodec.PROTOCOL_VERSION, settings.self(), nonce, proof)));
+        }
+
+        private void checkProof(Handshake.Hello hello, byte[] content) throws MalformedMessageException {
+            Handshake.Hello own = accepting;
+            if (own == null) {
+                throw new MalformedMessageException("handshake: expected a hello first");
+            }
+            byte[] expected = Handshake.proof(settings.secretBytes(), Handshake.Role.CONNECTING, hello, own);
+            if (!Handshake.matches(expected, content)) {
+                throw new MalformedMessageException("handshake: the peer does not know the fleet secret");
+            }
+            sessionKey = Handshake.sessionKey(settings.secretBytes(), hello, own);
+        }
+
+        private void answerRequest(HostId from, byte[] key, byte[] content) throws MalformedMessageException {
+            byte[] opened = Handshake.open(key, Handshake.Role.CONNECTING, receivedFrames++, content);
+            MessageCodec.Envelope envelope = MessageCodec.decode(opened);
+            handler.handle(from, envelope.message()).whenComplete((answer, failure) -> {
+                if (failure != null) {
+                    Event.named("peer-request-failed").with("cause", failure).warn();
+                    channel.close("request handler failed");
+                } else {
+                    sendAnswer(key, envelope.correlationId(), answer);
+                }
+            });
+        }
+
+        private void sendAnswer(byte[] key, long correlationId, Message answer) {
+            byte[] content = MessageCodec.encode(correlationId, answer);
+            synchronized (sendLock) {
+                channel.send(Handshake.seal(key, Handshake.Role.ACCEPTING, sentFrames++, content));
+            }
+        }
+
+        @Override
+        public String toString() {
+            return "Session[" + Arrays.toString(new Object[] {connecting}) + "]";
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/auburnhoist/peer/TrafficCounter.java
@@ -0,0 +1,27 @@
+package org.auburnhoist.peer;
+
+import java.util.concurrent.atomic.LongAdder;
+
+/** Counts the bytes that a host exchanges with other hosts. */
+public final class TrafficCounter {
+    private final LongAdder sentBytes = new LongAdder();
+    private final LongAdder receivedBytes = new LongAdder();
+
+    void sent(long bytes) {
+        sentBytes.add(bytes);
+    }
+
+    void received(long bytes) {
+        receivedBytes.add(bytes);
+    }
+
+    /** Bytes sent since the start, without TCP and IP headers. */
+    public long sentBytes() {
+        return sentBytes.sum();
+    }
+
+    /** Bytes received since the start, without TCP and IP headers. */
+    public long receivedBytes() {
+        return receivedBytes.sum();
+    }
+}
--- /dev/null
+++ b/src/test/java/org/auburnhoist/peer/MessageCodecTest.java
@@ -0,0 +1,105 @@
+package org.auburnhoist.peer;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import org.auburnhoist.core.TrafficClass;
+import org.auburnhoist.core.message.Acknowledgement;
+import org.auburnhoist.core.message.AttemptOutcome;
+import org.auburnhoist.core.message.ClaimAnswer;
+import org.auburnhoist.core.message.ClaimOutcome;
+import org.auburnhoist.core.message.ClaimRequest;
+import org.auburnhoist.core.message.ClaimResult;
+import org.auburnhoist.core.message.ClaimVerdict;
+import org.auburnhoist.core.message.Message;
+import org.auburnhoist.core.message.PullAnswer;
+import org.auburnhoist.core.message.PullRequest;
+import org.auburnhoist.core.message.RecordedAnswer;
+import org.auburnhoist.core.message.SlotAnswer;
+import org.auburnhoist.core.message.SlotRelease;
+import org.auburnhoist.core.message.SlotRequest;
+import org.auburnhoist.core.message.SlotVerdict;
+import org.auburnhoist.core.message.TokenAnswer;
+import org.auburnhoist.core.message.TokenRequest;
+import org.junit.jupiter.api.Test;
+
+/** Guards against fields that are lost on the wire and against input that stops a host. */
+class MessageCodecTest {
+    private static final List<Message> MESSAGES = List.of(
+            new PullRequest(3, Long.MAX_VALUE),
+            new TokenRequest("members", 1, 7),
+            new TokenAnswer(true, 0, 250),
+            new ClaimRequest("operation", "members", -1),
+            new ClaimAnswer(ClaimVerdict.RUNNING, null),
+            new SlotRequest("ledger", "book", "members", TrafficClass.BOOKING, 1500, 42, List.of("ledger-1")),
+            new SlotAnswer(SlotVerdict.GRANTED, "ledger-2", 9, 0),
+            new SlotRelease("ledger", 9, AttemptOutcome.TIMEOUT, 1_500_000),
+            new Acknowledgement(true));
+
+    @Test
+    void everyFieldSurvivesTheWire() throws Exception {
+        long correlationId = 0;
+        for (Message message : MESSAGES) {
+            MessageCodec.Envelope decoded = MessageCodec.decode(MessageCodec.encode(++correlationId, message));
+            assertEquals(new MessageCodec.Envelope(correlationId, message), decoded);
+        }
+    }
+
+    @Test
+    void arraysSurviveTheWire() throws Exception {
+        PullAnswer answer = new PullAnswer(1, 2, 255, new byte[] {0, -1}, new byte[] {1}, new byte[] {});
+        PullAnswer decoded =
+                (PullAnswer) MessageCodec.decode(MessageCodec.encode(0, answer)).message();
+        assertArrayEquals(answer.memberAges(), decoded.memberAges());
+        assertEquals(255, decoded.storeAge());
+        RecordedAnswer recorded =
+                new RecordedAnswer(201, List.of(Map.entry("Location", "/bookings/7")), new byte[] {1, 2}, true);
+        ClaimOutcome outcome = (ClaimOutcome) MessageCodec.decode(
+                        MessageCodec.encode(0, new ClaimOutcome("operation", ClaimResult.ANSWERED, recorded)))
+                .message();
+        assertEquals(recorded.headers(), outcome.recorded().headers());
+        assertArrayEquals(recorded.body(), outcome.recorded().body());
+    }
+
+    @Test
+    void damagedMessagesAreRefusedWithoutOtherFailures() {
+        Random random = new Random(20261204);
+        for (int round = 0; round < 20_000; round++) {
+            Message message = MESSAGES.get(random.nextInt(MESSAGES.size()));
+            byte[] damaged = damage(MessageCodec.encode(round, message), random);
+            try {
+                MessageCodec.decode(damaged);
+            } catch (MalformedMessageException expected) {
+                // Refusal is the documented answer to damaged input.
+            }
+        }
+    }
+
+    @Test
+    void hugeAnnouncedLengthsAreRefusedBeforeMemoryIsTaken() {
+        byte[] binaryHeaderOfTwoGigabytes = {1, 6, 0, (byte) 0xa0, (byte) 0xc3, (byte) 0xc6, 0x7f, -1, -1, -1};
+        assertThrows(MalformedMessageException.class, () -> MessageCodec.decode(binaryHeaderOfTwoGigabytes));
+    }
+
+    @Test
+    void aFrameReplayedAtAnotherPositionIsRefused() throws Exception {
+        byte[] key = Handshake.secretBytes("a secret of the fleet");
+        byte[] sealed = Handshake.seal(key, Handshake.Role.CONNECTING, 4, new byte[] {1, 2, 3});
+        assertArrayEquals(new byte[] {1, 2, 3}, Handshake.open(key, Handshake.Role.CONNECTING, 4, sealed));
+        assertThrows(MalformedMessageException.class, () -> Handshake.open(key, Handshake.Role.CONNECTING, 5, sealed));
+        assertThrows(MalformedMessageException.class, () -> Handshake.open(key, Handshake.Role.ACCEPTING, 4, sealed));
+    }
+
+    private static byte[] damage(byte[] content, Random random) {
+        byte[] damaged = Arrays.copyOf(content, random.nextInt(content.length + 4));
+        for (int change = random.nextInt(4); change > 0 && damaged.length > 0; change--) {
+            damaged[random.nextInt(damaged.length)] = (byte) random.nextInt(256);
+        }
+        return damaged;
+    }
+}
