Add the roster, freshness, steward and token bucket logic

Change: core.membership holds the roster with its JSON form, the freshness table, the steward, the choice of store readers and peers, and the address ranking. core.limit holds the owner's buckets, the reserves of an asking host, the handover between owners and the baseline with fixed shares.

--- /dev/null
+++ b/src/main/java/org/auburnhoist/core/limit/BucketLimits.java
@@ -0,0 +1,12 @@
+package org.auburnhoist.core.limit;
+
+/**
+ * Limits of one bucket.
+ *
+ * @param ratePerSecond tokens that accrue per second
+ * @param capacity largest number of tokens
+ */
+public record BucketLimits(double ratePerSecond, int capacity) {
+    /** Limits of a bucket that never grants. */
+    public static final BucketLimits NONE = new BucketLimits(0, 0);
+}
--- /dev/null
+++ b/src/main/java/org/auburnhoist/core/limit/FixedShares.java
@@ -0,0 +1,79 @@
+package org.auburnhoist.core.limit;
+
+import java.util.HashMap;
+import java.util.Map;
+import org.auburnhoist.core.HostId;
+import org.auburnhoist.core.configuration.Team;
+import org.auburnhoist.core.membership.Roster;
+import org.auburnhoist.core.message.TokenAnswer;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * The baseline for comparison: each host grants a fixed share of each team's rate and burst without asking others.
+ *
+ * <p>The burst is divided into whole tokens by rank, so that the shares add up to the burst. It does not handle
+ * changes of the roster safely and is not meant for use in a fleet.
+ */
+public final class FixedShares implements RateLimiter {
+    private final HostId self;
+    private final LimitSettings settings;
+    private final Map<String, Bucket> buckets = new HashMap<>();
+    private Map<String, Team> teams = Map.of();
+    private Roster roster;
+
+    /** Starts with full shares and without teams. */
+    public FixedShares(HostId self, LimitSettings settings, Roster roster) {
+        this.self = self;
+        this.settings = settings;
+        this.roster = roster;
+    }
+
+    @Override
+    public void useRoster(Roster newer) {
+        roster = newer;
+        buckets.clear();
+    }
+
+    @Override
+    public void configure(Map<String, Team> newTeams, long nowNanos) {
+        teams = Map.copyOf(newTeams);
+        buckets.clear();
+    }
+
+    @Override
+    public TokenDecision decide(String teamName, long nowNanos) {
+        @Nullable Team team = teams.get(teamName);
+        if (team == null) {
+            return new TokenDecision.Refuse(LimitSettings.LONGEST_RETRY_MILLIS);
+        }
+        Bucket bucket = buckets.computeIfAbsent(teamName, name -> {
+            BucketLimits share = share(team);
+            return new Bucket(share, share.capacity(), nowNanos);
+        });
+        bucket.advance(nowNanos, settings);
+        return bucket.take(0) > 0
+                ? TokenDecision.Spend.INSTANCE
+                : new TokenDecision.Refuse(bucket.millisUntilToken(settings));
+    }
+
+    @Override
+    public TokenDecision answered(TokenDecision.Ask ask, long sentAtNanos, TokenAnswer answer, long nowNanos) {
+        throw new IllegalStateException("fixed shares ask no other host, but got an answer to " + ask);
+    }
+
+    @Override
+    public TokenDecision unanswered(TokenDecision.Ask ask, long nowNanos) {
+        throw new IllegalStateException("fixed shares ask no other host, but got a timeout of " + ask);
+    }
+
+    private BucketLimits share(Team team) {
+        int hosts = roster.members().size();
+        int rank = roster.rank(self);
+        if (rank < 0) {
+            return BucketLimits.NONE;
+        }
+        long upper = (long) team.burst() * (rank + 1) / hosts;
+        long lower = (long) team.burst() * rank / hosts;
+        return new BucketLimits(team.ratePerSecond() / hosts, (int) (upper - lower));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/auburnhoist/core/limit/ShardGrant.java
@@ -0,0 +1,10 @@
+package org.auburnhoist.core.limit;
+
+/**
+ * Permission to grant from a shard.
+ *
+ * @param ownedSinceVersion roster version at which the ownership began
+ * @param startNanos time from which tokens accrue in buckets without recorded state
+ * @param startsFull whether buckets without recorded state are full, because the shard never had another owner
+ */
+public record ShardGrant(long ownedSinceVersion, long startNanos, boolean startsFull) {}
--- /dev/null
+++ b/src/main/java/org/auburnhoist/core/membership/RosterProblem.java
@@ -0,0 +1,9 @@
+package org.auburnhoist.core.membership;
+
+/**
+ * Why bytes are not a valid roster.
+ *
+ * @param place field in which the problem was found, such as {@code members[3].dataCentre}
+ * @param message the value found and what was expected
+ */
+public record RosterProblem(String place, String message) {}
