--- /dev/null
+++ b/src/main/java/org/auburnhoist/core/dispatch/GrantTable.java
@@ -0,0 +1,101 @@
+package org.auburnhoist.core.dispatch;
+
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Predicate;
+import org.auburnhoist.core.HostId;
+import org.auburnhoist.core.TrafficClass;
+import org.jspecify.annotations.Nullable;
+
+/** All grants in use, with exact counts per server, class and fingerprint. */
+final class GrantTable {
+    private final Map<Long, Grant> grants = new HashMap<>();
+    private final Map<String, Integer> byServer = new HashMap<>();
+    private final Map<String, Map<TrafficClass, Integer>> byServerAndClass = new HashMap<>();
+    private final Map<TrafficClass, Integer> byClass = new EnumMap<>(TrafficClass.class);
+    private final Map<Long, Integer> byFingerprint = new HashMap<>();
+    private long nextId;
+
+    /** Creates an empty table; its ids start at a random number, so that ids of an earlier dispatcher match nothing. */
+    GrantTable(long firstId) {
+        nextId = firstId & Long.MAX_VALUE;
+    }
+
+    Grant add(WaitingRequest waiting, String server, long nowNanos, long expiresNanos) {
+        nextId = nextId == Long.MAX_VALUE ? 1 : nextId + 1;
+        Grant grant = new Grant(
+                nextId,
+                server,
+                waiting.asking(),
+                waiting.request().trafficClass(),
+                waiting.request().fingerprint(),
+                nowNanos,
+                expiresNanos);
+        grants.put(grant.id(), grant);
+        count(grant, 1);
+        return grant;
+    }
+
+    /** Removes the grant if the host holds it; otherwise returns null. */
+    @Nullable
+    Grant release(long id, HostId host) {
+        Grant grant = grants.get(id);
+        if (grant == null || !grant.host().equals(host)) {
+            return null;
+        }
+        grants.remove(id);
+        count(grant, -1);
+        return grant;
+    }
+
+    List<Grant> removeIf(Predicate<Grant> condition) {
+        List<Grant> removed = new ArrayList<>();
+        grants.values().removeIf(grant -> condition.test(grant) && removed.add(grant));
+        removed.forEach(grant -> count(grant, -1));
+        return removed;
+    }
+
+    List<Grant> onServer(String server) {
+        return grants.values().stream()
+                .filter(grant -> grant.server().equals(server))
+                .toList();
+    }
+
+    int used(String server) {
+        return byServer.getOrDefault(server, 0);
+    }
+
+    int used(String server, TrafficClass trafficClass) {
+        return byServerAndClass.getOrDefault(server, Map.of()).getOrDefault(trafficClass, 0);
+    }
+
+    int used(TrafficClass trafficClass) {
+        return byClass.getOrDefault(trafficClass, 0);
+    }
+
+    int usedBy(long fingerprint) {
+        return byFingerprint.getOrDefault(fingerprint, 0);
+    }
+
+    private void count(Grant grant, int change) {
+        add(byServer, grant.server(), change);
+        add(byClass, grant.trafficClass(), change);
+        add(byFingerprint, grant.fingerprint(), change);
+        Map<TrafficClass, Integer> classes =
+                byServerAndClass.computeIfAbsent(grant.server(), server -> new EnumMap<>(TrafficClass.class));
+        add(classes, grant.trafficClass(), change);
+        if (classes.isEmpty()) {
+            byServerAndClass.remove(grant.server());
+        }
+    }
+
+    private static <K> void add(Map<K, Integer> counts, K key, int change) {
+        counts.compute(key, (same, count) -> {
+            int sum = (count == null ? 0 : count) + change;
+            return sum == 0 ? null : sum;
+        });
+    }
+}
--- /dev/null
+++ b/src/main/java/org/auburnhoist/core/dispatch/RetryBudget.java
@@ -0,0 +1,67 @@
+package org.auburnhoist.core.dispatch;
+
+import org.auburnhoist.core.TrafficClass;
+
+/** Limits a host's further attempts to a tenth of its recent requests. */
+public final class RetryBudget {
+    /** Most attempts after the first one. */
+    public static final int MOST_RETRIES = 2;
+
+    private static final double SHARE = 0.1;
+    /** Retries allowed in each window whatever the traffic, so that a quiet host can retry at all. */
+    private static final int LEAST_PER_WINDOW = 3;
+
+    private static final int SECONDS = 10;
+    private static final long SECOND_NANOS = 1_000_000_000L;
+
+    private final long[] second = new long[SECONDS];
+    private final int[] requests = new int[SECONDS];
+    private final int[] retries = new int[SECONDS];
+
+    /** Counts a request's first attempt. */
+    public void requestStarted(long nowNanos) {
+        requests[slot(nowNanos)]++;
+    }
+
+    /**
+     * Decides about a further attempt and counts it if allowed.
+     *
+     * @param trafficClass kind of work; work that is not idempotent is never attempted again
+     * @param attempts attempts made so far
+     * @param connectionsLost how many of them ended with the server's connection lost; such a request may be what
+     *     crashes the servers and is retried at most once
+     * @param nowNanos the present time
+     */
+    public boolean tryRetry(TrafficClass trafficClass, int attempts, int connectionsLost, long nowNanos) {
+        int limit = connectionsLost > 0 ? 1 : MOST_RETRIES;
+        if (!trafficClass.isIdempotent() || attempts > limit) {
+            return false;
+        }
+        int slot = slot(nowNanos);
+        int recentRequests = 0;
+        int recentRetries = 0;
+        long present = Math.floorDiv(nowNanos, SECOND_NANOS);
+        for (int index = 0; index < SECONDS; index++) {
+            if (present - second[index] < SECONDS) {
+                recentRequests += requests[index];
+                recentRetries += retries[index];
+            }
+        }
+        if (recentRetries + 1 > Math.max(LEAST_PER_WINDOW, SHARE * recentRequests)) {
+            return false;
+        }
+        retries[slot]++;
+        return true;
+    }
+
+    private int slot(long nowNanos) {
+        long present = Math.floorDiv(nowNanos, SECOND_NANOS);
+        int slot = (int) Math.floorMod(present, (long) SECONDS);
+        if (second[slot] != present) {
+            second[slot] = present;
+            requests[slot] = 0;
+            retries[slot] = 0;
+        }
+        return slot;
+    }
+}
--- a/src/main/java/org/auburnhoist/core/message/ClaimOutcome.java
+++ b/src/main/java/org/auburnhoist/core/message/ClaimOutcome.java
@@ -6,8 +6,12 @@
  * Reports the end of a granted claim to the operation's home.
  *
  * @param operationId the operation
+ * @param attempt number under which the claim was granted, so that a report that comes late never ends a newer claim
  * @param result how it ended
  * @param recorded the upstream's answer, only with {@link ClaimResult#ANSWERED}
  */
 public record ClaimOutcome(
-        String operationId, ClaimResult result, @Nullable RecordedAnswer recorded) implements Message {}
+        String operationId,
+        long attempt,
+        ClaimResult result,
+        @Nullable RecordedAnswer recorded) implements Message {}
