Add the blackboard and the controllers of an entry host

Cause: the parts for membership, limits, operations, dispatch and links need a process that runs them. Change: one control thread runs controllers on a blackboard; traffic threads read immutable views. Documents are pulled from members or read from the store; tokens, claims and slots are asked for over links; a planned stop marks the host as leaving, drains and hands over.

--- /dev/null
+++ b/src/main/java/org/auburnhoist/host/ControlThread.java
@@ -0,0 +1,110 @@
+package org.auburnhoist.host;
+
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Future;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.LongConsumer;
+import java.util.function.LongFunction;
+import org.auburnhoist.support.Event;
+
+/**
+ * The only thread that touches control state.
+ *
+ * <p>Tasks receive the time at which they start, so that a decision made after a pause sees the pause. Tasks that
+ * traffic submits are bounded in number; further ones are rejected.
+ */
+final class ControlThread implements AutoCloseable {
+    private static final int MAXIMUM_QUEUED = 50_000;
+
+    private final ScheduledThreadPoolExecutor executor;
+    private final AtomicInteger queued = new AtomicInteger();
+
+    ControlThread(String name) {
+        executor = new ScheduledThreadPoolExecutor(1, task -> {
+            Thread thread = new Thread(task, name);
+            thread.setDaemon(true);
+            return thread;
+        });
+        executor.setRemoveOnCancelPolicy(true);
+        executor.setExecuteExistingDelayedTasksAfterShutdownPolicy(false);
+        executor.setContinueExistingPeriodicTasksAfterShutdownPolicy(false);
+    }
+
+    /** Runs a task soon. */
+    void execute(LongConsumer task) {
+        try {
+            executor.execute(() -> runLogged(task));
+        } catch (RejectedExecutionException closed) {
+            // The process is stopping; nobody waits for this task.
+        }
+    }
+
+    /** Runs a task at a fixed interval, starting after one interval. */
+    void every(Duration interval, LongConsumer task) {
+        Future<?> unused = executor.scheduleWithFixedDelay(
+                () -> runLogged(task), interval.toNanos(), interval.toNanos(), TimeUnit.NANOSECONDS);
+    }
+
+    /** Runs a task once after a delay. */
+    void after(Duration delay, LongConsumer task) {
+        try {
+            Future<?> unused = executor.schedule(() -> runLogged(task), delay.toNanos(), TimeUnit.NANOSECONDS);
+        } catch (RejectedExecutionException closed) {
+            // The process is stopping; nobody waits for this task.
+        }
+    }
+
+    /**
+     * Computes a value on this thread.
+     *
+     * @return completes exceptionally with {@link RejectedExecutionException} if too many tasks are queued
+     */
+    <T> CompletableFuture<T> compute(LongFunction<T> task) {
+        CompletableFuture<T> result = new CompletableFuture<>();
+        if (queued.incrementAndGet() > MAXIMUM_QUEUED) {
+            queued.decrementAndGet();
+            result.completeExceptionally(new RejectedExecutionException("control queue is full"));
+            return result;
+        }
+        try {
+            executor.execute(() -> {
+                queued.decrementAndGet();
+                completeWith(result, task);
+            });
+        } catch (RejectedExecutionException closed) {
+            queued.decrementAndGet();
+            result.completeExceptionally(closed);
+        }
+        return result;
+    }
+
+    int queuedTasks() {
+        return queued.get();
+    }
+
+    @Override
+    public void close() {
+        executor.shutdown();
+    }
+
+    private static <T> void completeWith(CompletableFuture<T> result, LongFunction<T> task) {
+        try {
+            result.complete(task.apply(System.nanoTime()));
+        } catch (RuntimeException cause) {
+            Event.named("control-task-failed").with("cause", cause).warn();
+            result.completeExceptionally(cause);
+        }
+    }
+
+    private static void runLogged(LongConsumer task) {
+        try {
+            task.accept(System.nanoTime());
+        } catch (RuntimeException cause) {
+            Event.named("control-task-failed").with("cause", cause).warn();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/auburnhoist/host/DispatchController.java
@@ -0,0 +1,147 @@
+package org.auburnhoist.host;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.random.RandomGenerator;
+import java.util.stream.Collectors;
+import org.auburnhoist.core.HostId;
+import org.auburnhoist.core.blackboard.Blackboard;
+import org.auburnhoist.core.configuration.FleetConfiguration;
+import org.auburnhoist.core.configuration.Service;
+import org.auburnhoist.core.configuration.Team;
+import org.auburnhoist.core.dispatch.DispatchSettings;
+import org.auburnhoist.core.dispatch.HealthChange;
+import org.auburnhoist.core.dispatch.ServiceDispatcher;
+import org.auburnhoist.core.dispatch.SlotDecision;
+import org.auburnhoist.core.dispatch.SlotDispatcher;
+import org.auburnhoist.core.membership.Roster;
+import org.auburnhoist.core.message.SlotAnswer;
+import org.auburnhoist.core.message.SlotRelease;
+import org.auburnhoist.core.message.SlotRequest;
+import org.auburnhoist.core.message.SlotVerdict;
+import org.auburnhoist.support.Event;
+import org.jspecify.annotations.Nullable;
+
+/** The dispatchers that run on this host, one for each service that other hosts or this one ask it about. */
+final class DispatchController {
+    /** How often dispatchers look at deadlines and health. */
+    static final Duration TICK = Duration.ofMillis(50);
+
+    private final Blackboard board;
+    private final RandomGenerator random;
+    private final Map<String, SlotDispatcher> dispatchers = new HashMap<>();
+    private final Map<Long, CompletableFuture<SlotAnswer>> waiting = new HashMap<>();
+    private Set<HostId> members = Set.of();
+    private long configuredVersion;
+    private long nextReplyToken;
+
+    DispatchController(Blackboard board, RandomGenerator random) {
+        this.board = board;
+        this.random = random;
+    }
+
+    /** Queues a request for a slot; completes when the dispatcher has decided. */
+    CompletableFuture<SlotAnswer> request(SlotRequest request, HostId asking, long nowNanos) {
+        SlotDispatcher dispatcher = dispatcherFor(request.service(), nowNanos);
+        CompletableFuture<SlotAnswer> reply = new CompletableFuture<>();
+        if (dispatcher == null) {
+            reply.complete(new SlotAnswer(SlotVerdict.UNKNOWN_SERVICE, "", 0, 0));
+            return reply;
+        }
+        long token = nextReplyToken++;
+        waiting.put(token, reply);
+        complete(dispatcher.request(request, asking, token, nowNanos));
+        return reply;
+    }
+
+    /** Takes a slot back and what is reported with it. */
+    void release(SlotRelease release, HostId asking, long nowNanos) {
+        SlotDispatcher dispatcher = dispatchers.get(release.service());
+        if (dispatcher != null) {
+            complete(dispatcher.release(release, asking, nowNanos));
+        }
+    }
+
+    /** Follows the blackboard's roster and configuration. */
+    void documentsChanged(long nowNanos) {
+        if (board.active().version() > configuredVersion) {
+            configuredVersion = board.active().version();
+            FleetConfiguration configuration = board.active().configuration();
+            dispatchers.keySet().retainAll(configuration.services().keySet());
+            Map.copyOf(dispatchers).forEach((name, dispatcher) -> configure(dispatcher, name, nowNanos));
+        }
+        Roster roster = board.roster();
+        if (roster != null) {
+            Set<HostId> present = new HashSet<>();
+            roster.members().forEach(member -> present.add(member.id()));
+            for (HostId member : members) {
+                if (!present.contains(member)) {
+                    List.copyOf(dispatchers.values())
+                            .forEach(dispatcher -> complete(dispatcher.memberGone(member, nowNanos)));
+                }
+            }
+            members = present;
+        }
+    }
+
+    /** Lets time pass in every dispatcher. */
+    void tick(long nowNanos) {
+        // A decision may start a request at another service, which may add a dispatcher to the map.
+        for (Map.Entry<String, SlotDispatcher> entry : List.copyOf(dispatchers.entrySet())) {
+            complete(entry.getValue().tick(nowNanos));
+            entry.getValue().drainHealthChanges().forEach(change -> record(entry.getKey(), change));
+        }
+    }
+
+    /** Names of ejected servers by service, as the dispatchers on this host judge them. */
+    Map<String, Set<String>> ejected() {
+        return dispatchers.entrySet().stream()
+                .collect(Collectors.toMap(
+                        Map.Entry::getKey, entry -> entry.getValue().ejected()));
+    }
+
+    private @Nullable SlotDispatcher dispatcherFor(String service, long nowNanos) {
+        if (!board.active().configuration().services().containsKey(service)) {
+            return null;
+        }
+        return dispatchers.computeIfAbsent(service, name -> {
+            SlotDispatcher created = ServiceDispatcher.create(DispatchSettings.DEFAULT, random);
+            configure(created, name, nowNanos);
+            return created;
+        });
+    }
+
+    private void configure(SlotDispatcher dispatcher, String name, long nowNanos) {
+        FleetConfiguration configuration = board.active().configuration();
+        Service service = configuration.services().get(name);
+        if (service != null) {
+            Map<String, Integer> weights =
+                    configuration.teams().values().stream().collect(Collectors.toMap(Team::name, Team::weight));
+            complete(dispatcher.configure(service, weights, nowNanos));
+        }
+    }
+
+    private void complete(List<SlotDecision> decisions) {
+        for (SlotDecision decision : decisions) {
+            CompletableFuture<SlotAnswer> reply = waiting.remove(decision.replyToken());
+            if (reply != null) {
+                reply.complete(decision.answer());
+            }
+        }
+    }
+
+    private static void record(String service, HealthChange change) {
+        Event.named("server-health")
+                .with("service", service)
+                .with("server", change.server())
+                .with("class", change.trafficClass())
+                .with("change", change.kind())
+                .with("reason", change.detail())
+                .log();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/auburnhoist/host/HostControllers.java
@@ -0,0 +1,29 @@
+package org.auburnhoist.host;
+
+import org.auburnhoist.core.blackboard.Blackboard;
+
+/**
+ * The blackboard of a host and the controllers that run on its control thread.
+ *
+ * @param board control state
+ * @param peers calls to other hosts
+ * @param documents configuration and roster
+ * @param pulls exchange with other members
+ * @param store reads and writes of the store
+ * @param limits tokens
+ * @param operations claims
+ * @param dispatchers slots granted by this host
+ * @param slots slots for this host's requests
+ * @param retries budget of further attempts; may be used by traffic threads
+ */
+record HostControllers(
+        Blackboard board,
+        Peers peers,
+        DocumentController documents,
+        PullController pulls,
+        StoreController store,
+        LimitController limits,
+        OperationController operations,
+        DispatchController dispatchers,
+        SlotClient slots,
+        ServiceRetries retries) {}
--- /dev/null
+++ b/src/main/java/org/auburnhoist/host/HostPolicy.java
@@ -0,0 +1,259 @@
+package org.auburnhoist.host;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.function.Supplier;
+import org.auburnhoist.core.Refusal;
+import org.auburnhoist.core.TrafficClass;
+import org.auburnhoist.core.blackboard.HostView;
+import org.auburnhoist.core.configuration.KeyCheck;
+import org.auburnhoist.core.configuration.Route;
+import org.auburnhoist.core.configuration.RouteMatch;
+import org.auburnhoist.core.limit.TokenDecision;
+import org.auburnhoist.core.message.ClaimAnswer;
+import org.auburnhoist.core.message.ClaimRequest;
+import org.auburnhoist.core.message.RecordedAnswer;
+import org.auburnhoist.core.operation.OperationId;
+import org.auburnhoist.proxy.Admission;
+import org.auburnhoist.proxy.RequestHead;
+import org.auburnhoist.proxy.RequestPolicy;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Decides about callers' requests: route, key and team on the traffic thread, then token, operation claim and slot on
+ * the control thread.
+ */
+final class HostPolicy implements RequestPolicy {
+    static final String AUTHORIZATION = "Authorization";
+    static final String OPERATION_ID = "Operation-Id";
+
+    private static final long NO_ADVICE = -1;
+    private static final long STALE_RETRY_MILLIS = 2_000;
+    private static final long RUNNING_RETRY_MILLIS = 1_000;
+
+    private final Supplier<HostView> view;
+    private final ControlThread control;
+    private final HostControllers controllers;
+    private final LocalEndpoints endpoints;
+    private final HostMetrics metrics;
+
+    HostPolicy(
+            Supplier<HostView> view,
+            ControlThread control,
+            HostControllers controllers,
+            LocalEndpoints endpoints,
+            HostMetrics metrics) {
+        this.view = view;
+        this.control = control;
+        this.controllers = controllers;
+        this.endpoints = endpoints;
+        this.metrics = metrics;
+    }
+
+    /** An authenticated request with its route. */
+    record Request(
+            RequestHead head,
+            String path,
+            Route route,
+            String team,
+            String keyId,
+            RequestRecord record,
+            long startNanos) {}
+
+    @Override
+    public CompletionStage<Admission> admit(RequestHead head, long nowNanos) {
+        if (LocalEndpoints.isLocal(head.path())) {
+            return endpoints.answer(head, nowNanos);
+        }
+        RequestRecord record = new RequestRecord(head.requestId(), head.method(), head.path());
+        HostView current = view.get();
+        RouteMatch match = current.active().routes().match(head.method(), head.path());
+        if (match instanceof RouteMatch.Malformed malformed) {
+            return refused(record, Refusal.MALFORMED_REQUEST, malformed.reason(), NO_ADVICE);
+        }
+        if (!(match instanceof RouteMatch.Found found)) {
+            return current.active().version() == 0
+                    ? refused(record, Refusal.HOST_ISOLATED, "this host has no configuration yet", STALE_RETRY_MILLIS)
+                    : refused(record, Refusal.ROUTE_UNKNOWN, "no route accepts this method and path", NO_ADVICE);
+        }
+        record.route(found.route().name());
+        return authenticate(current, head, found, record, nowNanos);
+    }
+
+    private CompletionStage<Admission> authenticate(
+            HostView current, RequestHead head, RouteMatch.Found found, RequestRecord record, long nowNanos) {
+        Route route = found.route();
+        if (!current.isFresh(nowNanos)) {
+            return refused(
+                    record,
+                    Refusal.HOST_ISOLATED,
+                    "this host has lost contact with the fleet; use another address",
+                    STALE_RETRY_MILLIS);
+        }
+        if (route.open()) {
+            return proceed(new Request(head, found.path(), route, "", "", record, nowNanos));
+        }
+        KeyCheck check = current.active().keys().check(head.header(AUTHORIZATION));
+        if (check instanceof KeyCheck.Missing) {
+            return refused(record, Refusal.KEY_MISSING, "this route needs a key", NO_ADVICE);
+        }
+        if (check instanceof KeyCheck.Withdrawn withdrawn) {
+            record.caller(withdrawn.team(), withdrawn.keyId());
+            return refused(record, Refusal.KEY_WITHDRAWN, "the key was withdrawn", NO_ADVICE);
+        }
+        if (!(check instanceof KeyCheck.Accepted accepted)) {
+            return refused(record, Refusal.KEY_UNKNOWN, "the key is not known", NO_ADVICE);
+        }
+        record.caller(accepted.team(), accepted.keyId());
+        if (!route.teams().isEmpty() && !route.teams().contains(accepted.team())) {
+            return refused(record, Refusal.TEAM_NOT_ALLOWED, "the team may not use this route", NO_ADVICE);
+        }
+        return proceed(new Request(head, found.path(), route, accepted.team(), accepted.keyId(), record, nowNanos));
+    }
+
+    private CompletionStage<Admission> proceed(Request request) {
+        CompletableFuture<Admission> result = new CompletableFuture<>();
+        OperationId operation = null;
+        String header = request.head().header(OPERATION_ID);
+        if (request.route().trafficClass() == TrafficClass.BOOKING && header != null) {
+            operation = OperationId.parse(header).getOrNull();
+            if (operation == null) {
+                return refused(
+                        request.record(),
+                        Refusal.OPERATION_ID_INVALID,
+                        "Operation-Id: expected an id issued by this fleet",
+                        NO_ADVICE);
+            }
+            request.record().operation(header);
+        }
+        OperationId parsed = operation;
+        CompletableFuture<Boolean> accepted = control.compute(now -> {
+            if (request.route().trafficClass() == TrafficClass.BOOKING && parsed == null) {
+                result.complete(operationIdRequired(request, now));
+            } else {
+                acquireToken(request, parsed, now, result);
+            }
+            return true;
+        });
+        accepted.whenComplete((done, failure) -> {
+            if (failure != null) {
+                result.complete(refusal(
+                        request.record(), Refusal.SERVICE_OVERLOADED, "this host is overloaded", STALE_RETRY_MILLIS));
+            }
+        });
+        return result;
+    }
+
+    private void acquireToken(
+            Request request, @Nullable OperationId operation, long nowNanos, CompletableFuture<Admission> result) {
+        if (request.route().open()) {
+            result.complete(forward(request, null, 0));
+            return;
+        }
+        controllers.limits().acquire(request.team(), nowNanos, decision -> {
+            if (decision instanceof TokenDecision.Refuse refuse) {
+                result.complete(refusal(
+                        request.record(),
+                        Refusal.RATE_EXCEEDED,
+                        "the team's rate is used up",
+                        refuse.retryAfterMillis()));
+            } else if (operation == null) {
+                result.complete(forward(request, null, 0));
+            } else {
+                claim(request, operation, result);
+            }
+        });
+    }
+
+    private void claim(Request request, OperationId operation, CompletableFuture<Admission> result) {
+        long attempt = controllers.operations().newAttempt();
+        long fingerprint = Fingerprint.of(request.head(), request.path(), request.team());
+        ClaimRequest claim = new ClaimRequest(operation.encode(), request.team(), fingerprint, attempt);
+        controllers.operations().claim(operation, claim, System.nanoTime(), (answer, now) -> {
+            result.complete(answer == null ? operationUnknown(request) : claimed(request, operation, attempt, answer));
+        });
+    }
+
+    private Admission claimed(Request request, OperationId operation, long attempt, ClaimAnswer answer) {
+        switch (answer.verdict()) {
+            case GRANTED:
+                return forward(request, operation, attempt);
+            case RUNNING:
+                return refusal(
+                        request.record(), Refusal.OPERATION_RUNNING, "the operation is running", RUNNING_RETRY_MILLIS);
+            case DONE:
+                return recorded(request, answer.recorded());
+            case MISMATCH:
+                return refusal(
+                        request.record(),
+                        Refusal.OPERATION_MISMATCH,
+                        "the operation id was used for a different request",
+                        NO_ADVICE);
+            case UNKNOWN:
+            case EXPIRED:
+            case NOT_HOME:
+            default:
+                return operationUnknown(request);
+        }
+    }
+
+    private Admission recorded(Request request, @Nullable RecordedAnswer recorded) {
+        if (recorded == null || !recorded.bodyKept()) {
+            String status = recorded == null ? "an answer" : "status " + recorded.status();
+            return refusal(
+                    request.record(),
+                    Refusal.OPERATION_ANSWER_NOT_KEPT,
+                    "the operation ran and ended with " + status + "; its answer was not kept",
+                    NO_ADVICE);
+        }
+        request.record().write(recorded.status(), null, true, 0);
+        return new Admission.Answered(recorded);
+    }
+
+    private Admission operationUnknown(Request request) {
+        return refusal(
+                request.record(),
+                Refusal.OPERATION_UNKNOWN,
+                "this attempt was not run; whether an earlier one ran is not known",
+                NO_ADVICE);
+    }
+
+    private Admission operationIdRequired(Request request, long nowNanos) {
+        OperationId issued = controllers.operations().issue(nowNanos);
+        request.record().write(Refusal.OPERATION_ID_REQUIRED.status(), Refusal.OPERATION_ID_REQUIRED, true, 0);
+        metrics.requestRefused(Refusal.OPERATION_ID_REQUIRED, request.team());
+        List<Map.Entry<String, String>> headers =
+                issued == null ? List.of() : List.of(Map.entry(OPERATION_ID, issued.encode()));
+        return new Admission.Refused(
+                Refusal.OPERATION_ID_REQUIRED,
+                "send the request again with the Operation-Id header of this answer",
+                NO_ADVICE,
+                headers);
+    }
+
+    private Admission forward(Request request, @Nullable OperationId operation, long attempt) {
+        Duration timeout = request.route().timeout();
+        long deadline = request.startNanos() + timeout.toNanos();
+        return new Admission.Forwarded(
+                new HostForwarding(request, operation, attempt, deadline, control, controllers, metrics));
+    }
+
+    private CompletionStage<Admission> refused(
+            RequestRecord record, Refusal refusal, String detail, long retryAfterMillis) {
+        return CompletableFuture.completedFuture(refusal(record, refusal, detail, retryAfterMillis));
+    }
+
+    private Admission refusal(RequestRecord record, Refusal refusal, String detail, long retryAfterMillis) {
+        record.write(refusal.status(), refusal, true, 0);
+        metrics.requestRefused(refusal, record.team());
+        return new Admission.Refused(refusal, detail, retryAfterMillis, List.of());
+    }
+
+    /** The answer while the host's parts are being put together. */
+    static Admission starting() {
+        return new Admission.Refused(Refusal.HOST_ISOLATED, "this host is starting", STALE_RETRY_MILLIS, List.of());
+    }
+}
--- /dev/null
+++ b/src/main/java/org/auburnhoist/host/LimitController.java
@@ -0,0 +1,178 @@
+package org.auburnhoist.host;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.auburnhoist.core.HostId;
+import org.auburnhoist.core.blackboard.Blackboard;
+import org.auburnhoist.core.configuration.Team;
+import org.auburnhoist.core.limit.LimitSettings;
+import org.auburnhoist.core.limit.ShardHandover;
+import org.auburnhoist.core.limit.ShardOwnership;
+import org.auburnhoist.core.limit.TokenBuckets;
+import org.auburnhoist.core.limit.TokenDecision;
+import org.auburnhoist.core.limit.TokenReserves;
+import org.auburnhoist.core.membership.FreshnessTable;
+import org.auburnhoist.core.membership.Roster;
+import org.auburnhoist.core.message.Acknowledgement;
+import org.auburnhoist.core.message.HandoverRequest;
+import org.auburnhoist.core.message.TokenAnswer;
+import org.auburnhoist.core.message.TokenRequest;
+import org.auburnhoist.core.message.TokenReturn;
+import org.auburnhoist.peer.CallResult;
+import org.jspecify.annotations.Nullable;
+
+/** Rate limits of a host: the buckets that it owns and the tokens that it asks others for. */
+final class LimitController {
+    /** A longer wait costs the request more than asking the other bucket does. */
+    private static final Duration TOKEN_TIMEOUT = Duration.ofMillis(100);
+
+    private static final Duration HANDOVER_TIMEOUT = Duration.ofSeconds(2);
+    private static final int HANDOVER_ATTEMPTS = 5;
+
+    private final Blackboard board;
+    private final Peers peers;
+    private final LimitSettings settings;
+    private @Nullable Parts parts;
+    private long configuredVersion;
+    private long rosterVersion;
+
+    LimitController(Blackboard board, Peers peers, LimitSettings settings) {
+        this.board = board;
+        this.peers = peers;
+        this.settings = settings;
+    }
+
+    /** Exists once the first roster is known. */
+    private record Parts(TokenBuckets buckets, TokenReserves reserves, ShardHandover handover) {}
+
+    /** Follows the blackboard's roster and configuration. */
+    void documentsChanged(long nowNanos) {
+        FreshnessTable table = board.freshness();
+        if (table == null) {
+            return;
+        }
+        Parts current = parts;
+        if (current == null) {
+            current = create(table);
+            parts = current;
+        }
+        if (board.active().version() > configuredVersion) {
+            configuredVersion = board.active().version();
+            Map<String, Team> teams = board.active().configuration().teams();
+            current.buckets().configure(teams, nowNanos);
+            current.reserves().configure(teams, nowNanos);
+        }
+        if (table.roster().version() > rosterVersion) {
+            rosterVersion = table.roster().version();
+            current.reserves().useRoster(table.roster());
+            current.handover()
+                    .export(nowNanos)
+                    .forEach(planned -> handOver(planned.successor(), planned.request(), HANDOVER_ATTEMPTS));
+        }
+    }
+
+    /** Gets a token for one request; the result is {@code Spend} or {@code Refuse}. */
+    void acquire(String team, long nowNanos, Consumer<TokenDecision> result) {
+        Parts current = parts;
+        if (current == null) {
+            result.accept(new TokenDecision.Refuse(TOKEN_TIMEOUT.toMillis()));
+            return;
+        }
+        proceed(current, current.reserves().decide(team, nowNanos), nowNanos, result);
+    }
+
+    /** Answers another host that asks for tokens. */
+    TokenAnswer answer(TokenRequest request, long nowNanos) {
+        Parts current = parts;
+        return current == null
+                ? new TokenAnswer(false, 0, 0)
+                : current.buckets().request(request, nowNanos);
+    }
+
+    /** Takes tokens back from another host. */
+    Acknowledgement answer(TokenReturn returned, long nowNanos) {
+        Parts current = parts;
+        if (current != null) {
+            current.buckets().giveBack(returned, nowNanos);
+        }
+        return new Acknowledgement(current != null);
+    }
+
+    /** Takes over the levels of a shard. */
+    Acknowledgement answer(HostId from, HandoverRequest request, long nowNanos) {
+        Parts current = parts;
+        return new Acknowledgement(current != null && current.handover().accept(from, request, nowNanos));
+    }
+
+    /** Returns unspent tokens to their owners; to be called several times a second. */
+    void returnUnspent(long nowNanos) {
+        Parts current = parts;
+        if (current == null) {
+            return;
+        }
+        for (TokenReserves.ReturnToOwner unspent : current.reserves().expired(nowNanos)) {
+            if (unspent.owner().equals(board.self())) {
+                current.buckets().giveBack(unspent.message(), nowNanos);
+            } else {
+                peers.call(unspent.owner(), unspent.message(), TOKEN_TIMEOUT, (answer, now) -> {});
+            }
+        }
+    }
+
+    /** Frees state that is no longer needed; to be called every few seconds. */
+    void tidy(long nowNanos) {
+        Parts current = parts;
+        if (current != null) {
+            current.buckets().forgetFull(nowNanos);
+            current.reserves().forgetIdle(nowNanos);
+        }
+    }
+
+    /** The owners of a team's buckets, empty before the first roster. */
+    List<HostId> owners(String team) {
+        Roster roster = board.roster();
+        return roster == null ? List.of() : TokenReserves.owners(roster, team);
+    }
+
+    private Parts create(FreshnessTable table) {
+        ShardOwnership ownership = new ShardOwnership(table, board.settings());
+        TokenBuckets buckets = new TokenBuckets(ownership, settings);
+        TokenReserves reserves = new TokenReserves(board.self(), settings, table.roster());
+        return new Parts(buckets, reserves, new ShardHandover(ownership, buckets));
+    }
+
+    private void proceed(Parts current, TokenDecision decision, long nowNanos, Consumer<TokenDecision> result) {
+        if (!(decision instanceof TokenDecision.Ask ask)) {
+            result.accept(decision);
+            return;
+        }
+        TokenRequest request = new TokenRequest(ask.team(), ask.bucket(), ask.wanted());
+        if (ask.owner().equals(board.self())) {
+            TokenAnswer answer = current.buckets().request(request, nowNanos);
+            proceed(current, current.reserves().answered(ask, nowNanos, answer, nowNanos), nowNanos, result);
+            return;
+        }
+        peers.call(ask.owner(), request, TOKEN_TIMEOUT, (answer, now) -> {
+            boolean answered = answer instanceof CallResult.Answered reply && reply.message() instanceof TokenAnswer;
+            TokenDecision next = answered
+                    ? current.reserves()
+                            .answered(ask, nowNanos, (TokenAnswer) ((CallResult.Answered) answer).message(), now)
+                    : current.reserves().unanswered(ask, now);
+            proceed(current, next, now, result);
+        });
+    }
+
+    /** Repeats until the successor has answered; it acts on the first copy only. */
+    private void handOver(HostId successor, HandoverRequest request, int attemptsLeft) {
+        peers.call(successor, request, HANDOVER_TIMEOUT, (answer, now) -> {
+            boolean answered = answer instanceof CallResult.Answered reply
+                    && reply.message() instanceof Acknowledgement acknowledgement
+                    && acknowledgement.accepted();
+            if (!answered && attemptsLeft > 1) {
+                peers.later(HANDOVER_TIMEOUT.dividedBy(4), () -> handOver(successor, request, attemptsLeft - 1));
+            }
+        });
+    }
+}
--- /dev/null
+++ b/src/main/java/org/auburnhoist/host/LocalEndpoints.java
@@ -0,0 +1,187 @@
+package org.auburnhoist.host;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.function.LongFunction;
+import java.util.function.Supplier;
+import org.auburnhoist.core.HostId;
+import org.auburnhoist.core.Refusal;
+import org.auburnhoist.core.blackboard.HostView;
+import org.auburnhoist.core.configuration.KeyCheck;
+import org.auburnhoist.core.membership.AddressRanking;
+import org.auburnhoist.core.membership.FreshnessTable;
+import org.auburnhoist.core.membership.Member;
+import org.auburnhoist.core.message.RecordedAnswer;
+import org.auburnhoist.core.operation.OperationId;
+import org.auburnhoist.proxy.Admission;
+import org.auburnhoist.proxy.RequestHead;
+import org.jspecify.annotations.Nullable;
+
+/** What a host answers itself to callers: addresses to use, operation ids, and the versions that it has in force. */
+final class LocalEndpoints {
+    static final String PREFIX = "/.auburnhoist/";
+
+    private static final String ADDRESSES = PREFIX + "addresses";
+    private static final String OPERATIONS = PREFIX + "operations";
+    private static final String METRICS = PREFIX + "metrics";
+    private static final String VERSIONS = PREFIX + "versions";
+    private static final int MOST_IDS = 100;
+    private static final long RETRY_MILLIS = 2_000;
+
+    /** A host that was not heard of for this long is not listed, although it is not removed yet. */
+    private static final Duration LISTED_WITHIN = Duration.ofSeconds(4);
+
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    private final Supplier<HostView> view;
+    private final ControlThread control;
+    private final HostControllers controllers;
+    private final HostMetrics metrics;
+    private final Duration addressValidity;
+
+    LocalEndpoints(
+            Supplier<HostView> view,
+            ControlThread control,
+            HostControllers controllers,
+            HostMetrics metrics,
+            Duration addressValidity) {
+        this.view = view;
+        this.control = control;
+        this.controllers = controllers;
+        this.metrics = metrics;
+        this.addressValidity = addressValidity;
+    }
+
+    static boolean isLocal(String path) {
+        return path.startsWith(PREFIX);
+    }
+
+    CompletionStage<Admission> answer(RequestHead head, long nowNanos) {
+        String key = head.method() + " " + head.path();
+        if (key.equals("GET " + VERSIONS)) {
+            return compute(this::versions);
+        }
+        if (key.equals("GET " + METRICS)) {
+            return compute(now -> text(metrics.text()));
+        }
+        if (key.equals("GET " + ADDRESSES)) {
+            String team = teamOf(head);
+            return compute(now -> addresses(team, now));
+        }
+        if (key.equals("POST " + OPERATIONS)) {
+            int count = requestedCount(head.query());
+            return authenticated(head, nowNanos) ? compute(now -> operations(count, now)) : unauthenticated();
+        }
+        return refused(Refusal.ROUTE_UNKNOWN, "no such endpoint", -1);
+    }
+
+    private Admission versions(long nowNanos) {
+        ObjectNode answer = MAPPER.createObjectNode();
+        HostView current = view.get();
+        answer.put("host", current.self().toString());
+        answer.put("configurationVersion", current.active().version());
+        answer.put(
+                "rosterVersion", current.roster() == null ? 0 : current.roster().version());
+        answer.put("member", current.isMember());
+        answer.put("fresh", current.isFresh(nowNanos));
+        answer.put("leaving", current.stopping());
+        FreshnessTable table = controllers.board().freshness();
+        answer.put("settledConfigurationVersion", table == null ? 0 : table.settledConfigurationVersion());
+        return json(200, answer);
+    }
+
+    private Admission addresses(String team, long nowNanos) {
+        FreshnessTable table = controllers.board().freshness();
+        if (table == null || !table.isFresh(nowNanos)) {
+            return new Admission.Refused(
+                    Refusal.HOST_ISOLATED, "this host has lost contact with the fleet", RETRY_MILLIS, List.of());
+        }
+        List<HostId> owners = team.isEmpty() ? List.of() : controllers.limits().owners(team);
+        ObjectNode answer = MAPPER.createObjectNode();
+        answer.put("validForSeconds", addressValidity.toSeconds());
+        ArrayNode list = answer.putArray("addresses");
+        for (Member member : AddressRanking.rank(table, team, owners, LISTED_WITHIN, nowNanos)) {
+            list.addObject()
+                    .put("address", member.callerAddress())
+                    .put("dataCentre", member.dataCentre())
+                    .put("host", member.id().name());
+        }
+        return json(200, answer);
+    }
+
+    private Admission operations(int count, long nowNanos) {
+        ObjectNode answer = MAPPER.createObjectNode();
+        ArrayNode ids = answer.putArray("operationIds");
+        for (int index = 0; index < count; index++) {
+            OperationId id = controllers.operations().issue(nowNanos);
+            if (id == null) {
+                return new Admission.Refused(
+                        Refusal.HOST_ISOLATED, "this host issues no operation ids now", RETRY_MILLIS, List.of());
+            }
+            ids.add(id.encode());
+        }
+        return json(201, answer);
+    }
+
+    private boolean authenticated(RequestHead head, long nowNanos) {
+        HostView current = view.get();
+        return current.isFresh(nowNanos)
+                && current.active().keys().check(head.header(HostPolicy.AUTHORIZATION)) instanceof KeyCheck.Accepted;
+    }
+
+    private static CompletionStage<Admission> unauthenticated() {
+        return refused(Refusal.KEY_MISSING, "operation ids need a valid key", -1);
+    }
+
+    private String teamOf(RequestHead head) {
+        KeyCheck check = view.get().active().keys().check(head.header(HostPolicy.AUTHORIZATION));
+        return check instanceof KeyCheck.Accepted accepted ? accepted.team() : "";
+    }
+
+    private static int requestedCount(@Nullable String query) {
+        if (query == null || !query.matches("count=\\d{1,4}")) {
+            return 1;
+        }
+        return Math.max(1, Math.min(MOST_IDS, Integer.parseInt(query.substring("count=".length()))));
+    }
+
+    private CompletionStage<Admission> compute(LongFunction<Admission> answer) {
+        return control.compute(answer)
+                .exceptionally(failure -> new Admission.Refused(
+                        Refusal.SERVICE_OVERLOADED, "this host is overloaded", RETRY_MILLIS, List.of()));
+    }
+
+    private static CompletionStage<Admission> refused(Refusal refusal, String detail, long retryAfterMillis) {
+        return CompletableFuture.completedFuture(new Admission.Refused(refusal, detail, retryAfterMillis, List.of()));
+    }
+
+    private static Admission text(String content) {
+        return new Admission.Answered(new RecordedAnswer(
+                200,
+                List.of(Map.entry("Content-Type", "text/plain; version=0.0.4")),
+                content.getBytes(StandardCharsets.UTF_8),
+                true));
+    }
+
+    private static Admission json(int status, JsonNode content) {
+        try {
+            byte[] body = MAPPER.writeValueAsBytes(content);
+            return new Admission.Answered(new RecordedAnswer(
+                    status,
+                    List.of(Map.entry("Content-Type", "application/json"), Map.entry("Cache-Control", "no-store")),
+                    body,
+                    true));
+        } catch (JsonProcessingException cause) {
+            throw new IllegalStateException("encoding a JSON tree failed", cause);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/auburnhoist/host/Peers.java
@@ -0,0 +1,100 @@
+package org.auburnhoist.host;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.BiConsumer;
+import org.auburnhoist.core.HostId;
+import org.auburnhoist.core.blackboard.Blackboard;
+import org.auburnhoist.core.membership.Member;
+import org.auburnhoist.core.membership.Roster;
+import org.auburnhoist.core.message.Message;
+import org.auburnhoist.peer.CallResult;
+import org.auburnhoist.peer.PeerClient;
+import org.jspecify.annotations.Nullable;
+
+/** Calls members by their id and delivers the results on the control thread. */
+final class Peers {
+    private final Blackboard board;
+    private final PeerClient client;
+    private final ControlThread control;
+    private final Map<HostId, Long> heardAt = new HashMap<>();
+
+    Peers(Blackboard board, PeerClient client, ControlThread control) {
+        this.board = board;
+        this.client = client;
+        this.control = control;
+    }
+
+    /**
+     * Receives a result on the control thread.
+     *
+     * <p>A result from a process other than the called incarnation counts as not sent, because that process holds none
+     * of the called one's state.
+     */
+    interface ResultHandler extends BiConsumer<CallResult, Long> {}
+
+    /** Calls a member; the handler gets the result and the present time. */
+    void call(HostId target, Message request, Duration timeout, ResultHandler handler) {
+        Roster roster = board.roster();
+        Member member = roster == null ? null : roster.member(target).orElse(null);
+        if (member == null) {
+            control.execute(now -> handler.accept(new CallResult.NotSent(target + " is not in the roster"), now));
+            return;
+        }
+        call(addressOf(member.peerAddress()), request, timeout, (result, now) -> {
+            if (result instanceof CallResult.Answered answered
+                    && !answered.from().equals(target)) {
+                handler.accept(new CallResult.NotSent("another incarnation answered: " + answered.from()), now);
+            } else {
+                handler.accept(result, now);
+            }
+        });
+    }
+
+    /** Calls whichever process listens on an address. */
+    void call(InetSocketAddress address, Message request, Duration timeout, ResultHandler handler) {
+        client.call(address, request, timeout)
+                .thenAccept(result -> control.execute(now -> {
+                    if (result instanceof CallResult.Answered answered) {
+                        heardAt.put(answered.from(), now);
+                    }
+                    handler.accept(result, now);
+                }));
+    }
+
+    /** Runs a task on the control thread after a delay. */
+    void later(Duration delay, Runnable task) {
+        control.after(delay, now -> task.run());
+    }
+
+    /** The last time at which a member answered a call, or null. */
+    @Nullable
+    Long heardAt(HostId member) {
+        return heardAt.get(member);
+    }
+
+    /** Forgets members that have left and closes idle links. */
+    void tidy(long nowNanos) {
+        Roster roster = board.roster();
+        if (roster != null) {
+            heardAt.keySet().removeIf(id -> roster.member(id).isEmpty());
+        }
+        client.closeIdle(nowNanos);
+    }
+
+    /** Parses an address of the form {@code 127.0.0.1:9080}. */
+    static InetSocketAddress addressOf(String text) {
+        int colon = text.lastIndexOf(':');
+        if (colon < 0) {
+            throw new IllegalArgumentException("address: expected ip:port, got " + text);
+        }
+        return new InetSocketAddress(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
+    }
+
+    /** Formats an address as {@code 127.0.0.1:9080}. */
+    static String textOf(InetSocketAddress address) {
+        return address.getAddress().getHostAddress() + ":" + address.getPort();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/auburnhoist/host/PlannedStop.java
@@ -0,0 +1,107 @@
+package org.auburnhoist.host;
+
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.LongConsumer;
+import org.auburnhoist.proxy.ProxyServer;
+import org.auburnhoist.support.Event;
+
+/**
+ * Takes a host out of service without cutting a request.
+ *
+ * <p>The host is marked as leaving, which moves its shards to other hosts and takes it out of new address answers. It
+ * goes on serving until every address answer that named it has expired, then closes callers' connections as their
+ * requests finish, hands its operation records over, and leaves the roster.
+ */
+final class PlannedStop {
+    private static final Duration CHECK_INTERVAL = Duration.ofMillis(100);
+    private static final int MARK_ATTEMPTS = 20;
+
+    private final HostSettings settings;
+    private final ControlThread control;
+    private final HostControllers controllers;
+    private final ProxyServer proxy;
+    private final LongConsumer viewChanged;
+    private final CompletableFuture<Void> finished = new CompletableFuture<>();
+    private boolean begun;
+    private long drainDeadlineNanos;
+
+    PlannedStop(
+            HostSettings settings,
+            ControlThread control,
+            HostControllers controllers,
+            ProxyServer proxy,
+            LongConsumer viewChanged) {
+        this.settings = settings;
+        this.control = control;
+        this.controllers = controllers;
+        this.proxy = proxy;
+        this.viewChanged = viewChanged;
+    }
+
+    /** Begins the stop; later calls have no further effect. Completes when the host may be closed. */
+    CompletableFuture<Void> begin() {
+        control.execute(now -> {
+            if (!begun) {
+                begun = true;
+                Event.named("host-stopping")
+                        .with("host", controllers.board().self())
+                        .log();
+                controllers.board().stop();
+                viewChanged.accept(now);
+                mark(MARK_ATTEMPTS);
+            }
+        });
+        return finished;
+    }
+
+    /** Without the store the roster cannot be changed; the host then stops all the same. */
+    private void mark(int attemptsLeft) {
+        controllers
+                .store()
+                .markLeaving()
+                .thenAccept(marked -> control.execute(now -> {
+                    if (marked || attemptsLeft <= 1) {
+                        control.after(settings.addressValidity(), this::drain);
+                    } else {
+                        control.after(CHECK_INTERVAL, later -> mark(attemptsLeft - 1));
+                    }
+                }));
+    }
+
+    private void drain(long nowNanos) {
+        proxy.stopAccepting();
+        drainDeadlineNanos = nowNanos + settings.stopLimit().toNanos();
+        awaitRequests(nowNanos);
+    }
+
+    private void awaitRequests(long nowNanos) {
+        if (proxy.requestsInProgress() > 0 && drainDeadlineNanos - nowNanos > 0) {
+            control.after(CHECK_INTERVAL, this::awaitRequests);
+            return;
+        }
+        controllers
+                .operations()
+                .handOver(nowNanos)
+                .thenAccept(handedOver -> control.execute(now -> {
+                    Event.named("operations-handed-over")
+                            .with("complete", handedOver)
+                            .log();
+                    leave(MARK_ATTEMPTS);
+                }));
+    }
+
+    private void leave(int attemptsLeft) {
+        controllers
+                .store()
+                .leave()
+                .thenAccept(left -> control.execute(now -> {
+                    if (left || attemptsLeft <= 1) {
+                        Event.named("host-stopped").with("left_roster", left).log();
+                        finished.complete(null);
+                    } else {
+                        control.after(CHECK_INTERVAL, later -> leave(attemptsLeft - 1));
+                    }
+                }));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/auburnhoist/host/ServiceRetries.java
@@ -0,0 +1,24 @@
+package org.auburnhoist.host;
+
+import java.util.HashMap;
+import java.util.Map;
+import org.auburnhoist.core.TrafficClass;
+import org.auburnhoist.core.dispatch.RetryBudget;
+
+/** The retry budgets of a host, one for each service; used by several traffic threads. */
+final class ServiceRetries {
+    private final Map<String, RetryBudget> budgets = new HashMap<>();
+
+    synchronized void requestStarted(String service, long nowNanos) {
+        budget(service).requestStarted(nowNanos);
+    }
+
+    synchronized boolean tryRetry(
+            String service, TrafficClass trafficClass, int attempts, int connectionsLost, long nowNanos) {
+        return budget(service).tryRetry(trafficClass, attempts, connectionsLost, nowNanos);
+    }
+
+    private RetryBudget budget(String service) {
+        return budgets.computeIfAbsent(service, name -> new RetryBudget());
+    }
+}
--- /dev/null
+++ b/src/main/java/org/auburnhoist/host/StoreController.java
@@ -0,0 +1,207 @@
+package org.auburnhoist.host;
+
+import java.time.Duration;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Function;
+import java.util.random.RandomGenerator;
+import org.auburnhoist.core.blackboard.Blackboard;
+import org.auburnhoist.core.configuration.ConfigurationHead;
+import org.auburnhoist.core.membership.FreshnessTable;
+import org.auburnhoist.core.membership.Member;
+import org.auburnhoist.core.membership.Roster;
+import org.auburnhoist.core.membership.RosterCodec;
+import org.auburnhoist.core.membership.Steward;
+import org.auburnhoist.core.membership.WatcherChoice;
+import org.auburnhoist.store.Entry;
+import org.auburnhoist.store.ReadResult;
+import org.auburnhoist.store.Store;
+import org.auburnhoist.store.StoreKeys;
+import org.auburnhoist.store.WriteResult;
+import org.auburnhoist.support.Event;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Reads both documents from the store when this host is chosen for it, and writes the roster: joining, removing dead
+ * members, recording settled versions, leaving.
+ */
+final class StoreController {
+    private static final int MOST_JOIN_DELAY_MILLIS = 200;
+
+    private final Blackboard board;
+    private final Store store;
+    private final ControlThread control;
+    private final DocumentController documents;
+    private final WatcherChoice watchers;
+    private final Steward steward;
+    private final Member self;
+    private final RandomGenerator random;
+    private boolean reading;
+    private boolean writing;
+
+    StoreController(
+            Blackboard board,
+            Store store,
+            ControlThread control,
+            DocumentController documents,
+            Member self,
+            RandomGenerator random) {
+        this.board = board;
+        this.store = store;
+        this.control = control;
+        this.documents = documents;
+        this.watchers = new WatcherChoice(board.settings());
+        this.steward = new Steward(board.settings());
+        this.self = self;
+        this.random = random;
+    }
+
+    /** Reads the store if this host is a reader, has not joined, or has become stale. */
+    void run(long nowNanos) {
+        FreshnessTable table = board.freshness();
+        boolean needed =
+                table == null || !board.isMember() || !table.isFresh(nowNanos) || watchers.isReader(table, nowNanos);
+        if (needed && !board.isRemoved()) {
+            read();
+        }
+        if (table != null) {
+            steward.propose(table, nowNanos)
+                    .ifPresent(proposal -> change(
+                            "steward",
+                            current -> current.version() == proposal.expectedVersion() ? proposal.next() : null));
+        }
+    }
+
+    /** Marks this host as leaving in the roster; completes with whether the store holds the change. */
+    CompletableFuture<Boolean> markLeaving() {
+        return change(
+                "leaving", current -> current.member(self.id()).isPresent() ? current.markLeaving(self.id()) : null);
+    }
+
+    /** Takes this host out of the roster; completes with whether the store holds the change. */
+    CompletableFuture<Boolean> leave() {
+        return change("left", current -> {
+            boolean isMember = current.member(self.id()).isPresent();
+            return isMember && current.members().size() > 1 ? current.remove(Set.of(self.id())) : null;
+        });
+    }
+
+    private void read() {
+        if (reading) {
+            return;
+        }
+        reading = true;
+        long sentAt = System.nanoTime();
+        store.range(StoreKeys.CURRENT)
+                .thenAccept(result -> control.execute(now -> {
+                    reading = false;
+                    if (result instanceof ReadResult.Found found) {
+                        received(found, sentAt);
+                    }
+                }));
+    }
+
+    private void received(ReadResult.Found found, long sentAtNanos) {
+        Entry head = entry(found, StoreKeys.CONFIGURATION);
+        Entry roster = entry(found, StoreKeys.ROSTER);
+        documents.offer(
+                head == null ? new byte[0] : head.value(),
+                roster == null ? new byte[0] : roster.value(),
+                this::chunk,
+                now -> confirmed(head, roster, sentAtNanos, now));
+    }
+
+    private void confirmed(@Nullable Entry head, @Nullable Entry roster, long sentAtNanos, long nowNanos) {
+        FreshnessTable table = board.freshness();
+        long headVersion = head == null
+                ? 0
+                : ConfigurationHead.parse(head.value())
+                        .map(ConfigurationHead::version)
+                        .getOrElse(Long.MAX_VALUE);
+        long rosterVersion = roster == null
+                ? 0
+                : RosterCodec.decode(roster.value()).map(Roster::version).getOrElse(Long.MAX_VALUE);
+        if (table != null) {
+            table.storeConfirmed(sentAtNanos, rosterVersion, headVersion);
+        }
+        if (!board.isMember() && !board.isRemoved() && !board.isStopping()) {
+            join(roster == null);
+        }
+    }
+
+    private void join(boolean firstOfFleet) {
+        if (firstOfFleet) {
+            write("joined", 0, Roster.bootstrap(self, Roster.SHARDS), new CompletableFuture<>());
+        } else {
+            change("joined", current -> current.join(self));
+        }
+    }
+
+    /** Reads the roster, computes its successor, and writes it if nobody else has changed it. */
+    private CompletableFuture<Boolean> change(String reason, Function<Roster, @Nullable Roster> successor) {
+        CompletableFuture<Boolean> done = new CompletableFuture<>();
+        if (writing) {
+            done.complete(false);
+            return done;
+        }
+        writing = true;
+        store.get(StoreKeys.ROSTER)
+                .thenAccept(result -> control.execute(now -> {
+                    Entry entry = result instanceof ReadResult.Found found ? entry(found, StoreKeys.ROSTER) : null;
+                    Optional<Roster> current = entry == null
+                            ? Optional.empty()
+                            : RosterCodec.decode(entry.value()).toJavaOptional();
+                    Roster next = current.map(successor).orElse(null);
+                    if (entry == null || next == null) {
+                        writing = false;
+                        done.complete(false);
+                        return;
+                    }
+                    write(reason, entry.revision(), next, done);
+                }));
+        return done;
+    }
+
+    private void write(String reason, long expectedRevision, Roster next, CompletableFuture<Boolean> done) {
+        writing = true;
+        byte[] encoded = RosterCodec.encode(next);
+        store.compareAndSwap(StoreKeys.ROSTER, expectedRevision, encoded)
+                .thenAccept(result -> control.execute(now -> {
+                    writing = false;
+                    Event.named("roster-write")
+                            .with("reason", reason)
+                            .with("version", next.version())
+                            .with("result", result.getClass().getSimpleName())
+                            .log();
+                    if (result instanceof WriteResult.Done) {
+                        documents.offer(new byte[0], encoded, this::chunk, later -> done.complete(true));
+                    } else {
+                        done.complete(false);
+                        retryJoin();
+                    }
+                }));
+    }
+
+    /** Hosts that start together race for the roster; a random delay spreads their next attempts. */
+    private void retryJoin() {
+        if (!board.isMember()) {
+            control.after(Duration.ofMillis(random.nextInt(MOST_JOIN_DELAY_MILLIS)), now -> read());
+        }
+    }
+
+    private CompletableFuture<byte @Nullable []> chunk(String digest) {
+        return store.get(StoreKeys.CHUNKS + digest).thenApply(result -> {
+            boolean found =
+                    result instanceof ReadResult.Found read && !read.entries().isEmpty();
+            return found ? ((ReadResult.Found) result).entries().get(0).value() : null;
+        });
+    }
+
+    private static @Nullable Entry entry(ReadResult.Found found, String key) {
+        return found.entries().stream()
+                .filter(entry -> entry.key().equals(key))
+                .findFirst()
+                .orElse(null);
+    }
+}
--- a/src/main/java/org/auburnhoist/peer/MessageFormat.java
+++ b/src/main/java/org/auburnhoist/peer/MessageFormat.java
@@ -104,8 +104,9 @@
                     ClaimRequest.class,
                     (message, packer) -> packer.packString(message.operationId())
                             .packString(message.team())
-                            .packLong(message.fingerprint()),
-                    in -> new ClaimRequest(in.unpackString(), in.unpackString(), in.unpackLong())),
+                            .packLong(message.fingerprint())
+                            .packLong(message.attempt()),
+                    in -> new ClaimRequest(in.unpackString(), in.unpackString(), in.unpackLong(), in.unpackLong())),
             new MessageFormat<>(
                     11,
                     ClaimAnswer.class,
@@ -119,10 +120,12 @@
                     ClaimOutcome.class,
                     (message, packer) -> {
                         packer.packString(message.operationId())
+                                .packLong(message.attempt())
                                 .packInt(message.result().ordinal());
                         writeRecorded(packer, message.recorded());
                     },
-                    in -> new ClaimOutcome(in.unpackString(), readEnum(in, ClaimResult.values()), readRecorded(in))),
+                    in -> new ClaimOutcome(
+                            in.unpackString(), in.unpackLong(), readEnum(in, ClaimResult.values()), readRecorded(in))),
             new MessageFormat<>(13, SlotRequest.class, MessageFormat::writeSlotRequest, MessageFormat::readSlotRequest),
             new MessageFormat<>(
                     14,
--- a/src/test/java/org/auburnhoist/peer/MessageCodecTest.java
+++ b/src/test/java/org/auburnhoist/peer/MessageCodecTest.java
@@ -34,7 +34,7 @@
             new PullRequest(3, Long.MAX_VALUE),
             new TokenRequest("members", 1, 7),
             new TokenAnswer(true, 0, 250),
-            new ClaimRequest("operation", "members", -1),
+            new ClaimRequest("operation", "members", -1, 5),
             new ClaimAnswer(ClaimVerdict.RUNNING, null),
             new SlotRequest("ledger", "book", "members", TrafficClass.BOOKING, 1500, 42, List.of("ledger-1")),
             new SlotAnswer(SlotVerdict.GRANTED, "ledger-2", 9, 0),
@@ -60,7 +60,7 @@
         RecordedAnswer recorded =
                 new RecordedAnswer(201, List.of(Map.entry("Location", "/bookings/7")), new byte[] {1, 2}, true);
         ClaimOutcome outcome = (ClaimOutcome) MessageCodec.decode(
-                        MessageCodec.encode(0, new ClaimOutcome("operation", ClaimResult.ANSWERED, recorded)))
+                        MessageCodec.encode(0, new ClaimOutcome("operation", 5, ClaimResult.ANSWERED, recorded)))
                 .message();
         assertEquals(recorded.headers(), outcome.recorded().headers());
         assertArrayEquals(recorded.body(), outcome.recorded().body());
