Forward requests over pooled upstream connections

Cause: the host process needs a data path between callers and upstream servers behind the RequestPolicy and Forwarding interfaces. Change: ProxyServer accepts callers on HttpCore async, checks heads strictly, asks the policy, and answers or forwards. Bodies pass a bounded buffer in both directions. UpstreamPool keeps connections per server and closes them after any doubt.

--- /dev/null
+++ b/src/main/java/org/auburnhoist/proxy/BodyPipe.java
@@ -0,0 +1,169 @@
+package org.auburnhoist.proxy;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import org.apache.hc.core5.http.nio.CapacityChannel;
+import org.apache.hc.core5.http.nio.DataStreamChannel;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Bounded buffer between the I/O thread that reads a body and the one that writes it.
+ *
+ * <p>The reader gets new capacity only after the writer has drained half of the window, so a slow receiver slows down
+ * the sender. The buffer holds at most the window and one read buffer.
+ */
+final class BodyPipe implements BodySource {
+    private final int window;
+    private final Deque<ByteBuffer> chunks = new ArrayDeque<>();
+    private int buffered;
+    private boolean ended;
+    private boolean endWritten;
+    private boolean discarding;
+    private @Nullable CapacityChannel waitingReader;
+    private @Nullable DataStreamChannel writer;
+
+    BodyPipe(int window) {
+        this.window = window;
+    }
+
+    void append(ByteBuffer source) {
+        DataStreamChannel wake;
+        synchronized (this) {
+            if (discarding) {
+                source.position(source.limit());
+                return;
+            }
+            ByteBuffer copy = ByteBuffer.allocate(source.remaining());
+            copy.put(source).flip();
+            if (copy.hasRemaining()) {
+                buffered += copy.remaining();
+                chunks.add(copy);
+            }
+            wake = writer;
+        }
+        wakeWriter(wake);
+    }
+
+    void end() {
+        DataStreamChannel wake;
+        synchronized (this) {
+            ended = true;
+            wake = writer;
+        }
+        wakeWriter(wake);
+    }
+
+    /** Drops what is buffered and everything that still comes. */
+    void discard() throws IOException {
+        CapacityChannel reader;
+        synchronized (this) {
+            discarding = true;
+            chunks.clear();
+            buffered = 0;
+            reader = waitingReader;
+            waitingReader = null;
+        }
+        if (reader != null) {
+            reader.update(window);
+        }
+    }
+
+    /** Called when the reader has used up its capacity. */
+    void readerWaits(CapacityChannel reader) throws IOException {
+        int credit;
+        synchronized (this) {
+            credit = credit();
+            waitingReader = credit > 0 ? null : reader;
+        }
+        if (credit > 0) {
+            reader.update(credit);
+        }
+    }
+
+    synchronized boolean isEnded() {
+        return ended;
+    }
+
+    /** Whether the reader waits for the writer. */
+    synchronized boolean isFull() {
+        return waitingReader != null;
+    }
+
+    synchronized boolean isEndWritten() {
+        return endWritten;
+    }
+
+    synchronized boolean isEmpty() {
+        return buffered == 0;
+    }
+
+    /** Takes the whole content; the pipe must have ended. */
+    synchronized byte[] takeAll() {
+        ByteBuffer all = ByteBuffer.allocate(buffered);
+        chunks.forEach(all::put);
+        chunks.clear();
+        buffered = 0;
+        return all.array();
+    }
+
+    @Override
+    public synchronized int available() {
+        if (buffered > 0) {
+            return buffered;
+        }
+        return ended && !endWritten ? 1 : 0;
+    }
+
+    @Override
+    public boolean produce(DataStreamChannel channel) throws IOException {
+        CapacityChannel reader = null;
+        int credit;
+        boolean done;
+        synchronized (this) {
+            writer = channel;
+            writeChunks(channel);
+            if (chunks.isEmpty() && ended && !endWritten) {
+                endWritten = true;
+                channel.endStream();
+            }
+            done = endWritten;
+            credit = credit();
+            if (credit > 0) {
+                reader = waitingReader;
+                waitingReader = null;
+            }
+        }
+        if (reader != null) {
+            reader.update(credit);
+        }
+        return done;
+    }
+
+    private void writeChunks(DataStreamChannel channel) throws IOException {
+        while (!chunks.isEmpty()) {
+            ByteBuffer chunk = chunks.element();
+            int before = chunk.remaining();
+            channel.write(chunk);
+            buffered -= before - chunk.remaining();
+            if (chunk.hasRemaining()) {
+                return;
+            }
+            chunks.remove();
+        }
+    }
+
+    private int credit() {
+        if (discarding) {
+            return window;
+        }
+        return buffered <= window / 2 ? window - buffered : 0;
+    }
+
+    private static void wakeWriter(@Nullable DataStreamChannel writer) {
+        if (writer != null) {
+            writer.requestOutput();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/auburnhoist/proxy/ForwardedExchange.java
@@ -0,0 +1,433 @@
+package org.auburnhoist.proxy;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.Future;
+import org.apache.hc.core5.http.EntityDetails;
+import org.apache.hc.core5.http.Header;
+import org.apache.hc.core5.http.message.BasicHttpRequest;
+import org.apache.hc.core5.http.nio.CapacityChannel;
+import org.auburnhoist.core.Refusal;
+import org.auburnhoist.core.message.AttemptOutcome;
+import org.auburnhoist.core.message.RecordedAnswer;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * The attempts of one admitted request, and what becomes of its answer.
+ *
+ * <p>All state is guarded by this object's lock. The lock is taken before those of the caller's exchange, an attempt or
+ * the pool, never after them.
+ */
+final class ForwardedExchange {
+    private enum State {
+        COLLECTING_BODY,
+        CHOOSING,
+        ATTEMPTING,
+        ANSWERING,
+        DONE
+    }
+
+    private static final long NANOS_PER_MICRO = 1000;
+
+    private final ProxyServer server;
+    private final CallerExchange caller;
+    private final RequestHead head;
+    private final Forwarding forwarding;
+    private final boolean idempotent;
+    private final BodyPipe answerBody = new BodyPipe(UpstreamConnectionFactory.WINDOW_BYTES);
+    private final ByteArrayOutputStream recordedBody = new ByteArrayOutputStream(0);
+
+    private State state = State.COLLECTING_BODY;
+    private byte @Nullable [] keptBody;
+    private volatile boolean bodyTaken;
+    private @Nullable Future<?> deadlineTimer;
+    private Forwarding.Target.@Nullable ServerTarget target;
+    private @Nullable UpstreamAttempt attempt;
+    private boolean attemptReported;
+    private boolean freshConnectionTried;
+    private boolean everSent;
+    private long attemptStartedNanos;
+    private boolean answered;
+    private long firstByteNanos;
+    private long lastAnswerNanos;
+    private boolean recordedBodyKept = true;
+    private @Nullable Refusal brokenBody;
+    private String brokenBodyDetail = "";
+
+    private int status;
+    private List<Map.Entry<String, String>> answerHeaders = List.of();
+    private @Nullable Refusal refusal;
+    private @Nullable RecordedAnswer recorded;
+    private boolean committed;
+    private boolean delivered;
+    private boolean callerGone;
+    private boolean finished;
+
+    ForwardedExchange(ProxyServer server, CallerExchange caller, RequestHead head, Forwarding forwarding) {
+        this.server = server;
+        this.caller = caller;
+        this.head = head;
+        this.forwarding = forwarding;
+        this.idempotent = forwarding.trafficClass().isIdempotent();
+        server.forwardingStarted();
+    }
+
+    synchronized void start() {
+        deadlineTimer = server.schedule(this::deadlineReached, forwarding.deadlineNanos() - server.now());
+        requestBodyReady();
+    }
+
+    /** Whether the request body is being sent or was sent, as opposed to being read ahead. */
+    boolean isBodyTaken() {
+        return bodyTaken;
+    }
+
+    /** Looks whether enough of the body has come for the first attempt. */
+    synchronized void requestBodyReady() {
+        if (state != State.COLLECTING_BODY || deadlineTimer == null) {
+            return;
+        }
+        if (caller.requestBody().isEnded()) {
+            keptBody = caller.requestBody().takeAll();
+        } else if (!caller.requestBody().isFull()) {
+            return;
+        }
+        bodyTaken = true;
+        chooseTarget();
+    }
+
+    private void chooseTarget() {
+        state = State.CHOOSING;
+        attempt = null;
+        forwarding.nextTarget(server.now()).whenComplete((chosen, failure) -> targetChosen(chosen));
+    }
+
+    private synchronized void targetChosen(Forwarding.@Nullable Target chosen) {
+        if (state != State.CHOOSING) {
+            return;
+        }
+        boolean late = server.now() - forwarding.deadlineNanos() >= 0;
+        if (chosen instanceof Forwarding.Target.ServerTarget granted) {
+            if (!callerGone && brokenBody == null && !late) {
+                target = granted;
+                freshConnectionTried = false;
+                attemptStartedNanos = server.now();
+                attemptReported = false;
+                answered = false;
+                startAttempt(granted, !idempotent);
+                return;
+            }
+            forwarding.attemptEnded(AttemptOutcome.ABANDONED, false, 0, server.now());
+        }
+        if (callerGone) {
+            done();
+        } else if (brokenBody != null) {
+            refuse(brokenBody, brokenBodyDetail, -1);
+        } else if (chosen instanceof Forwarding.Target.NoTarget none) {
+            refuse(none.refusal(), none.detail(), none.retryAfterMillis());
+        } else {
+            refuse(Refusal.SERVICE_OVERLOADED, "No server was free before the deadline.", -1);
+        }
+    }
+
+    private void startAttempt(Forwarding.Target.ServerTarget server, boolean newConnection) {
+        state = State.ATTEMPTING;
+        byte[] kept = keptBody;
+        BodySource body = kept == null ? caller.requestBody() : kept.length > 0 ? new KeptBody(kept) : null;
+        UpstreamAttempt started = new UpstreamAttempt(
+                this, this.server, server, newConnection, request(server), body, forwarding.deadlineNanos());
+        attempt = started;
+        started.start();
+    }
+
+    private BasicHttpRequest request(Forwarding.Target.ServerTarget server) {
+        String path = head.query() == null ? head.path() : head.path() + "?" + head.query();
+        BasicHttpRequest request = new BasicHttpRequest(head.method(), path);
+        HeaderRules.towardsUpstream(head, server.address(), this.server.settings().hostName)
+                .forEach(header -> request.addHeader(header.getKey(), header.getValue()));
+        request.setHeader(HeaderRules.REQUEST_ID, head.requestId());
+        byte[] kept = keptBody;
+        if (kept == null && head.contentLength() < 0) {
+            request.setHeader("Transfer-Encoding", "chunked");
+        } else if (kept == null || kept.length > 0 || head.header("Content-Length") != null) {
+            request.setHeader("Content-Length", Long.toString(kept == null ? head.contentLength() : kept.length));
+        }
+        return request;
+    }
+
+    static List<Map.Entry<String, String>> entries(Header... headers) {
+        List<Map.Entry<String, String>> result = new ArrayList<>(headers.length);
+        for (Header header : headers) {
+            result.add(Map.entry(header.getName(), header.getValue()));
+        }
+        return result;
+    }
+
+    synchronized void answerHead(
+            UpstreamAttempt source, int code, List<Map.Entry<String, String>> headers, @Nullable EntityDetails entity) {
+        if (source != attempt || state != State.ATTEMPTING) {
+            return;
+        }
+        answered = true;
+        firstByteNanos = server.now();
+        lastAnswerNanos = firstByteNanos;
+        everSent = true;
+        status = code;
+        answerHeaders = headers;
+        if (outcome() != AttemptOutcome.SUCCESS && isRepeatable(source) && !callerGone) {
+            boolean again = report(source, outcome());
+            if (again && server.now() - forwarding.deadlineNanos() < 0) {
+                source.abandon();
+                chooseTarget();
+                return;
+            }
+        }
+        state = State.ANSWERING;
+        passOnHead(entity);
+    }
+
+    private void passOnHead(@Nullable EntityDetails entity) {
+        answerHeaders = HeaderRules.endToEnd(answerHeaders);
+        List<Map.Entry<String, String>> headers = new ArrayList<>(answerHeaders);
+        long length;
+        if (entity != null) {
+            length = entity.getContentLength() >= 0 ? entity.getContentLength() : CallerExchange.CHUNKED;
+        } else if (head.method().equals("HEAD") || status == 204 || status == 304) {
+            length = CallerExchange.NO_BODY;
+        } else {
+            length = 0;
+        }
+        committed = !callerGone && caller.commit(status, headers, length, answerBody);
+        if (!committed) {
+            callerLeft();
+        }
+    }
+
+    /** How a complete answer with the present status counts. */
+    private AttemptOutcome outcome() {
+        boolean retryAfter =
+                answerHeaders.stream().anyMatch(header -> header.getKey().equalsIgnoreCase("Retry-After"));
+        if (status == 429 || (status == 503 && retryAfter)) {
+            return AttemptOutcome.SHED;
+        }
+        return status >= 500 ? AttemptOutcome.SERVER_ERROR : AttemptOutcome.SUCCESS;
+    }
+
+    synchronized void answerData(UpstreamAttempt source, ByteBuffer data) {
+        if (source != attempt || state != State.ANSWERING) {
+            data.position(data.limit());
+            return;
+        }
+        lastAnswerNanos = server.now();
+        if (!idempotent) {
+            record(data.duplicate());
+        }
+        answerBody.append(data);
+    }
+
+    private void record(ByteBuffer data) {
+        if (recordedBody.size() + data.remaining() > Forwarding.RECORDED_BODY_LIMIT) {
+            recordedBodyKept = false;
+            recordedBody.reset();
+        }
+        if (recordedBodyKept) {
+            byte[] bytes = new byte[data.remaining()];
+            data.get(bytes);
+            recordedBody.writeBytes(bytes);
+        }
+    }
+
+    void answerReaderWaits(UpstreamAttempt source, CapacityChannel channel) throws IOException {
+        answerBody.readerWaits(channel);
+    }
+
+    synchronized void answerComplete(UpstreamAttempt source) {
+        if (source != attempt || state != State.ANSWERING) {
+            return;
+        }
+        report(source, outcome());
+        if (!idempotent) {
+            recorded = new RecordedAnswer(status, answerHeaders, recordedBody.toByteArray(), recordedBodyKept);
+        }
+        answerBody.end();
+        caller.discardRequestBody();
+        done();
+    }
+
+    private boolean report(UpstreamAttempt source, AttemptOutcome outcome) {
+        if (attemptReported) {
+            return false;
+        }
+        attemptReported = true;
+        long now = server.now();
+        long until = answered ? firstByteNanos : now;
+        long micros = Math.max(0, until - attemptStartedNanos) / NANOS_PER_MICRO;
+        return forwarding.attemptEnded(outcome, source.isSent(), micros, now);
+    }
+
+    private boolean isRepeatable(UpstreamAttempt source) {
+        return !source.isSent() || (idempotent && keptBody != null);
+    }
+
+    synchronized void attemptFailed(UpstreamAttempt source, AttemptOutcome outcome) {
+        if (source != attempt || (state != State.ATTEMPTING && state != State.ANSWERING)) {
+            return;
+        }
+        everSent |= source.isSent();
+        if (state == State.ANSWERING) {
+            report(source, AttemptOutcome.TRUNCATED);
+            breakAnswer();
+            return;
+        }
+        boolean inTime = server.now() - forwarding.deadlineNanos() < 0;
+        boolean possible = isRepeatable(source) && !callerGone && inTime;
+        if (possible && source.usesReusedConnection() && !freshConnectionTried && target != null) {
+            // The server may have closed the idle connection just before; that says nothing about the server.
+            freshConnectionTried = true;
+            startAttempt(target, true);
+            return;
+        }
+        boolean again = report(source, outcome);
+        if (possible && again) {
+            chooseTarget();
+        } else if (everSent) {
+            refuse(Refusal.UPSTREAM_FAILED, "The server's connection broke before its answer.", -1);
+        } else {
+            refuse(Refusal.UPSTREAM_UNREACHABLE, "No connection to a server could be opened.", -1);
+        }
+    }
+
+    /** Leaves the caller with an answer that is recognisably incomplete. */
+    private void breakAnswer() {
+        callerGone = true;
+        caller.abort();
+        done();
+    }
+
+    private synchronized void deadlineReached() {
+        UpstreamAttempt running = attempt;
+        if (state == State.COLLECTING_BODY) {
+            refuse(Refusal.REQUEST_TIMEOUT, "The body of the request did not arrive before the deadline.", -1);
+        } else if (state == State.ATTEMPTING && running != null) {
+            running.abandon();
+            boolean sent = running.isSent();
+            everSent |= sent;
+            report(running, sent ? AttemptOutcome.TIMEOUT : AttemptOutcome.ABANDONED);
+            if (everSent) {
+                refuse(Refusal.UPSTREAM_TIMEOUT, "The server did not answer before the deadline.", -1);
+            } else {
+                refuse(Refusal.SERVICE_OVERLOADED, "No connection was free before the deadline.", -1);
+            }
+        }
+    }
+
+    /** Checks the idle limit between bytes of the answer; time in which the caller reads slowly does not count. */
+    synchronized void checkTime(long now) {
+        UpstreamAttempt running = attempt;
+        if (state != State.ANSWERING || running == null) {
+            return;
+        }
+        if (answerBody.isFull()) {
+            lastAnswerNanos = now;
+        } else if (now - lastAnswerNanos > server.settings().answerIdleTimeout.toNanos()) {
+            running.abandon();
+            report(running, AttemptOutcome.TRUNCATED);
+            breakAnswer();
+        }
+    }
+
+    synchronized void requestBodyBroken(Refusal reason, String detail) {
+        brokenBody = reason;
+        brokenBodyDetail = detail;
+        if (state == State.COLLECTING_BODY) {
+            refuse(reason, detail, -1);
+        } else if (state == State.ATTEMPTING || state == State.ANSWERING) {
+            boolean answering = state == State.ANSWERING;
+            abandonAttempt();
+            if (answering) {
+                breakAnswer();
+            } else {
+                refuse(reason, detail, -1);
+            }
+        }
+    }
+
+    private void abandonAttempt() {
+        UpstreamAttempt running = attempt;
+        if (running != null) {
+            running.abandon();
+            everSent |= running.isSent();
+            report(running, AttemptOutcome.ABANDONED);
+        }
+    }
+
+    /** Called when the caller's connection is gone, also when that happens after the answer. */
+    synchronized void callerLeft() {
+        if (callerGone || delivered) {
+            return;
+        }
+        callerGone = true;
+        discardAnswer();
+        UpstreamAttempt running = attempt;
+        switch (state) {
+            case COLLECTING_BODY -> done();
+            case ATTEMPTING, ANSWERING -> {
+                boolean sentWhole =
+                        running != null && running.isSent() && (keptBody != null || caller.isBodyComplete());
+                if (idempotent || !sentWhole) {
+                    abandonAttempt();
+                    done();
+                }
+            }
+            case DONE -> finishOnce();
+            default -> {
+                // The choice of a server ends by itself and must be given back then.
+            }
+        }
+    }
+
+    private void discardAnswer() {
+        try {
+            answerBody.discard();
+        } catch (IOException cause) {
+            server.report("discard-failed", cause);
+        }
+    }
+
+    synchronized void delivered() {
+        delivered = true;
+        finishOnce();
+    }
+
+    private void refuse(Refusal reason, String detail, long retryAfterMillis) {
+        Refusal told = everSent && reason.outcome() == Refusal.Outcome.NOT_RUN ? Refusal.UPSTREAM_FAILED : reason;
+        state = State.DONE;
+        refusal = told;
+        status = told.status();
+        committed = !callerGone && caller.refuse(told, detail, retryAfterMillis, List.of());
+        callerGone |= !committed;
+        caller.discardRequestBody();
+        finishOnce();
+    }
+
+    private void done() {
+        state = State.DONE;
+        finishOnce();
+    }
+
+    private void finishOnce() {
+        if (finished || state != State.DONE || !(delivered || callerGone)) {
+            return;
+        }
+        finished = true;
+        if (deadlineTimer != null) {
+            deadlineTimer.cancel(false);
+        }
+        forwarding.finished(committed ? status : 0, committed ? refusal : null, recorded, delivered, server.now());
+        server.forwardingFinished();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/auburnhoist/proxy/HeaderRules.java
@@ -0,0 +1,90 @@
+package org.auburnhoist.proxy;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+
+/** Which headers pass the proxy, and which it adds. */
+final class HeaderRules {
+    static final String REQUEST_ID = "Auburnhoist-Request-Id";
+    static final String DEADLINE = "Auburnhoist-Deadline-Millis";
+
+    private static final Set<String> HOP_BY_HOP = Set.of(
+            "connection",
+            "keep-alive",
+            "proxy-authenticate",
+            "proxy-authorization",
+            "proxy-connection",
+            "te",
+            "trailer",
+            "transfer-encoding",
+            "upgrade",
+            "content-length");
+
+    /** Authorization holds the caller's key, which no upstream may see. */
+    private static final Set<String> NOT_FORWARDED =
+            Set.of("authorization", "host", "expect", "via", "x-forwarded-for");
+
+    private HeaderRules() {}
+
+    /** Headers of a request that go to an upstream server, without framing. */
+    static List<Map.Entry<String, String>> towardsUpstream(RequestHead head, String serverAddress, String hostName) {
+        List<Map.Entry<String, String>> result = new ArrayList<>();
+        result.add(Map.entry("Host", serverAddress));
+        for (Map.Entry<String, String> header : endToEnd(head.headers())) {
+            if (!NOT_FORWARDED.contains(header.getKey().toLowerCase(Locale.ROOT))) {
+                result.add(header);
+            }
+        }
+        result.add(Map.entry("Via", appended(head.headers(), "via", "1.1 " + hostName)));
+        result.add(Map.entry("X-Forwarded-For", appended(head.headers(), "x-forwarded-for", head.remoteAddress())));
+        return result;
+    }
+
+    /** Headers of an answer without those of one connection, of framing and of the fleet itself. */
+    static List<Map.Entry<String, String>> endToEnd(List<Map.Entry<String, String>> headers) {
+        Set<String> dropped = new HashSet<>(HOP_BY_HOP);
+        for (Map.Entry<String, String> header : headers) {
+            if (header.getKey().equalsIgnoreCase("connection")) {
+                for (String token : header.getValue().split(",", -1)) {
+                    dropped.add(token.strip().toLowerCase(Locale.ROOT));
+                }
+            }
+        }
+        List<Map.Entry<String, String>> result = new ArrayList<>();
+        for (Map.Entry<String, String> header : headers) {
+            String name = header.getKey().toLowerCase(Locale.ROOT);
+            if (!dropped.contains(name) && !name.startsWith("auburnhoist-")) {
+                result.add(header);
+            }
+        }
+        return result;
+    }
+
+    /** Whether a comma-separated header contains a token. */
+    static boolean hasToken(List<Map.Entry<String, String>> headers, String name, String token) {
+        for (Map.Entry<String, String> header : headers) {
+            if (header.getKey().equalsIgnoreCase(name)) {
+                for (String part : header.getValue().split(",", -1)) {
+                    if (part.strip().equalsIgnoreCase(token)) {
+                        return true;
+                    }
+                }
+            }
+        }
+        return false;
+    }
+
+    private static String appended(List<Map.Entry<String, String>> headers, String name, String value) {
+        StringBuilder result = new StringBuilder();
+        for (Map.Entry<String, String> header : headers) {
+            if (header.getKey().equalsIgnoreCase(name)) {
+                result.append(header.getValue()).append(", ");
+            }
+        }
+        return result.append(value).toString();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/auburnhoist/proxy/KeptBody.java
@@ -0,0 +1,32 @@
+package org.auburnhoist.proxy;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import org.apache.hc.core5.http.nio.DataStreamChannel;
+
+/** A body that is held whole in memory. */
+final class KeptBody implements BodySource {
+    private final ByteBuffer content;
+    private boolean ended;
+
+    KeptBody(byte[] content) {
+        this.content = ByteBuffer.wrap(content);
+    }
+
+    @Override
+    public int available() {
+        return ended ? 0 : Math.max(1, content.remaining());
+    }
+
+    @Override
+    public boolean produce(DataStreamChannel channel) throws IOException {
+        if (content.hasRemaining()) {
+            channel.write(content);
+        }
+        if (!content.hasRemaining() && !ended) {
+            ended = true;
+            channel.endStream();
+        }
+        return ended;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/auburnhoist/proxy/ProxyServer.java
@@ -0,0 +1,249 @@
+package org.auburnhoist.proxy;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.channels.ClosedSelectorException;
+import java.time.Duration;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.Future;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.ThreadFactory;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+import org.apache.hc.core5.io.CloseMode;
+import org.apache.hc.core5.reactor.DefaultListeningIOReactor;
+import org.apache.hc.core5.reactor.IOReactorConfig;
+import org.apache.hc.core5.reactor.ListenerEndpoint;
+import org.apache.hc.core5.util.TimeValue;
+import org.auburnhoist.support.Event;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Accepts callers, asks a {@link RequestPolicy} about each request, and answers or forwards it.
+ *
+ * <pre>{@code
+ * ProxyServer proxy = ProxyServer.start(settings, policy);
+ * ...
+ * proxy.stopAccepting();
+ * proxy.close(Duration.ofSeconds(30));
+ * }</pre>
+ */
+public final class ProxyServer implements AutoCloseable {
+    /** How often the time limits of all connections are checked. */
+    private static final long CHECK_INTERVAL_MILLIS = 100;
+
+    private final ProxySettings settings;
+    private final RequestPolicy policy;
+    private final UpstreamPool pool;
+    private final DefaultListeningIOReactor reactor;
+    private final ScheduledThreadPoolExecutor timer;
+    private final Set<CallerConnection> connections = ConcurrentHashMap.newKeySet();
+    private final AtomicLong requestIds = new AtomicLong();
+    private final Object quiet = new Object();
+    private int inProgress;
+    private volatile boolean stopping;
+    private final InetSocketAddress address;
+
+    private ProxyServer(ProxySettings settings, RequestPolicy policy) throws IOException {
+        this.settings = settings;
+        this.policy = policy;
+        timer = new ScheduledThreadPoolExecutor(1, threads("proxy-timer"));
+        timer.setRemoveOnCancelPolicy(true);
+        pool = new UpstreamPool(settings);
+        IOReactorConfig config = IOReactorConfig.custom()
+                .setIoThreadCount(settings.callerThreads)
+                .setTcpNoDelay(true)
+                .setSoReuseAddress(true)
+                .setSelectInterval(TimeValue.ofMilliseconds(CHECK_INTERVAL_MILLIS))
+                .build();
+        reactor = new DefaultListeningIOReactor(
+                new CallerConnectionFactory(this),
+                config,
+                threads("caller-io"),
+                threads("caller-accept"),
+                null,
+                ProxyServer::ioFailure,
+                null,
+                null);
+        reactor.start();
+        address = listen();
+        timer.scheduleWithFixedDelay(
+                this::checkTime, CHECK_INTERVAL_MILLIS, CHECK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    /**
+     * Starts to listen.
+     *
+     * @throws IOException if the address cannot be used
+     */
+    public static ProxyServer start(ProxySettings settings, RequestPolicy policy) throws IOException {
+        return new ProxyServer(settings, policy);
+    }
+
+    /** The address that callers connect to, with the actual port. */
+    public InetSocketAddress address() {
+        return address;
+    }
+
+    /** Requests that are not finished, including bookings whose callers have left. */
+    public int requestsInProgress() {
+        synchronized (quiet) {
+            return inProgress;
+        }
+    }
+
+    /** Accepts no further connections; answers carry {@code Connection: close} from now on. */
+    public void stopAccepting() {
+        stopping = true;
+        reactor.getEndpoints().forEach(endpoint -> endpoint.close(CloseMode.GRACEFUL));
+    }
+
+    /** Stops at once; requests in progress are cut off. */
+    @Override
+    public void close() {
+        close(Duration.ZERO);
+    }
+
+    /**
+     * Stops after the requests in progress have finished.
+     *
+     * @param limit the longest time to wait for them
+     * @return whether all of them finished
+     */
+    public boolean close(Duration limit) {
+        stopAccepting();
+        boolean finished = awaitQuiet(limit);
+        reactor.close(finished ? CloseMode.GRACEFUL : CloseMode.IMMEDIATE);
+        pool.close();
+        timer.shutdownNow();
+        return finished;
+    }
+
+    private boolean awaitQuiet(Duration limit) {
+        long end = System.nanoTime() + limit.toNanos();
+        synchronized (quiet) {
+            while (inProgress > 0) {
+                long millis = TimeUnit.NANOSECONDS.toMillis(end - System.nanoTime());
+                if (millis <= 0) {
+                    return false;
+                }
+                try {
+                    quiet.wait(millis);
+                } catch (InterruptedException cause) {
+                    Thread.currentThread().interrupt();
+                    return false;
+                }
+            }
+            return true;
+        }
+    }
+
+    private InetSocketAddress listen() throws IOException {
+        try {
+            ListenerEndpoint endpoint = reactor.listen(settings.listenAddress).get();
+            return (InetSocketAddress) endpoint.getAddress();
+        } catch (ExecutionException cause) {
+            close();
+            throw new IOException("listenAddress: could not listen on " + settings.listenAddress, cause.getCause());
+        } catch (InterruptedException cause) {
+            Thread.currentThread().interrupt();
+            close();
+            throw new IOException("listen: interrupted", cause);
+        }
+    }
+
+    private void checkTime() {
+        try {
+            long now = now();
+            connections.forEach(connection -> connection.checkTime(now));
+            pool.closeIdle(now);
+        } catch (RuntimeException cause) {
+            report("time-check-failed", cause);
+        }
+    }
+
+    ProxySettings settings() {
+        return settings;
+    }
+
+    RequestPolicy policy() {
+        return policy;
+    }
+
+    UpstreamPool pool() {
+        return pool;
+    }
+
+    boolean isStopping() {
+        return stopping;
+    }
+
+    long now() {
+        return System.nanoTime();
+    }
+
+    String nextRequestId() {
+        return settings.requestIdPrefix + "-" + Long.toHexString(requestIds.incrementAndGet());
+    }
+
+    Future<?> schedule(Runnable action, long delayNanos) {
+        return timer.schedule(action, Math.max(0, delayNanos), TimeUnit.NANOSECONDS);
+    }
+
+    boolean connectionOpened(CallerConnection connection) {
+        if (connections.size() >= settings.maxCallerConnections) {
+            return false;
+        }
+        return connections.add(connection);
+    }
+
+    void connectionClosed(CallerConnection connection) {
+        connections.remove(connection);
+    }
+
+    void exchangeStarted() {
+        changeInProgress(1);
+    }
+
+    void exchangeEnded() {
+        changeInProgress(-1);
+    }
+
+    void forwardingStarted() {
+        changeInProgress(1);
+    }
+
+    void forwardingFinished() {
+        changeInProgress(-1);
+    }
+
+    private void changeInProgress(int change) {
+        synchronized (quiet) {
+            inProgress += change;
+            quiet.notifyAll();
+        }
+    }
+
+    void report(String event, @Nullable Throwable cause) {
+        Event.named(event).with("cause", String.valueOf(cause)).warn();
+    }
+
+    /** Connections that end are normal; anything else is logged. */
+    static void ioFailure(Exception cause) {
+        if (!(cause instanceof IOException) && !(cause instanceof ClosedSelectorException)) {
+            Event.named("io-failure").with("cause", String.valueOf(cause)).warn();
+        }
+    }
+
+    static ThreadFactory threads(String name) {
+        AtomicInteger count = new AtomicInteger();
+        return task -> {
+            Thread thread = new Thread(task, name + "-" + count.incrementAndGet());
+            thread.setDaemon(true);
+            return thread;
+        };
+    }
+}
--- /dev/null
+++ b/src/main/java/org/auburnhoist/proxy/ProxySettings.java
@@ -0,0 +1,176 @@
+package org.auburnhoist.proxy;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+
+/**
+ * Immutable settings of a {@link ProxyServer}.
+ *
+ * <pre>{@code
+ * ProxySettings settings = ProxySettings.builder()
+ *         .listenAddress(new InetSocketAddress("10.0.0.5", 8080))
+ *         .hostName("entry-1")
+ *         .requestIdPrefix("entry-1-7f3a")
+ *         .build();
+ * }</pre>
+ */
+public final class ProxySettings {
+    final InetSocketAddress listenAddress;
+    final String hostName;
+    final String requestIdPrefix;
+    final int callerThreads;
+    final int upstreamThreads;
+    final int maxHeadBytes;
+    final int maxHeaderCount;
+    final long maxBodyBytes;
+    final Duration headTimeout;
+    final Duration bodyTimeout;
+    final Duration callerIdleTimeout;
+    final int maxCallerConnections;
+    final Duration connectTimeout;
+    final Duration upstreamIdleExpiry;
+    final Duration answerIdleTimeout;
+
+    private ProxySettings(Builder builder) {
+        listenAddress = builder.listenAddress;
+        hostName = builder.hostName;
+        requestIdPrefix = builder.requestIdPrefix;
+        callerThreads = builder.callerThreads;
+        upstreamThreads = builder.upstreamThreads;
+        maxHeadBytes = builder.maxHeadBytes;
+        maxHeaderCount = builder.maxHeaderCount;
+        maxBodyBytes = builder.maxBodyBytes;
+        headTimeout = builder.headTimeout;
+        bodyTimeout = builder.bodyTimeout;
+        callerIdleTimeout = builder.callerIdleTimeout;
+        maxCallerConnections = builder.maxCallerConnections;
+        connectTimeout = builder.connectTimeout;
+        upstreamIdleExpiry = builder.upstreamIdleExpiry;
+        answerIdleTimeout = builder.answerIdleTimeout;
+    }
+
+    /** Starts with the defaults, which listen on a free port of the loopback interface. */
+    public static Builder builder() {
+        return new Builder();
+    }
+
+    /** Collects settings. */
+    public static final class Builder {
+        private InetSocketAddress listenAddress = new InetSocketAddress("127.0.0.1", 0);
+        private String hostName = "auburnhoist";
+        private String requestIdPrefix = "request";
+        private int callerThreads = 2;
+        private int upstreamThreads = 2;
+        private int maxHeadBytes = 32 * 1024;
+        private int maxHeaderCount = 100;
+        private long maxBodyBytes = 1L << 30;
+        private Duration headTimeout = Duration.ofSeconds(10);
+        private Duration bodyTimeout = Duration.ofSeconds(30);
+        private Duration callerIdleTimeout = Duration.ofSeconds(60);
+        private int maxCallerConnections = 4096;
+        private Duration connectTimeout = Duration.ofSeconds(1);
+        private Duration upstreamIdleExpiry = Duration.ofSeconds(30);
+        private Duration answerIdleTimeout = Duration.ofSeconds(30);
+
+        private Builder() {}
+
+        /** Address for callers; port 0 takes a free port. */
+        public Builder listenAddress(InetSocketAddress value) {
+            listenAddress = value;
+            return this;
+        }
+
+        /** Name in the {@code Via} header; a token without spaces. */
+        public Builder hostName(String value) {
+            hostName = value;
+            return this;
+        }
+
+        /** Start of every request id; must differ between host incarnations. */
+        public Builder requestIdPrefix(String value) {
+            requestIdPrefix = value;
+            return this;
+        }
+
+        /** Threads for caller connections and for upstream connections. */
+        public Builder ioThreads(int caller, int upstream) {
+            callerThreads = atLeastOne("caller", caller);
+            upstreamThreads = atLeastOne("upstream", upstream);
+            return this;
+        }
+
+        /** Largest request or answer head, in bytes and in header lines. */
+        public Builder headLimits(int bytes, int headers) {
+            maxHeadBytes = atLeastOne("bytes", bytes);
+            maxHeaderCount = atLeastOne("headers", headers);
+            return this;
+        }
+
+        /** Largest request body in bytes. */
+        public Builder maxBodyBytes(long value) {
+            maxBodyBytes = value;
+            return this;
+        }
+
+        /** Time from the first byte of a request head to its end. */
+        public Builder headTimeout(Duration value) {
+            headTimeout = positive("headTimeout", value);
+            return this;
+        }
+
+        /** Time for the part of a request body that is read ahead, and later between two of its bytes. */
+        public Builder bodyTimeout(Duration value) {
+            bodyTimeout = positive("bodyTimeout", value);
+            return this;
+        }
+
+        /** How long a caller's connection may stay without a request. */
+        public Builder callerIdleTimeout(Duration value) {
+            callerIdleTimeout = positive("callerIdleTimeout", value);
+            return this;
+        }
+
+        /** Most caller connections; further ones are closed when they are accepted. */
+        public Builder maxCallerConnections(int value) {
+            maxCallerConnections = atLeastOne("maxCallerConnections", value);
+            return this;
+        }
+
+        /** Time to open a connection to an upstream server. */
+        public Builder connectTimeout(Duration value) {
+            connectTimeout = positive("connectTimeout", value);
+            return this;
+        }
+
+        /** How long an unused upstream connection stays open. */
+        public Builder upstreamIdleExpiry(Duration value) {
+            upstreamIdleExpiry = positive("upstreamIdleExpiry", value);
+            return this;
+        }
+
+        /** Time between two bytes of an answer, from the upstream server or to the caller. */
+        public Builder answerIdleTimeout(Duration value) {
+            answerIdleTimeout = positive("answerIdleTimeout", value);
+            return this;
+        }
+
+        /** Builds the settings. */
+        public ProxySettings build() {
+            return new ProxySettings(this);
+        }
+
+        private static int atLeastOne(String name, int value) {
+            if (value < 1) {
+                throw new IllegalArgumentException(name + ": expected at least 1, got " + value);
+            }
+            return value;
+        }
+
+        private static Duration positive(String name, Duration value) {
+            if (value.isNegative() || value.isZero()) {
+                throw new IllegalArgumentException(name + ": expected a positive duration, got " + value);
+            }
+            return value;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/auburnhoist/proxy/RefusalWriter.java
@@ -0,0 +1,48 @@
+package org.auburnhoist.proxy;
+
+import com.fasterxml.jackson.core.io.JsonStringEncoder;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.auburnhoist.core.Refusal;
+import org.auburnhoist.core.message.RecordedAnswer;
+
+/** Turns a refusal into an answer. */
+public final class RefusalWriter {
+    private static final long MILLIS_PER_SECOND = 1000;
+
+    private RefusalWriter() {}
+
+    /**
+     * Builds the complete answer.
+     *
+     * @param refusal the reason
+     * @param detail one sentence for the body
+     * @param retryAfterMillis when the caller should come back, -1 for no advice; sent as whole seconds, rounded up
+     * @param headers further headers
+     */
+    public static RecordedAnswer answer(
+            Refusal refusal, String detail, long retryAfterMillis, List<Map.Entry<String, String>> headers) {
+        List<Map.Entry<String, String>> all = new ArrayList<>();
+        all.add(Map.entry("Content-Type", "application/json"));
+        all.add(Map.entry("Auburnhoist-Refusal", refusal.code()));
+        all.add(Map.entry("Auburnhoist-Outcome", refusal.outcome().headerValue()));
+        StringBuilder body = new StringBuilder(160)
+                .append("{\"refusal\":\"")
+                .append(refusal.code())
+                .append("\",\"outcome\":\"")
+                .append(refusal.outcome().headerValue())
+                .append('"');
+        if (retryAfterMillis >= 0) {
+            long seconds = retryAfterMillis / MILLIS_PER_SECOND + (retryAfterMillis % MILLIS_PER_SECOND > 0 ? 1 : 0);
+            all.add(Map.entry("Retry-After", Long.toString(seconds)));
+            body.append(",\"retryAfterMillis\":").append(retryAfterMillis);
+        }
+        all.addAll(headers);
+        body.append(",\"detail\":\"");
+        JsonStringEncoder.getInstance().quoteAsString(detail, body);
+        body.append("\"}\n");
+        return new RecordedAnswer(refusal.status(), all, body.toString().getBytes(StandardCharsets.UTF_8), true);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/auburnhoist/proxy/UpstreamPool.java
@@ -0,0 +1,274 @@
+package org.auburnhoist.proxy;
+
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.UnknownHostException;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.apache.hc.core5.concurrent.FutureCallback;
+import org.apache.hc.core5.http.HttpHost;
+import org.apache.hc.core5.io.CloseMode;
+import org.apache.hc.core5.reactor.DefaultConnectingIOReactor;
+import org.apache.hc.core5.reactor.IOReactorConfig;
+import org.apache.hc.core5.reactor.IOSession;
+import org.apache.hc.core5.util.TimeValue;
+import org.apache.hc.core5.util.Timeout;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Open connections to upstream servers, at most a given number for each server address.
+ *
+ * <p>Leases that exceed the limit wait in order. A connection returns to the pool only after a complete exchange; after
+ * any doubt it is closed.
+ */
+final class UpstreamPool implements AutoCloseable {
+    /** Receives a connection or the reason why there is none; called without locks held. */
+    interface Lease {
+        /** Whether the connection must be a new one. */
+        boolean needsNewConnection();
+
+        /** Returns false if the connection is not wanted any more. */
+        boolean leased(UpstreamConnection connection);
+
+        /** The connection could not be opened. */
+        void connectFailed(Exception cause);
+    }
+
+    private static final class ServerConnections {
+        private int limit;
+        private int open;
+        private final Deque<UpstreamConnection> idle = new ArrayDeque<>();
+        private final Deque<Lease> waiting = new ArrayDeque<>();
+    }
+
+    private final ProxySettings settings;
+    private final DefaultConnectingIOReactor reactor;
+    private final Map<String, ServerConnections> servers = new HashMap<>();
+
+    UpstreamPool(ProxySettings settings) {
+        this.settings = settings;
+        IOReactorConfig config = IOReactorConfig.custom()
+                .setIoThreadCount(settings.upstreamThreads)
+                .setTcpNoDelay(true)
+                .setSelectInterval(TimeValue.ofMilliseconds(100))
+                .build();
+        reactor = new DefaultConnectingIOReactor(
+                new UpstreamConnectionFactory(settings, this),
+                config,
+                ProxyServer.threads("upstream-io"),
+                null,
+                ProxyServer::ioFailure,
+                null,
+                null);
+        reactor.start();
+    }
+
+    void lease(String address, int limit, Lease lease) {
+        UpstreamConnection reused = null;
+        UpstreamConnection victim = null;
+        synchronized (this) {
+            ServerConnections server = servers.computeIfAbsent(address, key -> new ServerConnections());
+            server.limit = Math.max(1, limit);
+            if (!lease.needsNewConnection()) {
+                reused = takeIdle(server);
+            }
+            if (reused == null) {
+                if (server.open < server.limit) {
+                    server.open++;
+                } else if (!server.idle.isEmpty()) {
+                    victim = server.idle.removeFirst();
+                    victim.place = UpstreamConnection.Place.CLOSED;
+                } else {
+                    server.waiting.add(lease);
+                    return;
+                }
+            }
+        }
+        if (victim != null) {
+            victim.close();
+        }
+        if (reused != null) {
+            give(reused, lease);
+        } else {
+            connect(address, lease);
+        }
+    }
+
+    /** Forgets a waiting lease. */
+    synchronized void cancel(String address, Lease lease) {
+        ServerConnections server = servers.get(address);
+        if (server != null) {
+            server.waiting.remove(lease);
+        }
+    }
+
+    /** Returns a connection after a complete exchange. */
+    void release(UpstreamConnection connection, long nowNanos) {
+        Lease next = null;
+        synchronized (this) {
+            ServerConnections server = servers.get(connection.address);
+            if (server == null || connection.place != UpstreamConnection.Place.LEASED) {
+                return;
+            }
+            Lease first = server.waiting.peek();
+            if (first != null && !first.needsNewConnection() && server.open <= server.limit) {
+                next = server.waiting.remove();
+            } else if (first == null && server.open <= server.limit) {
+                connection.place = UpstreamConnection.Place.IDLE;
+                connection.idleSinceNanos = nowNanos;
+                server.idle.addLast(connection);
+                return;
+            }
+        }
+        if (next == null) {
+            discard(connection);
+        } else {
+            give(connection, next);
+        }
+    }
+
+    /** Closes a connection, whatever its state. */
+    void discard(UpstreamConnection connection) {
+        Lease next = null;
+        synchronized (this) {
+            ServerConnections server = servers.get(connection.address);
+            if (server != null && connection.place != UpstreamConnection.Place.CLOSED) {
+                server.idle.remove(connection);
+                next = permitReturned(connection.address, server);
+            }
+            connection.place = UpstreamConnection.Place.CLOSED;
+        }
+        connection.close();
+        if (next != null) {
+            connect(connection.address, next);
+        }
+    }
+
+    /** Closes connections that have been idle for too long. */
+    void closeIdle(long nowNanos) {
+        List<UpstreamConnection> expired = new ArrayList<>();
+        synchronized (this) {
+            for (ServerConnections server : servers.values()) {
+                for (UpstreamConnection connection : server.idle) {
+                    if (nowNanos - connection.idleSinceNanos > settings.upstreamIdleExpiry.toNanos()) {
+                        expired.add(connection);
+                    }
+                }
+            }
+        }
+        expired.forEach(this::discardIfIdle);
+    }
+
+    private void discardIfIdle(UpstreamConnection connection) {
+        synchronized (this) {
+            ServerConnections server = servers.get(connection.address);
+            if (server == null || !server.idle.remove(connection)) {
+                return;
+            }
+            connection.place = UpstreamConnection.Place.LEASED;
+        }
+        discard(connection);
+    }
+
+    /** Open connections to a server, including those being opened. */
+    synchronized int openConnections(String address) {
+        ServerConnections server = servers.get(address);
+        return server == null ? 0 : server.open;
+    }
+
+    @Override
+    public void close() {
+        reactor.close(CloseMode.IMMEDIATE);
+    }
+
+    private static @Nullable UpstreamConnection takeIdle(ServerConnections server) {
+        UpstreamConnection connection = server.idle.pollLast();
+        if (connection != null) {
+            connection.place = UpstreamConnection.Place.LEASED;
+        }
+        return connection;
+    }
+
+    /** Passes the permit of a closed connection to the next waiting lease; the caller holds the lock. */
+    private @Nullable Lease permitReturned(String address, ServerConnections server) {
+        Lease next = server.open <= server.limit ? server.waiting.poll() : null;
+        if (next == null) {
+            server.open--;
+            if (server.open == 0 && server.waiting.isEmpty()) {
+                servers.remove(address);
+            }
+        }
+        return next;
+    }
+
+    private void give(UpstreamConnection connection, Lease lease) {
+        if (!lease.leased(connection)) {
+            release(connection, connection.idleSinceNanos);
+        }
+    }
+
+    private void connect(String address, Lease lease) {
+        try {
+            int colon = address.lastIndexOf(':');
+            InetAddress ip = InetAddress.getByName(address.substring(0, Math.max(0, colon)));
+            int port = Integer.parseInt(address.substring(colon + 1));
+            reactor.connect(
+                    new HttpHost("http", ip, port),
+                    new InetSocketAddress(ip, port),
+                    null,
+                    Timeout.of(settings.connectTimeout),
+                    address,
+                    new ConnectResult(address, lease));
+        } catch (UnknownHostException | RuntimeException cause) {
+            connectFailed(address, lease, cause);
+        }
+    }
+
+    private void connectFailed(String address, Lease lease, Exception cause) {
+        Lease next = null;
+        synchronized (this) {
+            ServerConnections server = servers.get(address);
+            if (server != null) {
+                next = permitReturned(address, server);
+            }
+        }
+        lease.connectFailed(cause);
+        if (next != null) {
+            connect(address, next);
+        }
+    }
+
+    private final class ConnectResult implements FutureCallback<IOSession> {
+        private final String address;
+        private final Lease lease;
+
+        private ConnectResult(String address, Lease lease) {
+            this.address = address;
+            this.lease = lease;
+        }
+
+        @Override
+        public void completed(IOSession session) {
+            if (session.getHandler() instanceof UpstreamConnection connection) {
+                give(connection, lease);
+            } else {
+                session.close(CloseMode.IMMEDIATE);
+                connectFailed(address, lease, new IllegalStateException("handler: expected an upstream connection"));
+            }
+        }
+
+        @Override
+        public void failed(Exception cause) {
+            connectFailed(address, lease, cause);
+        }
+
+        @Override
+        public void cancelled() {
+            connectFailed(address, lease, new IllegalStateException("connect: cancelled"));
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/org/auburnhoist/proxy/RawConnection.java
@@ -0,0 +1,126 @@
+package org.auburnhoist.proxy;
+
+import java.io.ByteArrayOutputStream;
+import java.io.EOFException;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.Locale;
+
+/** Speaks HTTP/1.1 byte by byte, on either side, so that tests can break its rules. */
+final class RawConnection implements AutoCloseable {
+    /** Guards against a hanging test only. */
+    private static final int GUARD_MILLIS = 60_000;
+
+    final Socket socket;
+    private final InputStream input;
+
+    RawConnection(Socket socket) throws IOException {
+        this.socket = socket;
+        socket.setSoTimeout(GUARD_MILLIS);
+        socket.setTcpNoDelay(true);
+        input = new java.io.BufferedInputStream(socket.getInputStream());
+    }
+
+    static RawConnection to(InetSocketAddress address) throws IOException {
+        return new RawConnection(new Socket(address.getAddress(), address.getPort()));
+    }
+
+    RawConnection send(String text) throws IOException {
+        return send(text.getBytes(StandardCharsets.ISO_8859_1));
+    }
+
+    RawConnection send(byte[] bytes) throws IOException {
+        socket.getOutputStream().write(bytes);
+        return this;
+    }
+
+    /** Reads up to and including the empty line; null at the end of the stream. */
+    String readHead() throws IOException {
+        ByteArrayOutputStream head = new ByteArrayOutputStream();
+        while (!head.toString(StandardCharsets.ISO_8859_1).endsWith("\r\n\r\n")) {
+            int value = input.read();
+            if (value < 0) {
+                if (head.size() == 0) {
+                    return null;
+                }
+                throw new EOFException("within a head");
+            }
+            head.write(value);
+        }
+        return head.toString(StandardCharsets.ISO_8859_1);
+    }
+
+    byte[] readBytes(int count) throws IOException {
+        byte[] bytes = input.readNBytes(count);
+        if (bytes.length < count) {
+            throw new EOFException("got " + bytes.length + " of " + count + " bytes");
+        }
+        return bytes;
+    }
+
+    /** Reads the body that belongs to a head, to the end of its framing. */
+    byte[] readBody(String head) throws IOException {
+        String length = header(head, "Content-Length");
+        if (length != null) {
+            return readBytes(Integer.parseInt(length));
+        }
+        ByteArrayOutputStream body = new ByteArrayOutputStream();
+        if ("chunked".equals(header(head, "Transfer-Encoding"))) {
+            int size;
+            do {
+                size = Integer.parseInt(readLine(), 16);
+                body.writeBytes(readBytes(size));
+                readLine();
+            } while (size > 0);
+        }
+        return body.toByteArray();
+    }
+
+    /** Reads a head and its body as one text. */
+    String readMessage() throws IOException {
+        String head = readHead();
+        if (head == null) {
+            throw new EOFException("before a message");
+        }
+        return head + new String(readBody(head), StandardCharsets.ISO_8859_1);
+    }
+
+    private String readLine() throws IOException {
+        StringBuilder line = new StringBuilder();
+        int value;
+        while ((value = input.read()) != '\n') {
+            if (value < 0) {
+                throw new EOFException("within a line");
+            }
+            line.append((char) value);
+        }
+        return line.toString().strip();
+    }
+
+    int read() throws IOException {
+        return input.read();
+    }
+
+    static String header(String head, String name) {
+        for (String line : head.split("\r\n")) {
+            if (line.toLowerCase(Locale.ROOT).startsWith(name.toLowerCase(Locale.ROOT) + ":")) {
+                return line.substring(name.length() + 1).strip();
+            }
+        }
+        return null;
+    }
+
+    /** Closes with a reset instead of an orderly end. */
+    void reset() throws IOException {
+        socket.setSoLinger(true, 0);
+        socket.close();
+    }
+
+    @Override
+    public void close() throws IOException {
+        socket.close();
+    }
+}
