Read, check and divide the applied configuration

Cause: hosts and commands need one reader of the declarative files, and hosts need keys, routes and chunks derived from them. Change: ConfigurationReader turns YAML files of bounded size and depth into a FleetConfiguration or into all findings with file, line, column and path.

--- /dev/null
+++ b/src/main/java/org/auburnhoist/core/configuration/ConfigurationChunks.java
@@ -0,0 +1,140 @@
+package org.auburnhoist.core.configuration;
+
+import io.vavr.control.Either;
+import java.io.ByteArrayOutputStream;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.function.Function;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Divides a file into chunks at places that depend on its content, so that a small change replaces one or two chunks
+ * and hosts fetch only these.
+ *
+ * <p>A chunk ends after a line if a hash of that line and the {@value #HASHED_LINES} lines before it has remainder 0.
+ * One line alone would not do: a line such as {@code burst: 3} repeats thousands of times.
+ */
+public final class ConfigurationChunks {
+    /** Largest chunk, in bytes. */
+    public static final int MAXIMUM_BYTES = 256 << 10;
+
+    /** Smallest chunk that ends at a boundary of the content, in bytes; bounds the number of chunks in a head. */
+    static final int MINIMUM_BYTES = 4 << 10;
+
+    /** A boundary is expected every this many lines, 10 to 30 KB. */
+    private static final int LINES_PER_BOUNDARY = 256;
+
+    /** Lines before the last one that decide about a boundary. */
+    private static final int HASHED_LINES = 3;
+
+    private static final long FNV_OFFSET = 0xcbf29ce484222325L;
+    private static final long FNV_PRIME = 0x100000001b3L;
+
+    private ConfigurationChunks() {}
+
+    /**
+     * A part of a file.
+     *
+     * @param digest lower-case hexadecimal SHA-256 of the content
+     * @param content 1 to {@value #MAXIMUM_BYTES} bytes
+     */
+    @SuppressWarnings("ArrayRecordComponent")
+    public record Chunk(String digest, byte[] content) {}
+
+    /**
+     * Why chunks could not be joined.
+     *
+     * @param digest the chunk
+     * @param problem one clause for messages
+     */
+    public record Damage(String digest, String problem) {}
+
+    /** Divides a file; an empty file has no chunks. */
+    public static List<Chunk> split(byte[] file) {
+        List<Chunk> chunks = new ArrayList<>();
+        long[] recent = new long[HASHED_LINES + 1];
+        int start = 0;
+        int position = 0;
+        for (int line = 0; position < file.length; line++) {
+            int end = endOfLine(file, position);
+            recent[line % recent.length] = hash(file, position, end);
+            if (end - start > MAXIMUM_BYTES && position > start) {
+                chunks.add(chunk(file, start, position));
+                start = position;
+            }
+            while (end - start > MAXIMUM_BYTES) {
+                chunks.add(chunk(file, start, start + MAXIMUM_BYTES));
+                start += MAXIMUM_BYTES;
+            }
+            if (end == file.length || (end - start >= MINIMUM_BYTES && isBoundary(recent, line))) {
+                chunks.add(chunk(file, start, end));
+                start = end;
+            }
+            position = end;
+        }
+        return chunks;
+    }
+
+    /**
+     * Puts a file together and verifies each chunk.
+     *
+     * @param digests the file's chunks in order
+     * @param source finds a chunk by its digest, or returns null
+     * @return the file, or the first chunk that is missing or damaged
+     */
+    public static Either<Damage, byte[]> join(List<String> digests, Function<String, byte @Nullable []> source) {
+        ByteArrayOutputStream file = new ByteArrayOutputStream();
+        for (String digest : digests) {
+            byte[] content = source.apply(digest);
+            if (content == null) {
+                return Either.left(new Damage(digest, "missing"));
+            }
+            if (!isIntact(digest, content)) {
+                return Either.left(new Damage(digest, "content does not have this SHA-256"));
+            }
+            if ((long) file.size() + content.length > ConfigurationReader.MAXIMUM_FILE_BYTES) {
+                return Either.left(new Damage(digest, "file larger than the limit"));
+            }
+            file.write(content, 0, content.length);
+        }
+        return Either.right(file.toByteArray());
+    }
+
+    /** Whether a chunk received from elsewhere has the digest that names it. */
+    public static boolean isIntact(String digest, byte[] content) {
+        return content.length <= MAXIMUM_BYTES && Sha256.hex(content).equals(digest);
+    }
+
+    private static Chunk chunk(byte[] file, int start, int end) {
+        byte[] content = Arrays.copyOfRange(file, start, end);
+        return new Chunk(Sha256.hex(content), content);
+    }
+
+    private static boolean isBoundary(long[] recent, int line) {
+        long mixed = FNV_OFFSET;
+        for (int before = HASHED_LINES; before >= 0; before--) {
+            int index = line - before;
+            long hash = index < 0 ? 0 : recent[index % recent.length];
+            mixed = (mixed ^ hash) * FNV_PRIME;
+            mixed ^= mixed >>> 29;
+        }
+        return Long.remainderUnsigned(mixed, LINES_PER_BOUNDARY) == 0;
+    }
+
+    private static int endOfLine(byte[] file, int start) {
+        int position = start;
+        while (position < file.length && file[position] != '\n') {
+            position++;
+        }
+        return Math.min(position + 1, file.length);
+    }
+
+    private static long hash(byte[] file, int start, int end) {
+        long hash = FNV_OFFSET;
+        for (int index = start; index < end; index++) {
+            hash = (hash ^ (file[index] & 0xff)) * FNV_PRIME;
+        }
+        return hash;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/auburnhoist/core/configuration/ConfigurationHead.java
@@ -0,0 +1,152 @@
+package org.auburnhoist.core.configuration;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.StreamReadConstraints;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * Names the files of one version of the configuration and their chunks. It is the only mutable key of the configuration
+ * in the store, so that a change takes effect as a whole.
+ *
+ * @param version grows by 1 with each accepted change; 0 stands for no configuration
+ * @param change what the newest change was and who made it
+ * @param files the files, ordered by name
+ */
+public record ConfigurationHead(long version, Change change, List<FileEntry> files) {
+    /** The head before the first change. */
+    public static final ConfigurationHead NONE = new ConfigurationHead(0, new Change("", "", "", ""), List.of());
+
+    /** Longest text of a head, in characters; a summary that names every file is shorter. */
+    private static final int MAXIMUM_TEXT = 65_536;
+
+    private static final ObjectMapper MAPPER = JsonMapper.builder(JsonFactory.builder()
+                    .streamReadConstraints(StreamReadConstraints.builder()
+                            .maxNestingDepth(8)
+                            .maxStringLength(MAXIMUM_TEXT)
+                            .build())
+                    .build())
+            .enable(DeserializationFeature.FAIL_ON_NULL_CREATOR_PROPERTIES)
+            .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
+            .enable(DeserializationFeature.FAIL_ON_MISSING_CREATOR_PROPERTIES)
+            .build();
+
+    /** Copies and orders the files. */
+    public ConfigurationHead {
+        List<FileEntry> ordered = new ArrayList<>(files);
+        ordered.sort(Comparator.comparing(FileEntry::name));
+        files = List.copyOf(ordered);
+    }
+
+    /**
+     * A change of the configuration.
+     *
+     * @param id random text that lets a writer recognise its own change after a lost answer
+     * @param appliedBy the operator
+     * @param appliedAt time of the change in ISO 8601, by the operator's clock
+     * @param summary the files that were replaced or removed
+     */
+    public record Change(String id, String appliedBy, String appliedAt, String summary) {}
+
+    /**
+     * A file of the configuration.
+     *
+     * @param name base name
+     * @param bytes size
+     * @param sha256 digest of the whole file
+     * @param version version of the configuration in which the file was last replaced
+     * @param appliedBy the operator who replaced it
+     * @param appliedAt time of that change in ISO 8601, by the operator's clock
+     * @param chunks SHA-256 of each chunk, in order
+     */
+    public record FileEntry(
+            String name,
+            long bytes,
+            String sha256,
+            long version,
+            String appliedBy,
+            String appliedAt,
+            List<String> chunks) {
+        /** Copies the list. */
+        public FileEntry {
+            chunks = List.copyOf(chunks);
+        }
+    }
+
+    /** The entry of a file. */
+    public Optional<FileEntry> file(String name) {
+        return files.stream().filter(file -> file.name().equals(name)).findFirst();
+    }
+
+    /** The digests of all chunks, each once. */
+    public Set<String> chunks() {
+        Set<String> chunks = new HashSet<>();
+        files.forEach(file -> chunks.addAll(file.chunks()));
+        return chunks;
+    }
+
+    /**
+     * The head after a change.
+     *
+     * @param change who changed what
+     * @param replaced files with their new content
+     * @param removed names of files that are taken away
+     */
+    public ConfigurationHead next(Change change, List<ConfigurationFile> replaced, Set<String> removed) {
+        long nextVersion = version + 1;
+        List<FileEntry> next = new ArrayList<>();
+        Set<String> gone = new HashSet<>(removed);
+        for (ConfigurationFile file : replaced) {
+            gone.add(file.name());
+            List<String> chunks = ConfigurationChunks.split(file.content()).stream()
+                    .map(ConfigurationChunks.Chunk::digest)
+                    .toList();
+            next.add(new FileEntry(
+                    file.name(),
+                    file.content().length,
+                    Sha256.hex(file.content()),
+                    nextVersion,
+                    change.appliedBy(),
+                    change.appliedAt(),
+                    chunks));
+        }
+        files.stream().filter(file -> !gone.contains(file.name())).forEach(next::add);
+        return new ConfigurationHead(nextVersion, change, next);
+    }
+
+    /** The head as JSON. */
+    public byte[] toBytes() {
+        try {
+            return MAPPER.writeValueAsBytes(this);
+        } catch (IOException impossible) {
+            throw new IllegalStateException("head: expected a value that JSON can express", impossible);
+        }
+    }
+
+    /**
+     * Reads a head.
+     *
+     * @return the head, or the reason why the bytes are not one
+     */
+    public static Either<String, ConfigurationHead> parse(byte[] json) {
+        try {
+            ConfigurationHead head = MAPPER.readValue(json, ConfigurationHead.class);
+            boolean digests = head.chunks().stream().allMatch(Sha256::isHex);
+            if (head.version < 1 || !digests) {
+                return Either.left("not a head: the version is below 1 or a chunk is not named by its SHA-256");
+            }
+            return Either.right(head);
+        } catch (IOException | RuntimeException invalid) {
+            return Either.left("not a head: " + invalid.getClass().getSimpleName());
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/auburnhoist/core/configuration/CrossChecks.java
@@ -0,0 +1,100 @@
+package org.auburnhoist.core.configuration;
+
+import java.util.HashMap;
+import java.util.Map;
+
+/** Checks that concern more than one declaration. */
+final class CrossChecks {
+    private final Sections sections;
+    private final FindingCollector findings;
+
+    CrossChecks(Sections sections, FindingCollector findings) {
+        this.sections = sections;
+        this.findings = findings;
+    }
+
+    void run() {
+        checkKeys();
+        checkServers();
+        checkRouteReferences();
+        checkRouteOverlaps();
+    }
+
+    private void checkKeys() {
+        Map<String, Place> hashes = new HashMap<>();
+        forEach(sections.keys(), (place, key) -> {
+            requireTeam(place, "team", key.team());
+            Place earlier = hashes.putIfAbsent(key.secretSha256(), place);
+            if (earlier != null) {
+                String found = "the hash of " + earlier.path() + " at " + earlier.reference();
+                findings.add(field(place, "secret-sha256"), "another secret for each key", found);
+            }
+        });
+    }
+
+    private void checkServers() {
+        Map<String, String> owners = new HashMap<>();
+        forEach(sections.services(), (place, service) -> {
+            for (Server server : service.servers()) {
+                String owner = service.name() + "." + server.name();
+                String earlier = owners.putIfAbsent(server.address(), owner);
+                if (earlier != null) {
+                    String found = server.address() + " of " + earlier + " again";
+                    findings.add(field(place, "servers." + server.name()), "another address for each server", found);
+                }
+            }
+        });
+    }
+
+    private void checkRouteReferences() {
+        forEach(sections.routes(), (place, route) -> {
+            if (!sections.services().declares(route.service())) {
+                findings.add(
+                        field(place, "service"),
+                        "the name of a declared service",
+                        FindingCollector.excerptText(route.service()));
+            }
+            for (String team : route.teams()) {
+                requireTeam(place, Callers.FIELD, team);
+            }
+        });
+    }
+
+    private void requireTeam(Place place, String field, String team) {
+        if (!sections.teams().declares(team)) {
+            findings.add(field(place, field), "the name of a declared team", FindingCollector.excerptText(team));
+        }
+    }
+
+    private void checkRouteOverlaps() {
+        Map<String, Place> owners = new HashMap<>();
+        forEach(sections.routes(), (place, route) -> {
+            for (String method : route.methods()) {
+                Place earlier = owners.putIfAbsent(method + " " + route.pathPrefix(), place);
+                if (earlier != null) {
+                    String found = method + " " + route.pathPrefix() + " of " + earlier.path() + " at "
+                            + earlier.reference() + " again";
+                    findings.add(field(place, "path"), "one route for each method and path", found);
+                }
+            }
+        });
+    }
+
+    private static Place field(Place place, String name) {
+        return new Place(place.file(), place.line(), place.column(), place.path() + "." + name);
+    }
+
+    private static <T> void forEach(Section<T> section, Check<T> check) {
+        for (Declared<T> declared : section.declarations().values()) {
+            T value = declared.value();
+            if (value != null) {
+                check.check(declared.place(), value);
+            }
+        }
+    }
+
+    /** Looks at one declaration without findings of its own. */
+    private interface Check<T> {
+        void check(Place place, T value);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/auburnhoist/core/configuration/Fields.java
@@ -0,0 +1,166 @@
+package org.auburnhoist.core.configuration;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.function.Predicate;
+import java.util.regex.Pattern;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Typed access to the fields of one mapping. Each method reports a finding and returns null if the field is missing or
+ * does not hold what was asked for.
+ */
+final class Fields {
+    /** Names of teams, keys, services, servers, routes and data centres. */
+    static final Pattern NAME = Pattern.compile("[a-z0-9][a-z0-9-]{0,62}");
+
+    static final String NAME_FORM = "a name of 1 to 63 lower-case letters, digits and hyphens";
+
+    private static final Pattern NUMBER = Pattern.compile("[0-9]{1,12}(\\.[0-9]{1,9})?");
+
+    /** Reads the text of a scalar; returns null if it does not accept it. */
+    interface ScalarParser<T> {
+        @Nullable
+        T parse(String text);
+    }
+
+    private final YamlNode.Mapping mapping;
+    private final Place place;
+    private final FindingCollector findings;
+    private final Map<String, YamlNode> values = new HashMap<>();
+
+    /** Reports unknown and duplicate names. */
+    Fields(YamlNode.Mapping mapping, Place place, Set<String> known, FindingCollector findings) {
+        this.mapping = mapping;
+        this.place = place;
+        this.findings = findings;
+        for (YamlNode.Field field : mapping.fields()) {
+            String name = field.name().text();
+            if (!known.contains(name)) {
+                String expected = "one of the fields " + String.join(", ", new TreeSet<>(known));
+                findings.add(place.at(field.name()), expected, FindingCollector.excerptText(name));
+            } else if (values.putIfAbsent(name, field.value()) != null) {
+                findings.add(place.within(field.name(), name), "each field once", "a second " + name);
+            }
+        }
+    }
+
+    Place place() {
+        return place;
+    }
+
+    Place placeOf(String name) {
+        YamlNode value = values.get(name);
+        return place.within(value == null ? mapping : value, name);
+    }
+
+    boolean has(String name) {
+        return values.containsKey(name);
+    }
+
+    @Nullable
+    YamlNode node(String name, String expected) {
+        YamlNode value = values.get(name);
+        if (value == null) {
+            findings.add(place.within(mapping, name), expected, "nothing");
+        }
+        return value;
+    }
+
+    @Nullable
+    Integer integer(String name, int minimum, int maximum, String unit) {
+        String expected = "a whole number of " + unit + " from " + minimum + " to " + maximum;
+        Double value = number(name, expected, text -> !text.contains("."), minimum, maximum);
+        return value == null ? null : (Integer) value.intValue();
+    }
+
+    @Nullable
+    Double decimal(String name, double minimum, double maximum, String expected) {
+        return number(name, expected, text -> true, minimum, maximum);
+    }
+
+    /** An optional field that is false if absent; null if it is neither true nor false. */
+    @Nullable
+    Boolean flag(String name) {
+        if (!has(name)) {
+            return Boolean.FALSE;
+        }
+        return parsed(name, "true or false", true, text -> switch (text) {
+            case "true" -> Boolean.TRUE;
+            case "false" -> Boolean.FALSE;
+            default -> null;
+        });
+    }
+
+    @Nullable
+    String name(String name, String meaning) {
+        String expected = meaning + ", " + NAME_FORM;
+        return parsed(name, expected, false, text -> NAME.matcher(text).matches() ? text : null);
+    }
+
+    /** A scalar that a function accepts by returning a value other than null. */
+    <T> @Nullable T parsed(String name, String expected, boolean plainOnly, ScalarParser<T> parser) {
+        YamlNode node = node(name, expected);
+        if (node == null) {
+            return null;
+        }
+        T value = null;
+        if (node instanceof YamlNode.Scalar scalar && !scalar.isNothing() && (scalar.plain() || !plainOnly)) {
+            value = parser.parse(scalar.text());
+        }
+        if (value == null) {
+            findings.add(place.within(node, name), expected, FindingCollector.excerpt(node));
+        }
+        return value;
+    }
+
+    /** A list with at least one element, without duplicates. */
+    @Nullable
+    Set<String> texts(String name, String expected, Pattern form) {
+        YamlNode node = node(name, expected);
+        if (node == null) {
+            return null;
+        }
+        if (!(node instanceof YamlNode.Sequence sequence) || sequence.items().isEmpty()) {
+            String found = node instanceof YamlNode.Sequence ? "an empty list" : FindingCollector.excerpt(node);
+            findings.add(place.within(node, name), expected, found);
+            return null;
+        }
+        return texts(sequence.items(), name, expected, form);
+    }
+
+    private @Nullable Set<String> texts(List<YamlNode> items, String name, String expected, Pattern form) {
+        Set<String> texts = new LinkedHashSet<>();
+        List<YamlNode> wrong = new ArrayList<>();
+        for (YamlNode item : items) {
+            boolean matches = item instanceof YamlNode.Scalar scalar
+                    && form.matcher(scalar.text()).matches()
+                    && texts.add(scalar.text());
+            if (!matches) {
+                wrong.add(item);
+            }
+        }
+        for (YamlNode item : wrong) {
+            boolean repeated = item instanceof YamlNode.Scalar scalar && texts.contains(scalar.text());
+            String found = FindingCollector.excerpt(item) + (repeated ? " a second time" : "");
+            findings.add(place.within(item, name), expected, found);
+        }
+        return wrong.isEmpty() ? texts : null;
+    }
+
+    private @Nullable Double number(
+            String name, String expected, Predicate<String> form, double minimum, double maximum) {
+        return parsed(name, expected, true, text -> {
+            if (!NUMBER.matcher(text).matches() || !form.test(text)) {
+                return null;
+            }
+            double value = Double.parseDouble(text);
+            return value >= minimum && value <= maximum ? (Double) value : null;
+        });
+    }
+}
--- /dev/null
+++ b/src/main/java/org/auburnhoist/core/configuration/Section.java
@@ -0,0 +1,90 @@
+package org.auburnhoist.core.configuration;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Set;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * The declarations of one kind from all files. A name with findings about its value stays declared, so that references
+ * to it cause no further findings.
+ */
+final class Section<T> {
+    /** Reads the fields of one declaration; returns null after reporting a finding. */
+    interface EntryReader<T> {
+        @Nullable
+        T read(String name, Fields fields, FindingCollector findings);
+    }
+
+    private final String kind;
+    private final Set<String> knownFields;
+    private final EntryReader<T> reader;
+    private final Map<String, Declared<T>> declarations = new LinkedHashMap<>();
+
+    /**
+     * Describes a section.
+     *
+     * @param kind what one declaration is, for messages
+     * @param knownFields names of all fields of a declaration
+     * @param reader reads one declaration
+     */
+    Section(String kind, Set<String> knownFields, EntryReader<T> reader) {
+        this.kind = kind;
+        this.knownFields = knownFields;
+        this.reader = reader;
+    }
+
+    /** Reads a mapping from names to declarations and adds them to those of other files. */
+    void read(YamlNode node, Place place, FindingCollector findings) {
+        if (!(node instanceof YamlNode.Mapping mapping)) {
+            findings.add(place, "a mapping with a name for each " + kind, FindingCollector.excerpt(node));
+            return;
+        }
+        for (YamlNode.Field field : mapping.fields()) {
+            readEntry(field, place, findings);
+        }
+    }
+
+    private void readEntry(YamlNode.Field field, Place sectionPlace, FindingCollector findings) {
+        String name = field.name().text();
+        if (!Fields.NAME.matcher(name).matches()) {
+            findings.add(sectionPlace.at(field.name()), Fields.NAME_FORM, FindingCollector.excerptText(name));
+            return;
+        }
+        Place place = sectionPlace.within(field.name(), name);
+        Declared<T> earlier = declarations.get(name);
+        if (earlier != null) {
+            String found = "a second " + kind + " of this name; the first is at "
+                    + earlier.place().reference();
+            findings.add(place, "each " + kind + " once", found);
+            return;
+        }
+        T value = null;
+        if (field.value() instanceof YamlNode.Mapping mapping) {
+            value = reader.read(name, new Fields(mapping, place, knownFields, findings), findings);
+        } else {
+            findings.add(place, "the fields of a " + kind, FindingCollector.excerpt(field.value()));
+        }
+        declarations.put(name, new Declared<>(place, value));
+    }
+
+    boolean declares(String name) {
+        return declarations.containsKey(name);
+    }
+
+    Map<String, Declared<T>> declarations() {
+        return declarations;
+    }
+
+    /** The values without findings, by name. */
+    Map<String, T> values() {
+        Map<String, T> values = new LinkedHashMap<>();
+        declarations.forEach((name, declared) -> {
+            T value = declared.value();
+            if (value != null) {
+                values.put(name, value);
+            }
+        });
+        return values;
+    }
+}
