Report answers as received only after they went to the socket

Cause: the end of an exchange can come before its answer is flushed. A connection that closes after a refusal then cut the refusal off, and a forwarded refusal was reported with status 0. Change: CallerConnection waits for the flush before it stops sending, counts the request as finished and reports it. Tests cover keys, crossed answers, truncation, bookings, malformed and slow callers, large bodies and the planned stop.

--- a/src/main/java/org/auburnhoist/proxy/CallerConnection.java
+++ b/src/main/java/org/auburnhoist/proxy/CallerConnection.java
@@ -4,6 +4,8 @@
 import java.nio.ByteBuffer;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.SocketChannel;
+import java.util.ArrayList;
+import java.util.List;
 import org.apache.hc.core5.io.CloseMode;
 import org.apache.hc.core5.reactor.IOEventHandler;
 import org.apache.hc.core5.reactor.IOSession;
@@ -26,9 +28,14 @@
     private volatile boolean wake;
     private boolean exchangeRunning;
     private boolean closing;
+    private boolean sendingStopped;
     private boolean headStarted;
     private boolean headExpired;
     private long since;
+    /** Ended exchanges whose answers may not be written to the socket yet. */
+    private int unflushed;
+
+    private final List<CallerExchange> awaitingFlush = new ArrayList<>();
 
     CallerConnection(IOSession session, ProxyServer server) {
         this.session = session;
@@ -73,7 +80,7 @@
         headStarted = false;
     }
 
-    /** Called when the answer is written as far as it will be, and no further request is accepted after it. */
+    /** No further request is accepted on this connection. */
     synchronized void startClosing() {
         if (!closing) {
             closing = true;
@@ -81,19 +88,57 @@
         }
     }
 
-    /** Called when both messages of the exchange are complete. */
+    /** Called when the end of an answer was passed to the output buffer. */
+    void answerEnded(CallerExchange ended) {
+        synchronized (this) {
+            awaitingFlush.add(ended);
+        }
+        session.setEvent(SelectionKey.OP_WRITE);
+    }
+
+    /** Called when both messages of the exchange are complete; the end of the answer may not be written yet. */
     void exchangeEnded() {
-        boolean close;
         synchronized (this) {
             exchange = null;
             exchangeRunning = false;
             since = server.now();
-            close = closing;
+            unflushed++;
         }
-        if (close) {
+        wake();
+    }
+
+    /** Called when everything written so far has gone to the socket. */
+    private void flushed() {
+        boolean stop;
+        synchronized (this) {
+            stop = closing && !sendingStopped && !awaitingFlush.isEmpty();
+            if (stop) {
+                sendingStopped = true;
+                since = server.now();
+            }
+        }
+        if (stop) {
             stopSending();
         }
-        wake();
+        takeAwaitingFlush().forEach(CallerExchange::answerFlushed);
+        countEnded();
+    }
+
+    private synchronized List<CallerExchange> takeAwaitingFlush() {
+        List<CallerExchange> taken = List.copyOf(awaitingFlush);
+        awaitingFlush.clear();
+        return taken;
+    }
+
+    private void countEnded() {
+        int count;
+        synchronized (this) {
+            count = unflushed;
+            unflushed = 0;
+        }
+        for (int ended = 0; ended < count; ended++) {
+            server.exchangeEnded();
+        }
     }
 
     void pauseReading() {
@@ -115,7 +160,10 @@
         synchronized (this) {
             long waited = now - since;
             if (closing) {
-                close = waited > LINGER_NANOS;
+                long limit = sendingStopped
+                        ? LINGER_NANOS
+                        : server.settings().answerIdleTimeout.toNanos();
+                close = waited > limit;
             } else if (!exchangeRunning && headStarted) {
                 expire = !headExpired && waited > server.settings().headTimeout.toNanos();
                 headExpired |= expire;
@@ -125,7 +173,6 @@
         }
         if (close) {
             session.close(CloseMode.GRACEFUL);
-            abort();
         } else if (expire) {
             wake();
         }
@@ -176,6 +223,10 @@
             handler().inputReady(session, null);
         }
         handler().outputReady(session);
+        // HttpCore clears the event when nothing is left to write.
+        if ((session.getEventMask() & SelectionKey.OP_WRITE) == 0) {
+            flushed();
+        }
     }
 
     @Override
@@ -192,5 +243,7 @@
     public void disconnected(IOSession ignored) {
         server.connectionClosed(this);
         handler().disconnected(session);
+        takeAwaitingFlush().forEach(CallerExchange::callerLeft);
+        countEnded();
     }
 }
--- a/src/main/java/org/auburnhoist/proxy/CallerExchange.java
+++ b/src/main/java/org/auburnhoist/proxy/CallerExchange.java
@@ -45,7 +45,7 @@
     private boolean requestComplete;
     private boolean bodyBroken;
     private boolean committed;
-    private volatile boolean delivered;
+    private volatile boolean written;
     private boolean closeAfterAnswer;
     private boolean left;
 
@@ -206,7 +206,7 @@
                 EntityDetails details = withBody ? new BasicEntityDetails(length, null) : null;
                 responses.sendResponse(response, details, null);
                 if (!withBody) {
-                    delivered();
+                    written();
                 }
             } catch (HttpException | IOException cause) {
                 connection.abort();
@@ -235,18 +235,22 @@
         connection.abort();
     }
 
-    private void delivered() {
-        ForwardedExchange present;
+    private void written() {
         synchronized (this) {
-            if (delivered) {
+            if (written) {
                 return;
             }
-            delivered = true;
+            written = true;
             if (closeAfterAnswer) {
                 connection.startClosing();
             }
-            present = forwarded;
         }
+        connection.answerEnded(this);
+    }
+
+    /** Called when the whole answer has gone to the socket. */
+    void answerFlushed() {
+        ForwardedExchange present = forwarded;
         if (present != null) {
             present.delivered();
         }
@@ -315,13 +319,13 @@
     @Override
     public int available() {
         BodySource body = answerBody;
-        return body == null || delivered ? 0 : body.available();
+        return body == null || written ? 0 : body.available();
     }
 
     @Override
     public void produce(DataStreamChannel channel) throws IOException {
         BodySource body = answerBody;
-        if (body == null || delivered) {
+        if (body == null || written) {
             return;
         }
         int before = body.available();
@@ -330,7 +334,7 @@
             lastWriteNanos = server.now();
         }
         if (ended) {
-            delivered();
+            written();
         }
     }
 
@@ -342,13 +346,13 @@
         long bodySince = streaming ? lastBodyNanos : startedNanos;
         boolean waitsForBody;
         synchronized (this) {
-            waitsForBody = !requestComplete && !delivered && !requestBody.isFull();
+            waitsForBody = !requestComplete && !written && !requestBody.isFull();
         }
         if (waitsForBody && now - bodySince > bodyLimit) {
             breakBody(Refusal.REQUEST_TIMEOUT, "The body of the request did not arrive in time.");
         }
         BodySource body = answerBody;
-        if (body == null || delivered || body.available() == 0) {
+        if (body == null || written || body.available() == 0) {
             lastWriteNanos = now;
         } else if (now - lastWriteNanos > server.settings().answerIdleTimeout.toNanos()) {
             abort();
@@ -363,7 +367,8 @@
         callerLeft();
     }
 
-    private void callerLeft() {
+    /** Called when the caller can receive nothing any more. */
+    void callerLeft() {
         ForwardedExchange present;
         synchronized (this) {
             if (left) {
@@ -379,10 +384,9 @@
 
     @Override
     public void releaseResources() {
-        if (!delivered) {
+        if (!written) {
             callerLeft();
         }
-        server.exchangeEnded();
         connection.exchangeEnded();
     }
 }
--- a/src/main/java/org/auburnhoist/proxy/ProxyServer.java
+++ b/src/main/java/org/auburnhoist/proxy/ProxyServer.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
+import org.apache.hc.core5.http.nio.command.ShutdownCommand;
 import org.apache.hc.core5.io.CloseMode;
 import org.apache.hc.core5.reactor.DefaultListeningIOReactor;
 import org.apache.hc.core5.reactor.IOReactorConfig;
@@ -67,7 +68,7 @@
                 null,
                 ProxyServer::ioFailure,
                 null,
-                null);
+                ShutdownCommand.GRACEFUL_IMMEDIATE_CALLBACK);
         reactor.start();
         address = listen();
         timer.scheduleWithFixedDelay(
@@ -95,6 +96,11 @@
         }
     }
 
+    /** Open connections of callers. */
+    public int callerConnections() {
+        return connections.size();
+    }
+
     /** Accepts no further connections; answers carry {@code Connection: close} from now on. */
     public void stopAccepting() {
         stopping = true;
--- a/src/test/java/org/auburnhoist/proxy/ProxyServerTest.java
+++ b/src/test/java/org/auburnhoist/proxy/ProxyServerTest.java
@@ -1,12 +1,21 @@
 package org.auburnhoist.proxy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.time.Duration;
 import java.util.List;
+import java.util.Locale;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.auburnhoist.core.Refusal;
+import org.auburnhoist.core.TrafficClass;
 import org.auburnhoist.core.message.AttemptOutcome;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -69,4 +78,320 @@
             assertEquals(List.of(new TestForwarding.Attempt(AttemptOutcome.SUCCESS, true)), forwarding.attempts);
         }
     }
+
+    /** Guards against leaking a caller's key, also through a trailer or an upgraded hop-by-hop header. */
+    @Test
+    void removesKeyAndHopByHopHeaders() throws Exception {
+        StringBuffer body = new StringBuffer();
+        upstream = new RawUpstream((connection, number) -> {
+            String head = upstream.readHead(connection);
+            body.append(new String(connection.readBody(head)));
+            connection.send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\nKeep-Alive: x\r\nConnection: X-Hop\r\n"
+                    + "X-Hop: 1\r\nX-End: 2\r\nAuburnhoist-Outcome: not-run\r\n\r\n");
+        });
+        try (RawConnection caller = start(lookups(upstream.address()))) {
+            String answer = caller.send("POST /a HTTP/1.1\r\nHost: fleet\r\nauthORIZATION: Bearer id.secret\r\n"
+                            + "Proxy-Authorization: secret\r\nConnection: keep-alive, X-Mine\r\nX-Mine: 1\r\n"
+                            + "X-Forwarded-For: 10.1.1.1\r\nAuburnhoist-Deadline-Millis: 1\r\nX-Kept: 3\r\n"
+                            + "Transfer-Encoding: chunked\r\nTrailer: Authorization\r\n\r\n"
+                            + "4\r\nbody\r\n0\r\nAuthorization: Bearer id.secret\r\n\r\n")
+                    .readMessage();
+            String seen = upstream.heads.get(0);
+            assertFalse(seen.toLowerCase(Locale.ROOT).contains("secret"), seen);
+            assertFalse(seen.contains("X-Mine"), seen);
+            assertEquals("3", RawConnection.header(seen, "X-Kept"));
+            assertEquals("10.1.1.1, 127.0.0.1", RawConnection.header(seen, "X-Forwarded-For"));
+            assertFalse(RawConnection.header(seen, HeaderRules.DEADLINE).equals("1"), seen);
+            assertEquals("body", body.toString());
+            assertNull(RawConnection.header(answer, "X-Hop"));
+            assertNull(RawConnection.header(answer, "Auburnhoist-Outcome"));
+            assertEquals("2", RawConnection.header(answer, "X-End"));
+        }
+    }
+
+    /** Guards against a late answer that reaches the next caller after a timeout. */
+    @Test
+    void lateAnswerNeverReachesAnotherRequest() throws Exception {
+        CountDownLatch late = new CountDownLatch(1);
+        upstream = new RawUpstream((connection, number) -> {
+            String head = upstream.readHead(connection);
+            if (head.startsWith("GET /slow")) {
+                late.await();
+                connection.send("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nlate");
+            }
+            connection.send(OK);
+            connection.read();
+        });
+        RequestPolicy policy =
+                (head, now) -> CompletableFuture.completedFuture(new Admission.Forwarded(new TestForwarding(
+                        TrafficClass.LOOKUP,
+                        head.path().equals("/slow") ? Duration.ofMillis(200) : Duration.ofSeconds(60),
+                        upstream.address())));
+        try (RawConnection caller = start(policy)) {
+            String first =
+                    caller.send("GET /slow HTTP/1.1\r\nHost: fleet\r\n\r\n").readMessage();
+            assertRefused(first, Refusal.UPSTREAM_TIMEOUT);
+            late.countDown();
+            assertTrue(caller.send(GET).readMessage().endsWith("ok"));
+            assertEquals(2, upstream.connections.get());
+        }
+    }
+
+    /** Guards against reuse of a connection on which the server sent more than its answer. */
+    @Test
+    void leftoverBytesNeverReachAnotherRequest() throws Exception {
+        upstream = new RawUpstream((connection, number) -> {
+            while (upstream.readHead(connection) != null) {
+                connection.send(OK + "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother");
+            }
+        });
+        try (RawConnection caller = start(lookups(upstream.address()))) {
+            for (int count = 0; count < 20; count++) {
+                assertTrue(caller.send(GET).readMessage().endsWith("ok"));
+            }
+            assertEquals(20, upstream.connections.get());
+        }
+    }
+
+    /** Guards against a connection for each request, and against more connections than the limit. */
+    @Test
+    void reusesConnectionsWithinTheLimit() throws Exception {
+        upstream = RawUpstream.answering(OK);
+        RequestPolicy policy = (head, now) -> CompletableFuture.completedFuture(new Admission.Forwarded(
+                TestForwarding.lookup(upstream.address()).connectionLimit(1)));
+        try (RawConnection caller = start(policy);
+                RawConnection other = RawConnection.to(proxy.address())) {
+            for (int count = 0; count < 50; count++) {
+                caller.send(GET);
+                other.send(GET);
+                assertTrue(caller.readMessage().endsWith("ok"));
+                assertTrue(other.readMessage().endsWith("ok"));
+            }
+            assertEquals(1, upstream.connections.get());
+        }
+    }
+
+    /** Guards against a failed lookup when the server closes its idle connection. */
+    @Test
+    void lookupSurvivesAServerThatClosesIdleConnections() throws Exception {
+        upstream = new RawUpstream((connection, number) -> {
+            upstream.readHead(connection);
+            connection.send(OK);
+        });
+        TestForwarding[] used = new TestForwarding[1];
+        RequestPolicy policy = (head, now) -> {
+            used[0] = TestForwarding.lookup(upstream.address());
+            return CompletableFuture.completedFuture(new Admission.Forwarded(used[0]));
+        };
+        try (RawConnection caller = start(policy)) {
+            for (int count = 0; count < 50; count++) {
+                assertTrue(caller.send(GET).readMessage().endsWith("ok"));
+                assertTrue(used[0].awaitFinish().complete());
+                assertEquals(List.of(new TestForwarding.Attempt(AttemptOutcome.SUCCESS, true)), used[0].attempts);
+            }
+        }
+    }
+
+    /** Guards against a lookup that is not repeated on another server, and against a lost body in the repetition. */
+    @Test
+    void repeatsAnIdempotentRequestWithItsBody() throws Exception {
+        try (RawUpstream broken = new RawUpstream((connection, number) -> connection.readHead())) {
+            StringBuffer body = new StringBuffer();
+            upstream = new RawUpstream((connection, number) -> {
+                body.append(new String(connection.readBody(upstream.readHead(connection))));
+                connection.send(OK);
+            });
+            TestForwarding forwarding = TestForwarding.lookup(broken.address(), upstream.address());
+            try (RawConnection caller = start(forwarding(forwarding))) {
+                String answer = caller.send("PUT /a HTTP/1.1\r\nHost: fleet\r\nContent-Length: 5\r\n\r\nhello")
+                        .readMessage();
+                assertTrue(answer.endsWith("ok"), answer);
+                assertEquals("hello", body.toString());
+                assertTrue(forwarding.awaitFinish().complete());
+                assertEquals(
+                        List.of(
+                                new TestForwarding.Attempt(AttemptOutcome.CONNECTION_LOST, true),
+                                new TestForwarding.Attempt(AttemptOutcome.SUCCESS, true)),
+                        forwarding.attempts);
+            }
+        }
+    }
+
+    /** Guards against a booking that is sent to a second server after the first one may have run it. */
+    @Test
+    void bookingIsNeverSentTwice() throws Exception {
+        upstream = RawUpstream.answering(OK);
+        try (RawUpstream broken = new RawUpstream((connection, number) -> connection.readHead())) {
+            TestForwarding forwarding = TestForwarding.booking(broken.address(), upstream.address());
+            try (RawConnection caller = start(forwarding(forwarding))) {
+                String answer = caller.send("POST /book HTTP/1.1\r\nHost: fleet\r\nContent-Length: 1\r\n\r\nx")
+                        .readMessage();
+                assertRefused(answer, Refusal.UPSTREAM_FAILED);
+                assertEquals(
+                        new TestForwarding.Finish(502, Refusal.UPSTREAM_FAILED, null, true), forwarding.awaitFinish());
+                assertEquals(0, upstream.connections.get());
+            }
+        }
+    }
+
+    /** Guards against giving up a booking although nothing was written, and against a claim that it may have run. */
+    @Test
+    void bookingGoesOnWhenNoConnectionCouldBeOpened() throws Exception {
+        RawUpstream gone = RawUpstream.answering(OK);
+        gone.close();
+        upstream = RawUpstream.answering(OK);
+        TestForwarding forwarding = TestForwarding.booking(gone.address(), upstream.address());
+        TestForwarding unreachable = TestForwarding.booking(gone.address());
+        RequestPolicy policy = (head, now) -> CompletableFuture.completedFuture(
+                new Admission.Forwarded(head.path().equals("/one") ? forwarding : unreachable));
+        try (RawConnection caller = start(policy)) {
+            assertTrue(caller.send("POST /one HTTP/1.1\r\nHost: fleet\r\n\r\n")
+                    .readMessage()
+                    .endsWith("ok"));
+            TestForwarding.Finish finish = forwarding.awaitFinish();
+            assertEquals("ok", new String(finish.recorded().body()));
+            assertEquals(new TestForwarding.Attempt(AttemptOutcome.CONNECT_FAILED, false), forwarding.attempts.get(0));
+            assertRefused(
+                    caller.send("POST /two HTTP/1.1\r\nHost: fleet\r\n\r\n").readMessage(),
+                    Refusal.UPSTREAM_UNREACHABLE);
+        }
+    }
+
+    /** Guards against a booking that is cut off, or whose answer is lost, when its caller leaves. */
+    @Test
+    void bookingRunsToItsEndWhenTheCallerLeaves() throws Exception {
+        CountDownLatch received = new CountDownLatch(1);
+        CountDownLatch left = new CountDownLatch(1);
+        upstream = new RawUpstream((connection, number) -> {
+            upstream.readHead(connection);
+            received.countDown();
+            left.await();
+            connection.send("HTTP/1.1 201 Created\r\nContent-Length: 6\r\n\r\nbooked");
+            connection.read();
+        });
+        TestForwarding forwarding = TestForwarding.booking(upstream.address());
+        RawConnection caller = start(forwarding(forwarding));
+        caller.send("POST /book HTTP/1.1\r\nHost: fleet\r\n\r\n");
+        received.await();
+        caller.reset();
+        awaitNoConnections();
+        left.countDown();
+        TestForwarding.Finish finish = forwarding.awaitFinish();
+        assertEquals(0, finish.status());
+        assertFalse(finish.complete());
+        assertEquals(201, finish.recorded().status());
+        assertEquals("booked", new String(finish.recorded().body()));
+    }
+
+    /** Guards against a server that goes on working for a caller who has left. */
+    @Test
+    void lookupIsCancelledWhenTheCallerLeaves() throws Exception {
+        CountDownLatch received = new CountDownLatch(1);
+        CountDownLatch cancelled = new CountDownLatch(1);
+        upstream = new RawUpstream((connection, number) -> {
+            upstream.readHead(connection);
+            received.countDown();
+            try {
+                connection.read();
+            } finally {
+                cancelled.countDown();
+            }
+        });
+        TestForwarding forwarding = TestForwarding.lookup(upstream.address());
+        RawConnection caller = start(forwarding(forwarding));
+        caller.send(GET);
+        received.await();
+        caller.close();
+        assertTrue(cancelled.await(60, TimeUnit.SECONDS));
+        assertEquals(new TestForwarding.Finish(0, null, null, false), forwarding.awaitFinish());
+        assertEquals(List.of(new TestForwarding.Attempt(AttemptOutcome.ABANDONED, true)), forwarding.attempts);
+    }
+
+    /** Guards against a truncated answer that looks complete, for each way of framing. */
+    @Test
+    void truncatedAnswerNeverLooksComplete() throws Exception {
+        List<String> answers = List.of(
+                "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf",
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n",
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n-1\r\n\r\n",
+                "HTTP/1.1 200 OK\r\n\r\nhalf");
+        for (String answer : answers) {
+            CountDownLatch passedOn = new CountDownLatch(1);
+            try (RawUpstream truncating = new RawUpstream((connection, number) -> {
+                connection.readHead();
+                connection.send(answer);
+                passedOn.await();
+                connection.reset();
+            })) {
+                TestForwarding forwarding = TestForwarding.lookup(truncating.address());
+                try (RawConnection caller = start(forwarding(forwarding))) {
+                    caller.send(GET);
+                    passedOn.countDown();
+                    assertThrows(IOException.class, caller::readMessage, answer);
+                }
+                assertFalse(forwarding.awaitFinish().complete());
+                assertEquals(
+                        AttemptOutcome.TRUNCATED, forwarding.attempts.get(0).outcome());
+            }
+            proxy.close();
+        }
+    }
+
+    /** Guards against a lost end of an answer that the server ends by closing its connection. */
+    @Test
+    void passesOnAnswersThatEndWithTheConnection() throws Exception {
+        upstream = new RawUpstream((connection, number) -> {
+            upstream.readHead(connection);
+            connection.send("HTTP/1.0 200 OK\r\n\r\neverything");
+        });
+        try (RawConnection caller = start(lookups(upstream.address()))) {
+            String answer = caller.send(GET).readMessage();
+            assertEquals("chunked", RawConnection.header(answer, "Transfer-Encoding"));
+            assertTrue(answer.endsWith("everything"), answer);
+        }
+    }
+
+    /** Guards against an answer whose framing could be read in two ways. */
+    @Test
+    void refusesAmbiguousAnswers() throws Exception {
+        upstream = RawUpstream.answering(
+                "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n");
+        try (RawConnection caller = start(lookups(upstream.address()))) {
+            assertRefused(caller.send(GET).readMessage(), Refusal.UPSTREAM_FAILED);
+        }
+    }
+
+    /** Guards against false "not run" when a server was tried before none was left. */
+    @Test
+    void refusalAfterAnAttemptDoesNotClaimNotRun() throws Exception {
+        upstream = RawUpstream.answering("HTTP/1.1 500 Broken\r\nContent-Length: 0\r\n\r\n");
+        TestForwarding forwarding =
+                new TestForwarding(TrafficClass.LOOKUP, Duration.ofSeconds(60), upstream.address()) {
+                    @Override
+                    public boolean attemptEnded(
+                            AttemptOutcome outcome, boolean sent, long latencyMicros, long nowNanos) {
+                        super.attemptEnded(outcome, sent, latencyMicros, nowNanos);
+                        return true;
+                    }
+                };
+        try (RawConnection caller = start(forwarding(forwarding))) {
+            String answer = caller.send(GET).readMessage();
+            assertRefused(answer, Refusal.UPSTREAM_FAILED);
+            assertEquals("2", RawConnection.header(answer, "Retry-After"));
+            assertEquals(AttemptOutcome.SERVER_ERROR, forwarding.attempts.get(0).outcome());
+        }
+    }
+
+    static void assertRefused(String answer, Refusal refusal) {
+        assertTrue(answer.startsWith("HTTP/1.1 " + refusal.status()), answer);
+        assertEquals(refusal.code(), RawConnection.header(answer, "Auburnhoist-Refusal"), answer);
+        assertEquals(refusal.outcome().headerValue(), RawConnection.header(answer, "Auburnhoist-Outcome"));
+        assertTrue(answer.contains("{\"refusal\":\"" + refusal.code() + "\""), answer);
+    }
+
+    private void awaitNoConnections() {
+        while (proxy.callerConnections() > 0) {
+            Thread.onSpinWait();
+        }
+    }
 }
--- a/src/test/java/org/auburnhoist/proxy/TestForwarding.java
+++ b/src/test/java/org/auburnhoist/proxy/TestForwarding.java
@@ -14,7 +14,7 @@
 import org.auburnhoist.core.message.RecordedAnswer;
 
 /** Offers the given servers in turn and records what the proxy reports. */
-final class TestForwarding implements Forwarding {
+class TestForwarding implements Forwarding {
     record Attempt(AttemptOutcome outcome, boolean sent) {}
 
     record Finish(int status, Refusal refusal, RecordedAnswer recorded, boolean complete) {}
