--- a/src/main/java/org/auburnhoist/core/dispatch/GrantTable.java
+++ b/src/main/java/org/auburnhoist/core/dispatch/GrantTable.java
@@ -64,6 +64,10 @@
                 .toList();
     }
 
+    int size() {
+        return grants.size();
+    }
+
     int used(String server) {
         return byServer.getOrDefault(server, 0);
     }
--- a/src/main/java/org/auburnhoist/core/dispatch/PeerBaseline.java
+++ b/src/main/java/org/auburnhoist/core/dispatch/PeerBaseline.java
@@ -3,6 +3,7 @@
 import java.util.Arrays;
 import java.util.Collection;
 import java.util.List;
+import java.util.function.Supplier;
 
 /** What is usual among the servers of a service in one class; recomputed a few times a second. */
 final class PeerBaseline {
@@ -18,9 +19,9 @@
     private double slowShare;
     private long medianLatencyMicros;
 
-    void refresh(Collection<Evidence> evidence, long nowNanos) {
+    void refresh(Supplier<? extends Collection<Evidence>> evidence, long nowNanos) {
         if (!computed || nowNanos - computedNanos >= REFRESH_NANOS || nowNanos - computedNanos < 0) {
-            recompute(evidence, nowNanos);
+            recompute(evidence.get(), nowNanos);
         }
     }
 
--- a/src/main/java/org/auburnhoist/core/dispatch/Quarantine.java
+++ b/src/main/java/org/auburnhoist/core/dispatch/Quarantine.java
@@ -116,6 +116,9 @@
      * preferably on other servers.
      */
     public Set<String> diedWith(long fingerprint) {
+        if (deaths.isEmpty()) {
+            return Set.of();
+        }
         Set<String> servers = new HashSet<>();
         for (Death death : deaths) {
             if (death.suspects.contains(fingerprint)) {
--- a/src/main/java/org/auburnhoist/core/dispatch/ServerHealth.java
+++ b/src/main/java/org/auburnhoist/core/dispatch/ServerHealth.java
@@ -148,7 +148,7 @@
 
     private void judgeInUse(Observation observation, ServerTrack track, long nowNanos) {
         PeerBaseline baseline = baseline(observation.trafficClass());
-        baseline.refresh(evidenceInUse(observation.trafficClass()), nowNanos);
+        baseline.refresh(() -> evidenceInUse(observation.trafficClass()), nowNanos);
         Evidence.Outcome outcome = new Evidence.Outcome(
                 nowNanos, observation.host(), observation.isFailure(), observation.latencyMicros());
         track.evidence.add(outcome);
@@ -238,7 +238,7 @@
 
     private void judgeProbation(Observation observation, ServerTrack track, long nowNanos) {
         PeerBaseline baseline = baseline(observation.trafficClass());
-        baseline.refresh(evidenceInUse(observation.trafficClass()), nowNanos);
+        baseline.refresh(() -> evidenceInUse(observation.trafficClass()), nowNanos);
         Evidence.Outcome outcome = new Evidence.Outcome(
                 nowNanos, observation.host(), observation.isFailure(), observation.latencyMicros());
         if (outcome.failed() || baseline.isSlow(outcome)) {
--- a/src/main/java/org/auburnhoist/core/dispatch/ServiceDispatcher.java
+++ b/src/main/java/org/auburnhoist/core/dispatch/ServiceDispatcher.java
@@ -1,5 +1,6 @@
 package org.auburnhoist.core.dispatch;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.EnumSet;
 import java.util.List;
@@ -186,26 +187,37 @@
     }
 
     private void grantWaiting(List<SlotDecision> decisions, long nowNanos) {
-        while (true) {
-            Set<TrafficClass> classes = classesThatMayTakeSlots(null, nowNanos);
-            WaitingRequest next = queue.poll(classes, waiting -> chooseServer(waiting, nowNanos) != null);
-            String server = next == null ? null : chooseServer(next, nowNanos);
+        int slots = service.servers().size() * service.slotsPerServer();
+        while (grants.size() < slots) {
+            ServerChoice choice = new ServerChoice();
+            WaitingRequest next = queue.poll(classesThatMayTakeSlots(null, nowNanos), waiting -> {
+                choice.server = chooseServer(waiting, nowNanos);
+                return choice.server != null;
+            });
+            String server = choice.server;
             if (next == null || server == null) {
                 return;
             }
-            TrafficClass trafficClass = next.request().trafficClass();
-            queue.charge(trafficClass, rate.holdSeconds(trafficClass));
-            long margin = (trafficClass == TrafficClass.DOWNLOAD
-                            ? settings.downloadGrantMargin()
-                            : settings.grantMargin())
-                    .toNanos();
-            Grant grant = grants.add(next, server, nowNanos, next.deadlineNanos() + margin);
-            serverOrder.granted(server);
-            decisions.add(
-                    new SlotDecision(next.replyToken(), new SlotAnswer(SlotVerdict.GRANTED, server, grant.id(), 0)));
+            decisions.add(grant(next, server, nowNanos));
         }
     }
 
+    /** The server found while the queue looks for a request that can be granted. */
+    private static final class ServerChoice {
+        @Nullable
+        String server;
+    }
+
+    private SlotDecision grant(WaitingRequest waiting, String server, long nowNanos) {
+        TrafficClass trafficClass = waiting.request().trafficClass();
+        queue.charge(trafficClass, rate.holdSeconds(trafficClass));
+        Duration margin =
+                trafficClass == TrafficClass.DOWNLOAD ? settings.downloadGrantMargin() : settings.grantMargin();
+        Grant grant = grants.add(waiting, server, nowNanos, waiting.deadlineNanos() + margin.toNanos());
+        serverOrder.granted(server);
+        return new SlotDecision(waiting.replyToken(), new SlotAnswer(SlotVerdict.GRANTED, server, grant.id(), 0));
+    }
+
     private @Nullable String chooseServer(WaitingRequest waiting, long nowNanos) {
         SlotRequest request = waiting.request();
         Set<String> suspectedOn = quarantine.diedWith(request.fingerprint());
