--- a/src/main/java/org/auburnhoist/core/dispatch/Quarantine.java
+++ b/src/main/java/org/auburnhoist/core/dispatch/Quarantine.java
@@ -50,7 +50,6 @@
      * @param nowNanos the present time
      */
     void connectionLost(Grant lost, Collection<Grant> inFlight, long nowNanos) {
-        forget(nowNanos);
         boolean known = deaths.stream().anyMatch(death -> death.grants.contains(lost.id()));
         if (known) {
             return;
@@ -72,6 +71,9 @@
 
     /** Clears a request that ended with an answer. */
     void survived(long fingerprint, long nowNanos) {
+        if (deaths.isEmpty()) {
+            return;
+        }
         Set<Long> toJudge = new HashSet<>();
         for (Death death : deaths) {
             if (death.suspects.remove(fingerprint)) {
--- a/src/main/java/org/auburnhoist/core/dispatch/ServiceDispatcher.java
+++ b/src/main/java/org/auburnhoist/core/dispatch/ServiceDispatcher.java
@@ -127,11 +127,13 @@
                 grant.fingerprint(),
                 release.outcome(),
                 release.latencyMicros());
+        int quarantined = quarantine.size();
         if (release.outcome() == AttemptOutcome.CONNECTION_LOST) {
             quarantine.connectionLost(grant, grants.onServer(grant.server()), nowNanos);
-            refuseNewlyQuarantined(decisions, nowNanos);
         } else if (release.outcome() == AttemptOutcome.SUCCESS || release.outcome() == AttemptOutcome.SERVER_ERROR) {
             quarantine.survived(grant.fingerprint(), nowNanos);
+        }
+        if (quarantine.size() > quarantined) {
             refuseNewlyQuarantined(decisions, nowNanos);
         }
         health.observe(observation, nowNanos);
@@ -188,7 +190,7 @@
 
     private void grantWaiting(List<SlotDecision> decisions, long nowNanos) {
         int slots = service.servers().size() * service.slotsPerServer();
-        while (grants.size() < slots) {
+        while (grants.size() < slots && !queue.backlogged().isEmpty()) {
             ServerChoice choice = new ServerChoice();
             WaitingRequest next = queue.poll(classesThatMayTakeSlots(null, nowNanos), waiting -> {
                 choice.server = chooseServer(waiting, nowNanos);
@@ -264,8 +266,10 @@
             others.add(arriving);
         }
         others.remove(TrafficClass.DOWNLOAD);
-        int half = Math.max(1, totalSlots(TrafficClass.DOWNLOAD, nowNanos) / 2);
-        if (!others.isEmpty() && grants.used(TrafficClass.DOWNLOAD) >= half) {
+        int downloads = grants.used(TrafficClass.DOWNLOAD);
+        if (!others.isEmpty()
+                && downloads > 0
+                && downloads >= Math.max(1, totalSlots(TrafficClass.DOWNLOAD, nowNanos) / 2)) {
             classes.remove(TrafficClass.DOWNLOAD);
         }
         return classes;
--- a/src/main/java/org/auburnhoist/load/DispatchMeasurement.java
+++ b/src/main/java/org/auburnhoist/load/DispatchMeasurement.java
@@ -7,7 +7,9 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.function.Function;
+import java.util.function.LongFunction;
 import java.util.stream.IntStream;
+import java.util.stream.LongStream;
 import org.auburnhoist.core.TrafficClass;
 import org.auburnhoist.core.configuration.DetectionProfile;
 import org.auburnhoist.core.configuration.Server;
@@ -23,8 +25,8 @@
     private static final int TEAMS = 8;
     private static final int SEEDS = 5;
     private static final int HOSTS = 36;
-    private static final double FAULT_AT = 30;
-    private static final double DETECTION_LIMIT = 120;
+    private static final double FAULT_AT = 20;
+    private static final double DETECTION_LIMIT = 60;
     private static final double BACKGROUND_FAILURES = 0.003;
     private static final String ILL = "server-1";
 
@@ -58,7 +60,7 @@
     }
 
     private void run() {
-        out.println("| service | decider | 50% failing | 20% failing | slow tail | flapping "
+        out.println("| service | decider | half failing | a fifth failing | slow tail | flapping "
                 + "| false, quiet | false, all slow | worst team | same, without surge |");
         out.println("|---|---|---|---|---|---|---|---|---|---|");
         for (Deployment deployment : DEPLOYMENTS) {
@@ -79,7 +81,7 @@
                 detection(deployment, decider, ServerFault.slow(ILL, FAULT_AT, Double.MAX_VALUE, 0.3, 5)),
                 detection(deployment, decider, ServerFault.flapping(ILL, FAULT_AT, 2)),
                 falseEjections(deployment, decider, List.of()),
-                falseEjections(deployment, decider, List.of(ServerFault.slow("", FAULT_AT, FAULT_AT + 60, 1, 3))),
+                falseEjections(deployment, decider, List.of(ServerFault.slow("", FAULT_AT, FAULT_AT + 40, 1, 3))),
                 worstTeam(deployment, decider, 5),
                 worstTeam(deployment, decider, 1));
     }
@@ -87,8 +89,10 @@
     /** Median and longest time to the first ejection of the ill server, in seconds. */
     private static String detection(Deployment deployment, Decider decider, ServerFault fault) {
         List<Double> times = new ArrayList<>();
-        for (DispatchResult result : runs(seed -> scenario(
-                deployment, decider, rates(deployment, 0.5, 1), List.of(fault), FAULT_AT + DETECTION_LIMIT, seed))) {
+        Function<Long, DispatchScenario> scenario = seed -> scenario(
+                deployment, decider, rates(deployment, 0.5, 1), List.of(fault), FAULT_AT + DETECTION_LIMIT, seed);
+        for (DispatchResult result :
+                runs(seed -> new DispatchSimulation(scenario.apply(seed)).runUntilEjected(ILL, FAULT_AT))) {
             result.ejections().stream()
                     .filter(ejection -> ejection.server().equals(ILL) && ejection.seconds() >= FAULT_AT)
                     .findFirst()
@@ -104,10 +108,11 @@
     }
 
     private static String falseEjections(Deployment deployment, Decider decider, List<ServerFault> faults) {
-        double seconds = 300;
+        double seconds = 120;
         List<Ejection> ejections = new ArrayList<>();
-        for (DispatchResult result :
-                runs(seed -> scenario(deployment, decider, rates(deployment, 0.5, 1), faults, seconds, seed))) {
+        Function<Long, DispatchScenario> scenario =
+                seed -> scenario(deployment, decider, rates(deployment, 0.5, 1), faults, seconds, seed);
+        for (DispatchResult result : runs(seed -> new DispatchSimulation(scenario.apply(seed)).run())) {
             ejections.addAll(result.ejections());
         }
         double serverHours = SEEDS * deployment.servers() * seconds / 3600;
@@ -117,8 +122,9 @@
     /** Lowest share of successful answers over the teams that keep to their rate, and over the seeds. */
     private static String worstTeam(Deployment deployment, Decider decider, double surge) {
         double worst = 1;
-        for (DispatchResult result :
-                runs(seed -> scenario(deployment, decider, rates(deployment, 0.8, surge), List.of(), 60, seed))) {
+        Function<Long, DispatchScenario> scenario =
+                seed -> scenario(deployment, decider, rates(deployment, 0.8, surge), List.of(), 30, seed);
+        for (DispatchResult result : runs(seed -> new DispatchSimulation(scenario.apply(seed)).run())) {
             for (var team : result.teams().entrySet()) {
                 TeamCount count = team.getValue();
                 worst = team.getKey().equals("team-0") ? worst : Math.min(worst, count.goodput());
@@ -127,11 +133,8 @@
         return String.format(Locale.ROOT, "%.1f%%", 100 * worst);
     }
 
-    private static List<DispatchResult> runs(Function<Long, DispatchScenario> scenario) {
-        return IntStream.rangeClosed(1, SEEDS)
-                .parallel()
-                .mapToObj(seed -> new DispatchSimulation(scenario.apply((long) seed)).run())
-                .toList();
+    private static List<DispatchResult> runs(LongFunction<DispatchResult> run) {
+        return LongStream.rangeClosed(1, SEEDS).parallel().mapToObj(run).toList();
     }
 
     /** Rates of equal teams that use a share of the slots; the first team sends a multiple of its rate. */
--- a/src/main/java/org/auburnhoist/load/DispatchSimulation.java
+++ b/src/main/java/org/auburnhoist/load/DispatchSimulation.java
@@ -66,6 +66,11 @@
 
     /** Runs the scenario to its end. */
     public DispatchResult run() {
+        return runUntilEjected("", Double.MAX_VALUE);
+    }
+
+    /** Runs the scenario until the server is ejected after the given time, at most to its end. */
+    public DispatchResult runUntilEjected(String server, double afterSeconds) {
         dispatcher.configure(scenario.service(), Map.of(), 0);
         at(TICK_NANOS, this::tick);
         for (int team = 0; team < scenario.teamRates().size(); team++) {
@@ -79,10 +84,21 @@
             Event event = events.remove();
             nowNanos = event.atNanos();
             event.action().run();
+            if (isEjected(server, afterSeconds)) {
+                break;
+            }
         }
         return result();
     }
 
+    private boolean isEjected(String server, double afterSeconds) {
+        if (ejections.isEmpty()) {
+            return false;
+        }
+        DispatchResult.Ejection last = ejections.get(ejections.size() - 1);
+        return last.server().equals(server) && last.seconds() >= afterSeconds;
+    }
+
     private DispatchResult result() {
         // Requests that are still in progress have no outcome yet and do not count as offered.
         pending.values().forEach(request -> count(request.team())[0]--);
--- /dev/null
+++ b/src/test/java/org/auburnhoist/scenario/OperationSteps.java
@@ -0,0 +1,115 @@
+package org.auburnhoist.scenario;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+
+import io.cucumber.java.en.Given;
+import io.cucumber.java.en.Then;
+import io.cucumber.java.en.When;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import org.auburnhoist.core.HostId;
+import org.auburnhoist.core.message.ClaimAnswer;
+import org.auburnhoist.core.message.ClaimOutcome;
+import org.auburnhoist.core.message.ClaimRequest;
+import org.auburnhoist.core.message.ClaimResult;
+import org.auburnhoist.core.message.RecordedAnswer;
+import org.auburnhoist.core.operation.OperationHome;
+import org.auburnhoist.core.operation.OperationSettings;
+
+/** Steps about operations that must run at most once. */
+public final class OperationSteps {
+    private final Map<String, HostId> hosts = new HashMap<>();
+    private final Map<String, OperationHome> homes = new HashMap<>();
+    private final Map<String, ClaimAnswer> answers = new HashMap<>();
+    private final Map<String, Long> attempts = new HashMap<>();
+    private String home = "";
+    private String operation = "";
+    private long now;
+    private long next;
+
+    /** Starts three hosts. */
+    @Given("the entry hosts {string}, {string} and {string}")
+    public void hosts(String first, String second, String third) {
+        List.of(first, second, third).forEach(this::restart);
+    }
+
+    /** Starts a host with a new incarnation and empty memory. */
+    @When("{string} restarts")
+    public void restart(String host) {
+        hosts.put(host, new HostId(host, next++));
+        homes.put(host, new OperationHome(hosts.get(host), now, OperationSettings.DEFAULT, new SplittableRandom(next)));
+    }
+
+    /** Issues an id. */
+    @Given("an operation issued by {string}")
+    public void issue(String host) {
+        home = host;
+        operation = homes.get(host).issue(now).encode();
+    }
+
+    /** Claims the operation at the host that issued it. */
+    @When("{string} claims the operation")
+    public void claim(String host) {
+        claimAt(host, home);
+    }
+
+    /** Claims the operation at a given host. */
+    @When("{string} claims the operation at {string}")
+    public void claimAt(String host, String asked) {
+        attempts.put(host, next++);
+        ClaimRequest request = new ClaimRequest(operation, "team", 1, attempts.get(host));
+        answers.put(host, homes.get(asked).claim(request, hosts.get(host), now));
+    }
+
+    /** Reports an upstream's answer. */
+    @When("{string} reports the answer {int}")
+    public void reportAnswer(String host, int status) {
+        report(host, ClaimResult.ANSWERED, new RecordedAnswer(status, List.of(), new byte[0], true));
+    }
+
+    /** Gives the claim back. */
+    @When("{string} reports that nothing was sent")
+    public void giveBack(String host) {
+        report(host, ClaimResult.NOT_RUN, null);
+    }
+
+    private void report(String host, ClaimResult result, RecordedAnswer answer) {
+        ClaimOutcome outcome = new ClaimOutcome(operation, attempts.get(host), result, answer);
+        homes.get(home).outcome(outcome, hosts.get(host), now);
+    }
+
+    /** Removes a host. */
+    @When("{string} is removed from the roster")
+    public void remove(String host) {
+        homes.values().forEach(known -> known.memberRemoved(hosts.get(host), now));
+    }
+
+    /** Hands the records over. */
+    @When("{string} hands over to {string}")
+    public void handOver(String from, String to) {
+        homes.get(from).export(hosts.get(to), now).forEach(part -> homes.get(to).importPart(part, now));
+    }
+
+    /** Lets time pass. */
+    @When("{int} seconds go by")
+    public void pass(int seconds) {
+        now += seconds * 1_000_000_000L;
+    }
+
+    /** Compares the last verdict. */
+    @Then("{string} is told {string}")
+    public void isTold(String host, String verdict) {
+        assertEquals(verdict, answers.get(host).verdict().name());
+    }
+
+    /** Compares the replayed answer. */
+    @Then("{string} is told {string} with status {int}")
+    public void isToldWithStatus(String host, String verdict, int status) {
+        isTold(host, verdict);
+        assertNotNull(answers.get(host).recorded());
+        assertEquals(status, answers.get(host).recorded().status());
+    }
+}
