Add the operators' commands

Cause: operators need to check, apply, compare, show and remove configuration files, and to issue and withdraw keys. Change: Program chooses a Command, SettingsReader reads flags and environment and reports all faults together, ConfigurationRepository writes chunks and then the head by compare-and-swap. After a lost answer the head is read and its history searched for the change; an unchanged head makes the same conditional write go out again, and without an answer the command says that the outcome is unknown.

--- /dev/null
+++ b/src/main/java/org/auburnhoist/cli/Commands.java
@@ -0,0 +1,19 @@
+package org.auburnhoist.cli;
+
+import java.util.List;
+
+/** The commands of the program. A new command is added to the list here. */
+final class Commands {
+    private Commands() {}
+
+    static List<Command> all() {
+        return List.of(
+                new CheckCommand(),
+                new ApplyCommand(),
+                new DiffCommand(),
+                new ShowCommand(),
+                new RemoveCommand(),
+                new KeysIssueCommand(),
+                new KeysWithdrawCommand());
+    }
+}
--- /dev/null
+++ b/src/main/java/org/auburnhoist/cli/CommonSettings.java
@@ -0,0 +1,28 @@
+package org.auburnhoist.cli;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.List;
+import java.util.regex.Pattern;
+
+/** Settings that several commands share. */
+final class CommonSettings {
+    static final Setting<List<InetSocketAddress>> STORE = Setting.addresses("store", "servers of the platform's store");
+
+    static final Setting<Duration> STORE_TIMEOUT = Setting.duration(
+                    "store-timeout", "longest wait for each answer of the store")
+            .withDefault(Duration.ofSeconds(5));
+
+    static final Setting<String> OPERATOR = Setting.text(
+                    "operator",
+                    "NAME",
+                    "who makes the change, for the record",
+                    "a name of 1 to 64 letters, digits and the characters . _ @ -",
+                    Pattern.compile("[\\p{L}\\p{N}._@-]{1,64}"))
+            .withDefault("unnamed");
+
+    static final Setting<Long> EXPECT_VERSION = Setting.integer(
+            "expect-version", "version that the change was prepared for; default the newest", 0, Long.MAX_VALUE / 10);
+
+    private CommonSettings() {}
+}
--- /dev/null
+++ b/src/main/java/org/auburnhoist/cli/ConfigurationRepository.java
@@ -0,0 +1,217 @@
+package org.auburnhoist.cli;
+
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import org.auburnhoist.core.configuration.ConfigurationChunks;
+import org.auburnhoist.core.configuration.ConfigurationFile;
+import org.auburnhoist.core.configuration.ConfigurationHead;
+import org.auburnhoist.store.ReadResult;
+import org.auburnhoist.store.Store;
+import org.auburnhoist.store.StoreKeys;
+import org.auburnhoist.store.WriteResult;
+
+/** Reads and replaces the configuration in the platform's store. */
+final class ConfigurationRepository {
+    /** Reads of chunks that wait for their answers at the same time. */
+    private static final int PARALLEL_READS = 16;
+
+    /** How often a write without an answer is sent again; the comparison makes the repetition harmless. */
+    private static final int ATTEMPTS = 3;
+
+    private static final String NOTHING_CHANGED = "; nothing was changed";
+
+    private final Store store;
+    private final Duration timeout;
+
+    /**
+     * A repository.
+     *
+     * @param store the store, which stays open
+     * @param timeout longest wait for each answer
+     */
+    ConfigurationRepository(Store store, Duration timeout) {
+        this.store = store;
+        this.timeout = timeout;
+    }
+
+    /** Reads the newest head. */
+    Either<Failure, StoredHead> readHead() {
+        ReadResult result = await(store.get(StoreKeys.CONFIGURATION), new ReadResult.Unavailable("no answer in time"));
+        if (result instanceof ReadResult.Unavailable unavailable) {
+            return Either.left(new Failure(ExitCode.UNAVAILABLE, "store unavailable: " + unavailable.reason()));
+        }
+        ReadResult.Found found = (ReadResult.Found) result;
+        if (found.entries().isEmpty()) {
+            return Either.right(new StoredHead(ConfigurationHead.NONE, 0));
+        }
+        long revision = found.entries().get(0).revision();
+        return ConfigurationHead.parse(found.entries().get(0).value())
+                .map(head -> new StoredHead(head, revision))
+                .mapLeft(reason -> new Failure(ExitCode.REFUSED, StoreKeys.CONFIGURATION + ": " + reason));
+    }
+
+    /** Reads a whole file and verifies its chunks. */
+    Either<Failure, ConfigurationFile> readFile(ConfigurationHead.FileEntry entry) {
+        Map<String, byte[]> chunks = new HashMap<>();
+        List<String> digests = entry.chunks();
+        for (int start = 0; start < digests.size(); start += PARALLEL_READS) {
+            int end = Math.min(start + PARALLEL_READS, digests.size());
+            Either<Failure, Map<String, byte[]>> read = readChunks(digests.subList(start, end));
+            if (read.isLeft()) {
+                return Either.left(read.getLeft());
+            }
+            chunks.putAll(read.get());
+        }
+        return ConfigurationChunks.join(digests, chunks::get)
+                .map(content -> new ConfigurationFile(entry.name(), content))
+                .mapLeft(damage -> new Failure(
+                        ExitCode.UNAVAILABLE, entry.name() + ": chunk " + damage.digest() + ": " + damage.problem()));
+    }
+
+    private Either<Failure, Map<String, byte[]>> readChunks(List<String> digests) {
+        List<CompletableFuture<ReadResult>> answers = new ArrayList<>();
+        digests.forEach(digest -> answers.add(store.get(StoreKeys.CHUNKS + digest)));
+        Map<String, byte[]> chunks = new HashMap<>();
+        for (int index = 0; index < answers.size(); index++) {
+            ReadResult result = await(answers.get(index), new ReadResult.Unavailable("no answer in time"));
+            if (result instanceof ReadResult.Unavailable unavailable) {
+                return Either.left(new Failure(ExitCode.UNAVAILABLE, "store unavailable: " + unavailable.reason()));
+            }
+            String digest = digests.get(index);
+            ((ReadResult.Found) result).entries().forEach(entry -> chunks.put(digest, entry.value()));
+        }
+        return Either.right(chunks);
+    }
+
+    /**
+     * Writes the chunks that the store lacks, then the head if it is still the expected one.
+     *
+     * @param before the head that the change was made from
+     * @param next the new head
+     * @param chunks all chunks of the replaced files
+     * @return the new version
+     */
+    Either<Failure, Long> replace(StoredHead before, ConfigurationHead next, List<ConfigurationChunks.Chunk> chunks) {
+        byte[] content = next.toBytes();
+        if (content.length > Store.MAXIMUM_VALUE_BYTES) {
+            String message = "configuration: expected a head of at most " + Store.MAXIMUM_VALUE_BYTES + " bytes, found "
+                    + content.length;
+            return Either.left(new Failure(ExitCode.REFUSED, message));
+        }
+        Set<String> present = before.head().chunks();
+        for (ConfigurationChunks.Chunk chunk : chunks) {
+            if (present.add(chunk.digest()) && !writeChunk(chunk)) {
+                String message = "store unavailable: chunk " + chunk.digest() + " was not written" + NOTHING_CHANGED;
+                return Either.left(new Failure(ExitCode.UNAVAILABLE, message));
+            }
+        }
+        return writeHead(before, next, content);
+    }
+
+    /** Chunks never change, so a conflict says that the store has this one already. */
+    private boolean writeChunk(ConfigurationChunks.Chunk chunk) {
+        for (int attempt = 0; attempt < ATTEMPTS; attempt++) {
+            WriteResult result = write(StoreKeys.CHUNKS + chunk.digest(), 0, chunk.content());
+            if (result instanceof WriteResult.Done || result instanceof WriteResult.Conflict) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /**
+     * Writes the head. After a lost answer the head is read; if it is unchanged, the same conditional write is sent
+     * again, because the first one may still be under way.
+     */
+    private Either<Failure, Long> writeHead(StoredHead before, ConfigurationHead next, byte[] content) {
+        boolean mayHaveRun = false;
+        String reason = "";
+        for (int attempt = 0; attempt < ATTEMPTS; attempt++) {
+            WriteResult result = write(StoreKeys.CONFIGURATION, before.revision(), content);
+            if (result instanceof WriteResult.Done) {
+                return Either.right(next.version());
+            }
+            if (result instanceof WriteResult.NotDone notDone) {
+                reason = notDone.reason();
+                continue;
+            }
+            if (result instanceof WriteResult.OutcomeUnknown unknown) {
+                mayHaveRun = true;
+                reason = unknown.reason();
+            }
+            Either<Failure, StoredHead> now = readHead();
+            if (now.isRight() && now.get().revision() != before.revision()) {
+                return superseded(next, now.get().head(), mayHaveRun);
+            }
+            if (result instanceof WriteResult.Conflict) {
+                return Either.left(unresolved(before, mayHaveRun));
+            }
+        }
+        return Either.left(
+                mayHaveRun
+                        ? unknown(next, reason)
+                        : new Failure(ExitCode.UNAVAILABLE, "store unavailable: " + reason + NOTHING_CHANGED));
+    }
+
+    /** The head has another revision, so the write has taken effect or never will. */
+    private static Either<Failure, Long> superseded(ConfigurationHead ours, ConfigurationHead now, boolean mayHaveRun) {
+        String id = ours.history().get(0).id();
+        if (now.hasChange(id)) {
+            return Either.right(ours.version());
+        }
+        boolean forgotten = now.version() - ours.version() >= ConfigurationHead.MAXIMUM_HISTORY;
+        return Either.left(
+                forgotten && mayHaveRun ? unknown(ours, "many later changes") : conflict(ours.version() - 1, now));
+    }
+
+    private static Failure unresolved(StoredHead before, boolean mayHaveRun) {
+        String expected =
+                "another change was applied to version " + before.head().version();
+        return mayHaveRun
+                ? new Failure(ExitCode.OUTCOME_UNKNOWN, "outcome unknown: this or " + expected)
+                : new Failure(ExitCode.REFUSED, "conflict: " + expected + NOTHING_CHANGED);
+    }
+
+    private static Failure unknown(ConfigurationHead next, String reason) {
+        String message = "outcome unknown: version " + next.version() + " may or may not be in force (" + reason
+                + "); look at it with show before you apply again";
+        return new Failure(ExitCode.OUTCOME_UNKNOWN, message);
+    }
+
+    /** Tells who won. */
+    static Failure conflict(long expected, ConfigurationHead now) {
+        StringBuilder message =
+                new StringBuilder("conflict: expected version " + expected + ", found " + now.version());
+        now.history().stream()
+                .limit(1)
+                .forEach(change -> message.append(
+                        " (" + change.summary() + ", by " + change.appliedBy() + " at " + change.appliedAt() + ")"));
+        return new Failure(ExitCode.REFUSED, message.append(NOTHING_CHANGED).toString());
+    }
+
+    private WriteResult write(String key, long expectedRevision, byte[] value) {
+        return await(
+                store.compareAndSwap(key, expectedRevision, value),
+                new WriteResult.OutcomeUnknown("no answer in time"));
+    }
+
+    private <T> T await(CompletableFuture<T> answer, T late) {
+        try {
+            return answer.get(timeout.toMillis(), TimeUnit.MILLISECONDS);
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+            return late;
+        } catch (TimeoutException | ExecutionException failed) {
+            return late;
+        }
+    }
+}
--- a/src/main/java/org/auburnhoist/cli/Main.java
+++ b/src/main/java/org/auburnhoist/cli/Main.java
@@ -1,15 +1,35 @@
 package org.auburnhoist.cli;
 
+import io.vavr.control.Either;
+import java.nio.file.Path;
+import java.security.SecureRandom;
+import java.time.Clock;
+import java.util.List;
+import java.util.Optional;
+
 /** Entry point of the executable. */
 public final class Main {
     private Main() {}
 
     /**
-     * Runs the subcommand named by the first argument.
+     * Runs the subcommand named by the first argument and exits with its status.
      *
      * @param arguments the command line
      */
     public static void main(String[] arguments) {
-        System.exit(0);
+        CommandContext context = new CommandContext(
+                System.out, System.err, Path.of(""), Clock.systemUTC(), new SecureRandom(), stores());
+        ExitCode code = new Program(Commands.all(), version()).run(List.of(arguments), System.getenv(), context);
+        System.out.flush();
+        System.exit(code.status());
+    }
+
+    private static StoreFactory stores() {
+        return addresses -> Either.left("this build has no store client");
+    }
+
+    private static String version() {
+        return Optional.ofNullable(Main.class.getPackage().getImplementationVersion())
+                .orElse("development");
     }
 }
--- /dev/null
+++ b/src/main/java/org/auburnhoist/cli/SettingFinding.java
@@ -0,0 +1,16 @@
+package org.auburnhoist.cli;
+
+/**
+ * A fault of the command line or the environment.
+ *
+ * @param place where it stands, such as {@code --store} or {@code AUBURNHOIST_STORE}
+ * @param expected what is accepted there
+ * @param found what stands there
+ */
+public record SettingFinding(String place, String expected, String found) {
+
+    /** One line for the user. */
+    public String describe() {
+        return place + ": expected " + expected + ", found " + found;
+    }
+}
--- a/src/main/java/org/auburnhoist/core/configuration/ConfigurationHead.java
+++ b/src/main/java/org/auburnhoist/core/configuration/ConfigurationHead.java
@@ -19,12 +19,15 @@
  * in the store, so that a change takes effect as a whole.
  *
  * @param version grows by 1 with each accepted change; 0 stands for no configuration
- * @param change what the newest change was and who made it
+ * @param history the newest changes, newest first, at most {@value #MAXIMUM_HISTORY}
  * @param files the files, ordered by name
  */
-public record ConfigurationHead(long version, Change change, List<FileEntry> files) {
+public record ConfigurationHead(long version, List<Change> history, List<FileEntry> files) {
     /** The head before the first change. */
-    public static final ConfigurationHead NONE = new ConfigurationHead(0, new Change("", "", "", ""), List.of());
+    public static final ConfigurationHead NONE = new ConfigurationHead(0, List.of(), List.of());
+
+    /** Changes that a head remembers, so that a writer whose answer was lost finds its own change among later ones. */
+    public static final int MAXIMUM_HISTORY = 64;
 
     /** Longest text of a head, in characters; a summary that names every file is shorter. */
     private static final int MAXIMUM_TEXT = 65_536;
@@ -45,17 +48,19 @@
         List<FileEntry> ordered = new ArrayList<>(files);
         ordered.sort(Comparator.comparing(FileEntry::name));
         files = List.copyOf(ordered);
+        history = List.copyOf(history);
     }
 
     /**
      * A change of the configuration.
      *
+     * @param version the version that the change made
      * @param id random text that lets a writer recognise its own change after a lost answer
      * @param appliedBy the operator
      * @param appliedAt time of the change in ISO 8601, by the operator's clock
      * @param summary the files that were replaced or removed
      */
-    public record Change(String id, String appliedBy, String appliedAt, String summary) {}
+    public record Change(long version, String id, String appliedBy, String appliedAt, String summary) {}
 
     /**
      * A file of the configuration.
@@ -87,6 +92,11 @@
         return files.stream().filter(file -> file.name().equals(name)).findFirst();
     }
 
+    /** Whether a change is among the newest ones. */
+    public boolean hasChange(String id) {
+        return history.stream().anyMatch(change -> change.id().equals(id));
+    }
+
     /** The digests of all chunks, each once. */
     public Set<String> chunks() {
         Set<String> chunks = new HashSet<>();
@@ -97,12 +107,15 @@
     /**
      * The head after a change.
      *
-     * @param change who changed what
+     * @param change who changed what; its version is this head's version plus 1
      * @param replaced files with their new content
      * @param removed names of files that are taken away
      */
     public ConfigurationHead next(Change change, List<ConfigurationFile> replaced, Set<String> removed) {
         long nextVersion = version + 1;
+        if (change.version() != nextVersion) {
+            throw new IllegalArgumentException("change: expected version " + nextVersion + ", got " + change.version());
+        }
         List<FileEntry> next = new ArrayList<>();
         Set<String> gone = new HashSet<>(removed);
         for (ConfigurationFile file : replaced) {
@@ -120,7 +133,9 @@
                     chunks));
         }
         files.stream().filter(file -> !gone.contains(file.name())).forEach(next::add);
-        return new ConfigurationHead(nextVersion, change, next);
+        List<Change> nextHistory = new ArrayList<>(List.of(change));
+        history.stream().limit(MAXIMUM_HISTORY - 1L).forEach(nextHistory::add);
+        return new ConfigurationHead(nextVersion, nextHistory, next);
     }
 
     /** The head as JSON. */
--- a/src/main/java/org/auburnhoist/core/configuration/NetworkAddress.java
+++ b/src/main/java/org/auburnhoist/core/configuration/NetworkAddress.java
@@ -3,7 +3,7 @@
 import java.util.regex.Pattern;
 
 /** Recognises {@code IPv4:port} and {@code [IPv6]:port} without resolving names. */
-final class NetworkAddress {
+public final class NetworkAddress {
     private static final String OCTET = "(25[0-5]|2[0-4][0-9]|1[0-9]{2}|[1-9]?[0-9])";
     private static final Pattern VERSION_4 = Pattern.compile("(" + OCTET + "\\.){3}" + OCTET);
     private static final Pattern GROUP = Pattern.compile("[0-9a-f]{1,4}");
@@ -13,7 +13,8 @@
 
     private NetworkAddress() {}
 
-    static boolean isValid(String text) {
+    /** Whether a text is an IP address and a port. */
+    public static boolean isValid(String text) {
         int colon = text.lastIndexOf(':');
         if (colon < 0 || !isPort(text.substring(colon + 1))) {
             return false;
--- /dev/null
+++ b/src/test/java/org/auburnhoist/cli/FakeStore.java
@@ -0,0 +1,146 @@
+package org.auburnhoist.cli;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import org.auburnhoist.store.Entry;
+import org.auburnhoist.store.LeaseResult;
+import org.auburnhoist.store.ReadResult;
+import org.auburnhoist.store.Store;
+import org.auburnhoist.store.StoreKeys;
+import org.auburnhoist.store.WatchListener;
+import org.auburnhoist.store.WriteResult;
+
+/** A store in memory that can be away, lose answers, and let another writer in between a read and a write. */
+public final class FakeStore implements Store {
+    /** What happens to the next writes of the head. */
+    public enum HeadWrite {
+        NORMAL,
+        /** The write takes effect; its answer is lost. */
+        ANSWER_LOST,
+        /** The request and its answer are lost. */
+        REQUEST_LOST,
+        /** The write takes effect, its answer is lost, and the store is away afterwards. */
+        ANSWER_LOST_THEN_AWAY
+    }
+
+    private final TreeMap<String, Entry> entries = new TreeMap<>();
+    private final List<HeadWrite> headWrites = new ArrayList<>();
+    private long revision;
+    private boolean away;
+    private Runnable beforeHeadWrite = () -> {};
+    private Runnable afterHeadWrite = () -> {};
+
+    /** Makes the store answer nothing. */
+    public void setAway(boolean away) {
+        this.away = away;
+    }
+
+    /** Plans what happens to the next writes of the head, in order. */
+    public void planHeadWrites(HeadWrite... plan) {
+        headWrites.addAll(List.of(plan));
+    }
+
+    /** Runs an action once, just before the next write of the head. */
+    public void beforeNextHeadWrite(Runnable action) {
+        beforeHeadWrite = action;
+    }
+
+    /** Runs an action once, just after the next write of the head and before its answer. */
+    public void afterNextHeadWrite(Runnable action) {
+        afterHeadWrite = action;
+    }
+
+    /** A copy of all keys with their revisions. */
+    public TreeMap<String, Entry> entries() {
+        return new TreeMap<>(entries);
+    }
+
+    @Override
+    public CompletableFuture<ReadResult> get(String key) {
+        if (away) {
+            return CompletableFuture.completedFuture(new ReadResult.Unavailable("away"));
+        }
+        Entry entry = entries.get(key);
+        return CompletableFuture.completedFuture(
+                new ReadResult.Found(entry == null ? List.of() : List.of(entry), revision));
+    }
+
+    @Override
+    public CompletableFuture<ReadResult> range(String prefix) {
+        List<Entry> found = entries.values().stream()
+                .filter(entry -> entry.key().startsWith(prefix))
+                .toList();
+        return CompletableFuture.completedFuture(
+                away ? new ReadResult.Unavailable("away") : new ReadResult.Found(found, revision));
+    }
+
+    @Override
+    public CompletableFuture<WriteResult> compareAndSwap(String key, long expectedRevision, byte[] value) {
+        if (!key.equals(StoreKeys.CONFIGURATION)) {
+            return CompletableFuture.completedFuture(write(key, expectedRevision, value, HeadWrite.NORMAL));
+        }
+        HeadWrite plan = headWrites.isEmpty() ? HeadWrite.NORMAL : headWrites.remove(0);
+        Runnable before = beforeHeadWrite;
+        beforeHeadWrite = () -> {};
+        before.run();
+        Runnable after = afterHeadWrite;
+        afterHeadWrite = () -> {};
+        WriteResult result = write(key, expectedRevision, value, plan);
+        after.run();
+        return CompletableFuture.completedFuture(result);
+    }
+
+    private WriteResult write(String key, long expectedRevision, byte[] value, HeadWrite plan) {
+        if (away) {
+            return new WriteResult.NotDone("away");
+        }
+        if (plan == HeadWrite.REQUEST_LOST) {
+            return new WriteResult.OutcomeUnknown("request lost");
+        }
+        Entry entry = entries.get(key);
+        long current = entry == null ? 0 : entry.revision();
+        WriteResult result = new WriteResult.Conflict(current);
+        if (current == expectedRevision) {
+            revision++;
+            entries.put(key, new Entry(key, value.clone(), revision));
+            result = new WriteResult.Done(revision);
+        }
+        if (plan == HeadWrite.NORMAL) {
+            return result;
+        }
+        away = plan == HeadWrite.ANSWER_LOST_THEN_AWAY;
+        return new WriteResult.OutcomeUnknown("answer lost");
+    }
+
+    @Override
+    public CompletableFuture<WriteResult> compareAndSwap(
+            String key, long expectedRevision, byte[] value, long leaseId) {
+        throw new UnsupportedOperationException("leases");
+    }
+
+    @Override
+    public CompletableFuture<WriteResult> compareAndDelete(String key, long expectedRevision) {
+        throw new UnsupportedOperationException("deletion");
+    }
+
+    @Override
+    public CompletableFuture<LeaseResult> grantLease(Duration timeToLive) {
+        throw new UnsupportedOperationException("leases");
+    }
+
+    @Override
+    public CompletableFuture<LeaseResult> keepAlive(long leaseId) {
+        throw new UnsupportedOperationException("leases");
+    }
+
+    @Override
+    public AutoCloseable watch(String prefix, WatchListener listener) {
+        throw new UnsupportedOperationException("watches");
+    }
+
+    @Override
+    public void close() {}
+}
--- /dev/null
+++ b/src/test/java/org/auburnhoist/cli/SettingsReaderTest.java
@@ -0,0 +1,93 @@
+package org.auburnhoist.cli;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.file.Path;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Guards against wrong settings that are ignored, or reported one at a time. */
+class SettingsReaderTest {
+    @TempDir
+    private Path directory;
+
+    private ProgramRun program() {
+        return new ProgramRun(directory, new FakeStore(), 1)
+                .with("PATH", "/bin")
+                .with("AUBURNHOIST_JAVA_OPTIONS", "-x");
+    }
+
+    private static List<String> places(ProgramRun run) {
+        return run.err()
+                .lines()
+                .filter(line -> line.contains(": expected "))
+                .map(line -> line.substring(0, line.indexOf(':')))
+                .toList();
+    }
+
+    @Test
+    void reportsAllFaultsTogetherWithTheirPlaces() {
+        ProgramRun run = program()
+                .with("AUBURNHOIST_STORE_TIMEOUT", "fast")
+                .with("AUBURNHOIST_STOER", "x")
+                .with("AUBURNHOIST_OPERATOR", "amina");
+        assertEquals(
+                ExitCode.USAGE,
+                run.run("apply --store localhost:2379 --expect-version -1 --operator karim --colour a.yaml"));
+        assertEquals(
+                List.of(
+                        "AUBURNHOIST_STOER",
+                        "--store",
+                        "AUBURNHOIST_STORE_TIMEOUT",
+                        "--expect-version",
+                        "--operator",
+                        "-1",
+                        "--colour"),
+                places(run));
+    }
+
+    @Test
+    void reportsMissingSettingsAndArgumentsTogether() {
+        ProgramRun run = program();
+        assertEquals(ExitCode.USAGE, run.run("apply --expect-version 1 --expect-version 2"));
+        assertEquals(List.of("--store", "--expect-version", "arguments"), places(run));
+    }
+
+    @Test
+    void reportsSettingsThatContradictEachOther() {
+        ProgramRun run = program();
+        assertEquals(ExitCode.USAGE, run.run("keys withdraw --key a --file f.yaml --expect-version 3"));
+        assertEquals(List.of("--expect-version"), places(run));
+    }
+
+    @Test
+    void readsTheEnvironmentLikeFlags() {
+        ProgramRun run = program().with("AUBURNHOIST_STORE", "127.0.0.1:2379,[::1]:2379");
+        assertEquals(ExitCode.DONE, run.run("show"), run.err());
+        assertTrue(run.out().startsWith("version: 0"));
+        assertEquals(ExitCode.DONE, run.run("show --store 127.0.0.1:2379,[::1]:2379"));
+    }
+
+    @Test
+    void helpAndVersionNeedNoOtherSettings() {
+        ProgramRun run = program();
+        for (String command : List.of("", "apply ", "keys issue ")) {
+            assertEquals(ExitCode.DONE, run.run(command + "--help"));
+            assertTrue(run.out().contains("Exit codes:"), run.out());
+            assertEquals(ExitCode.DONE, run.run(command + "--version"));
+            assertTrue(run.out().startsWith("auburnhoist test"), run.out());
+        }
+        assertTrue(run.run("apply --help") == ExitCode.DONE && run.out().contains("AUBURNHOIST_EXPECT_VERSION"));
+    }
+
+    @Test
+    void refusesUnknownCommands() {
+        ProgramRun run = program();
+        for (String line : List.of("", "aply", "keys", "keys isue")) {
+            assertEquals(ExitCode.USAGE, run.run(line));
+            assertEquals(List.of("command"), places(run));
+        }
+    }
+}
--- a/src/test/java/org/auburnhoist/core/configuration/ConfigurationHeadTest.java
+++ b/src/test/java/org/auburnhoist/core/configuration/ConfigurationHeadTest.java
@@ -11,9 +11,12 @@
 /** Guards against heads that lose files, or say that another operator applied them. */
 class ConfigurationHeadTest {
     private static final ConfigurationHead.Change FIRST =
-            new ConfigurationHead.Change("1", "amina", "2026-12-04T08:00:00Z", "replaced a.yaml, b.yaml");
+            new ConfigurationHead.Change(1, "1", "amina", "2026-12-04T08:00:00Z", "replaced a.yaml, b.yaml");
     private static final ConfigurationHead.Change SECOND =
-            new ConfigurationHead.Change("2", "karim", "2026-12-04T09:00:00Z", "replaced b.yaml");
+            new ConfigurationHead.Change(2, "2", "karim", "2026-12-04T09:00:00Z", "replaced b.yaml");
+
+    private static final ConfigurationHead.Change THIRD =
+            new ConfigurationHead.Change(3, "3", "amina", "2026-12-04T10:00:00Z", "removed a.yaml");
 
     @Test
     void keepsFilesThatAChangeDoesNotName() {
@@ -22,11 +25,12 @@
         ConfigurationHead second = first.next(SECOND, List.of(ConfigurationFile.of("b.yaml", "bb")), Set.of());
         assertEquals(2, second.version());
         assertEquals(first.file("a.yaml"), second.file("a.yaml"));
+        assertEquals(List.of(SECOND, FIRST), second.history());
         assertEquals("amina", second.files().get(0).appliedBy());
         assertEquals("karim", second.files().get(1).appliedBy());
         assertEquals(
                 List.of("b.yaml"),
-                second.next(FIRST, List.of(), Set.of("a.yaml")).files().stream()
+                second.next(THIRD, List.of(), Set.of("a.yaml")).files().stream()
                         .map(ConfigurationHead.FileEntry::name)
                         .toList());
     }
--- /dev/null
+++ b/src/test/java/org/auburnhoist/scenario/OperatorSteps.java
@@ -0,0 +1,113 @@
+package org.auburnhoist.scenario;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.cucumber.java.After;
+import io.cucumber.java.en.Given;
+import io.cucumber.java.en.Then;
+import io.cucumber.java.en.When;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Comparator;
+import java.util.stream.Stream;
+import org.auburnhoist.cli.ExitCode;
+import org.auburnhoist.cli.FakeStore;
+import org.auburnhoist.cli.ProgramRun;
+
+/** Steps about operators who change the configuration. */
+public final class OperatorSteps {
+    private final FakeStore store = new FakeStore();
+    private final Path directory = Files.createTempDirectory("operators");
+    private final ProgramRun amina = operator("amina", 1);
+    private final ProgramRun karim = operator("karim", 2);
+    private ExitCode codeOfAmina = ExitCode.DONE;
+    private ExitCode codeOfKarim = ExitCode.DONE;
+
+    /** Makes a directory for the operators' files. */
+    public OperatorSteps() throws IOException {}
+
+    /** Deletes the operators' files. */
+    @After
+    public void deleteFiles() throws IOException {
+        try (Stream<Path> paths = Files.walk(directory)) {
+            for (Path path : paths.sorted(Comparator.reverseOrder()).toList()) {
+                Files.delete(path);
+            }
+        }
+    }
+
+    /** Applies the first version. */
+    @Given("{string} is applied with a burst of {int}")
+    public void applied(String file, int burst) {
+        assertEquals(ExitCode.DONE, apply(amina, file, burst, 0), amina.err());
+    }
+
+    /** Both read the newest version. */
+    @Given("Amina and Karim have both seen version {int}")
+    public void bothHaveSeen(int version) {
+        for (ProgramRun operator : new ProgramRun[] {amina, karim}) {
+            operator.run("show");
+            assertTrue(operator.out().startsWith("version: " + version), operator.out());
+        }
+    }
+
+    /** Karim's whole change happens between Amina's read and her write. */
+    @When("Karim applies {string} with a burst of {int} while Amina applies it with a burst of {int}")
+    public void race(String file, int burstOfKarim, int burstOfAmina) {
+        store.beforeNextHeadWrite(() -> codeOfKarim = apply(karim, file, burstOfKarim, 1));
+        codeOfAmina = apply(amina, file, burstOfAmina, 1);
+    }
+
+    /** Amina applies again. */
+    @When("Amina applies {string} with a burst of {int} to version {int}")
+    public void appliesAgain(String file, int burst, int version) {
+        assertEquals(ExitCode.DONE, apply(amina, file, burst, version), amina.err());
+    }
+
+    /** Checks the winner. */
+    @Then("Karim's change is accepted as version {int}")
+    public void accepted(int version) {
+        assertEquals(ExitCode.DONE, codeOfKarim, karim.err());
+        assertTrue(karim.out().contains("accepted version: " + version), karim.out());
+    }
+
+    /** Checks what the other operator learns. */
+    @Then("Amina is told of a conflict with version {int} by {string}")
+    public void conflict(int version, String winner) {
+        assertEquals(ExitCode.REFUSED, codeOfAmina);
+        assertTrue(amina.err().contains("found " + version + " ("), amina.err());
+        assertTrue(amina.err().contains("by " + winner), amina.err());
+        assertTrue(amina.err().contains("nothing was changed"), amina.err());
+    }
+
+    /** Checks the applied text. */
+    @Then("the burst in force is {int}")
+    public void burstInForce(int burst) {
+        assertEquals(ExitCode.DONE, karim.run("show teams.yaml"));
+        assertEquals(text(burst), karim.out());
+    }
+
+    /** Checks who made which version. */
+    @Then("the record names {string} for version {int} and {string} for version {int}")
+    public void recordNames(String first, int firstVersion, String second, int secondVersion) {
+        karim.run("show");
+        assertTrue(karim.out().contains(firstVersion + ": by " + first), karim.out());
+        assertTrue(karim.out().contains(secondVersion + ": by " + second), karim.out());
+    }
+
+    private ProgramRun operator(String name, long seed) {
+        return new ProgramRun(directory.resolve(name), store, seed)
+                .with("AUBURNHOIST_STORE", "127.0.0.1:2379")
+                .with("AUBURNHOIST_OPERATOR", name);
+    }
+
+    private static ExitCode apply(ProgramRun operator, String file, int burst, int version) {
+        return operator.file(file, text(burst)).run("apply " + file + " --expect-version " + version);
+    }
+
+    private static String text(int burst) {
+        return "teams: {school: {rate-per-second: 5, burst: " + burst + ", weight: 1}}\n";
+    }
+}
