Add the etcd store client and the store emulator

Cause: hosts need the platform's store, and tests need a stand-in whose faults they can switch.

Change: EtcdStore speaks the etcd v3 HTTP/JSON protocol. A write is NotDone only if no connection was established or the store's complete error answer rejects the request; UNAVAILABLE is not such an answer, since a timed out proposal may still be committed. A write on a pooled connection that breaks is OutcomeUnknown; a read is repeated once. StoreEmulator keeps revisions, leases and watches, and loses, delays or rejects calls by kind.

--- /dev/null
+++ b/src/main/java/org/auburnhoist/store/EtcdTransport.java
@@ -0,0 +1,166 @@
+package org.auburnhoist.store;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.net.ConnectException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpConnectTimeoutException;
+import java.net.http.HttpRequest;
+import java.net.http.HttpRequest.BodyPublishers;
+import java.net.http.HttpResponse;
+import java.net.http.HttpResponse.BodyHandlers;
+import java.net.http.HttpTimeoutException;
+import java.time.Duration;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/** Sends calls to the store's endpoints and classifies what came of them. */
+final class EtcdTransport {
+    /**
+     * gRPC status codes with which the store rejects a request before carrying it out: INVALID_ARGUMENT, NOT_FOUND,
+     * PERMISSION_DENIED, FAILED_PRECONDITION, OUT_OF_RANGE, UNIMPLEMENTED, UNAUTHENTICATED. UNAVAILABLE is not among
+     * them, because the store also answers so when a proposal times out that may still be committed.
+     */
+    private static final Set<Integer> REJECTING_CODES = Set.of(3, 5, 7, 9, 11, 12, 16);
+
+    /** RESOURCE_EXHAUSTED rejects a request if the store itself says so; a gateway says it of answers, too. */
+    private static final int RESOURCE_EXHAUSTED = 8;
+
+    private static final String MESSAGE_OF_STORE = "etcdserver:";
+
+    private final List<URI> endpoints;
+    private final Duration callLimit;
+    private final HttpClient client;
+    private final StoreCallCounts counts;
+    private final AtomicInteger preferred = new AtomicInteger();
+
+    EtcdTransport(List<URI> endpoints, Duration callLimit, HttpClient client, StoreCallCounts counts) {
+        this.endpoints = List.copyOf(endpoints);
+        this.callLimit = callLimit;
+        this.client = client;
+        this.counts = counts;
+    }
+
+    /**
+     * Makes a call that may be repeated. Each endpoint is tried until one answers, and gets an equal part of the call's
+     * time limit. One further attempt is made after a broken connection, because a pooled connection may have been
+     * closed by the store since its last use.
+     */
+    CompletableFuture<CallResult> callRepeatable(StoreCallKind kind, String path, ObjectNode body) {
+        Duration limit = callLimit.dividedBy(endpoints.size());
+        Call call = new Call(kind, path, EtcdJson.bytes(body), limit, true);
+        int endpoint = preferredEndpoint();
+        return send(call, endpoint).thenCompose(result -> {
+            boolean again = result instanceof CallResult.Unknown unknown && unknown.connectionBroke();
+            return again
+                    ? attempt(call, endpoint, endpoints.size())
+                    : continueAfter(result, call, endpoint, endpoints.size());
+        });
+    }
+
+    /** Makes a call that goes to another endpoint only while it provably has not been carried out. */
+    CompletableFuture<CallResult> callOnce(StoreCallKind kind, String path, ObjectNode body) {
+        return attempt(
+                new Call(kind, path, EtcdJson.bytes(body), callLimit, false), preferredEndpoint(), endpoints.size());
+    }
+
+    /** Starts a call with a streamed answer; the endpoint changes with each call to {@link #preferNext}. */
+    CompletableFuture<HttpResponse<Void>> stream(String path, ObjectNode body, HttpResponse.BodyHandler<Void> handler) {
+        counts.add(StoreCallKind.WATCH);
+        return client.sendAsync(
+                request(preferredEndpoint(), path, EtcdJson.bytes(body)).build(), handler);
+    }
+
+    Duration callLimit() {
+        return callLimit;
+    }
+
+    /** Makes later calls start at the next endpoint. */
+    void preferNext() {
+        preferred.updateAndGet(index -> (index + 1) % endpoints.size());
+    }
+
+    private int preferredEndpoint() {
+        return preferred.get();
+    }
+
+    private CompletableFuture<CallResult> attempt(Call call, int endpoint, int attemptsLeft) {
+        return send(call, endpoint).thenCompose(result -> continueAfter(result, call, endpoint, attemptsLeft));
+    }
+
+    private CompletableFuture<CallResult> continueAfter(CallResult result, Call call, int endpoint, int attemptsLeft) {
+        if (result instanceof CallResult.Answered) {
+            preferred.set(endpoint);
+            return CompletableFuture.completedFuture(result);
+        }
+        boolean mayRepeat = call.repeatable() || result instanceof CallResult.NotDone;
+        if (attemptsLeft <= 1 || !mayRepeat) {
+            return CompletableFuture.completedFuture(result);
+        }
+        return attempt(call, (endpoint + 1) % endpoints.size(), attemptsLeft - 1);
+    }
+
+    private CompletableFuture<CallResult> send(Call call, int endpoint) {
+        counts.add(call.kind());
+        HttpRequest request = request(endpoint, call.path(), call.body())
+                .timeout(call.limit())
+                .build();
+        CompletableFuture<HttpResponse<byte[]>> exchange = client.sendAsync(request, BodyHandlers.ofByteArray());
+        // The request's own timeout ends when the header has come; this one also covers the answer's body.
+        return exchange.copy()
+                .orTimeout(call.limit().toMillis(), TimeUnit.MILLISECONDS)
+                .handle((response, failure) -> {
+                    if (failure == null) {
+                        return classify(response.statusCode(), response.body());
+                    }
+                    exchange.cancel(true);
+                    return classify(failure);
+                });
+    }
+
+    private HttpRequest.Builder request(int endpoint, String path, byte[] body) {
+        return HttpRequest.newBuilder(endpoints.get(endpoint).resolve(path))
+                .header("Content-Type", "application/json")
+                .POST(BodyPublishers.ofByteArray(body));
+    }
+
+    static CallResult classify(Throwable failure) {
+        Throwable cause =
+                failure instanceof CompletionException && failure.getCause() != null ? failure.getCause() : failure;
+        if (cause instanceof ConnectException || cause instanceof HttpConnectTimeoutException) {
+            return new CallResult.NotDone("no connection: " + cause);
+        }
+        boolean timedOut = cause instanceof HttpTimeoutException || cause instanceof TimeoutException;
+        return new CallResult.Unknown("no answer: " + cause, cause instanceof IOException && !timedOut);
+    }
+
+    static CallResult classify(int status, byte[] body) {
+        JsonNode parsed;
+        try {
+            parsed = EtcdJson.parse(body);
+        } catch (IOException cause) {
+            return new CallResult.Unknown(
+                    "status " + status + " with an unreadable body: " + cause.getMessage(), false);
+        }
+        if (status == 200 && !parsed.has("error")) {
+            return new CallResult.Answered(parsed);
+        }
+        JsonNode error = parsed.path("error").isObject() ? parsed.path("error") : parsed;
+        int code = error.path("code").asInt(error.path("grpc_code").asInt(-1));
+        String message = error.path("message").asText(error.path("error").asText());
+        String reason = "status " + status + ", code " + code + ": " + message;
+        boolean rejected =
+                REJECTING_CODES.contains(code) || (code == RESOURCE_EXHAUSTED && message.startsWith(MESSAGE_OF_STORE));
+        return rejected ? new CallResult.NotDone(reason) : new CallResult.Unknown(reason, false);
+    }
+
+    @SuppressWarnings("ArrayRecordComponent")
+    private record Call(StoreCallKind kind, String path, byte[] body, Duration limit, boolean repeatable) {}
+}
--- /dev/null
+++ b/src/test/java/org/auburnhoist/store/EtcdStoreTest.java
@@ -0,0 +1,259 @@
+package org.auburnhoist.store;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.net.URI;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.atomic.AtomicLong;
+import org.auburnhoist.emulator.StoreEmulator;
+import org.auburnhoist.emulator.StoreFault;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Guards against the client confusing writes that did not happen with writes whose outcome is unknown. */
+class EtcdStoreTest {
+    private static final String KEY = "/test/a";
+
+    private final AtomicLong clock = new AtomicLong();
+    private StoreEmulator emulator;
+    private EtcdStore store;
+
+    @BeforeEach
+    void start() throws Exception {
+        emulator = StoreEmulator.builder().clock(clock::get).start();
+        store = client(Duration.ofSeconds(30), emulator.address());
+    }
+
+    @AfterEach
+    void stop() {
+        store.close();
+        emulator.close();
+    }
+
+    @Test
+    void readsBackWhatWasWrittenAndRefusesAStaleRevision() {
+        WriteResult.Done first = assertInstanceOf(WriteResult.Done.class, write(0, "one"));
+        WriteResult.Done second = assertInstanceOf(WriteResult.Done.class, write(first.revision(), "two"));
+        WriteResult.Conflict conflict = assertInstanceOf(WriteResult.Conflict.class, write(first.revision(), "three"));
+        assertEquals(second.revision(), conflict.currentRevision());
+        assertEquals(new WriteResult.Conflict(0), write("/test/absent", 9, "x"));
+        Entry entry = found(KEY).entries().get(0);
+        assertEquals(second.revision(), entry.revision());
+        assertArrayEquals(bytes("two"), entry.value());
+        assertEquals(new StoreCounts(1, 4), new StoreCounts(store.counts()));
+        assertEquals(new StoreCounts(1, 4), new StoreCounts(emulator.counts()));
+    }
+
+    @Test
+    void rangeReturnsExactlyThePrefixInKeyOrder() {
+        write("/test/b", 0, "2");
+        write("/test/a", 0, "1");
+        write("/test0", 0, "after the prefix");
+        ReadResult.Found found =
+                assertInstanceOf(ReadResult.Found.class, store.range("/test/").join());
+        assertEquals(
+                List.of("/test/a", "/test/b"),
+                found.entries().stream().map(Entry::key).toList());
+        assertEquals(emulator.revision(), found.revision());
+    }
+
+    @Test
+    void lostAnswerIsOutcomeUnknownAndTheWriteTookEffect() {
+        emulator.faultOnce(StoreCallKind.WRITE, new StoreFault.LoseAnswer());
+        assertInstanceOf(WriteResult.OutcomeUnknown.class, write(0, "one"));
+        assertEquals(1, found(KEY).entries().size());
+        assertEquals(1, emulator.counts().of(StoreCallKind.WRITE), "the client must not send the write again");
+    }
+
+    @Test
+    void lostRequestAndTimedOutProposalAreOutcomeUnknown() {
+        emulator.faultOnce(StoreCallKind.WRITE, new StoreFault.LoseRequest());
+        assertInstanceOf(WriteResult.OutcomeUnknown.class, write(0, "one"));
+        assertEquals(0, found(KEY).entries().size());
+        emulator.faultOnce(StoreCallKind.WRITE, new StoreFault.TimeOutAfterEffect());
+        assertInstanceOf(WriteResult.OutcomeUnknown.class, write(0, "one"));
+        assertEquals(1, found(KEY).entries().size());
+    }
+
+    @Test
+    void storeThatNeverAnswersLeavesTheOutcomeUnknownAndReadsUnavailable() {
+        EtcdStore hurried = client(Duration.ofMillis(100), emulator.address());
+        emulator.faultAll(new StoreFault.NeverAnswer());
+        assertInstanceOf(
+                WriteResult.OutcomeUnknown.class,
+                hurried.compareAndSwap(KEY, 0, bytes("one")).join());
+        assertInstanceOf(ReadResult.Unavailable.class, hurried.get(KEY).join());
+        assertInstanceOf(
+                LeaseResult.Unavailable.class,
+                hurried.grantLease(Duration.ofSeconds(1)).join());
+    }
+
+    @Test
+    void refusedConnectionAndRejectionAreNotDone() throws Exception {
+        emulator.faultOnce(StoreCallKind.WRITE, new StoreFault.Reject());
+        assertInstanceOf(WriteResult.NotDone.class, write(0, "one"));
+        emulator.refuseConnections();
+        // A pooled connection may break only after the write was sent, so the refusal is seen by a new client.
+        EtcdStore unconnected = client(Duration.ofSeconds(30), emulator.address());
+        assertInstanceOf(
+                WriteResult.NotDone.class,
+                unconnected.compareAndSwap(KEY, 0, bytes("one")).join());
+        assertInstanceOf(ReadResult.Unavailable.class, store.get(KEY).join());
+        emulator.acceptConnections();
+        assertEquals(0, found(KEY).entries().size());
+    }
+
+    @Test
+    void stateSurvivesWhileConnectionsAreRefused() throws Exception {
+        write(0, "one");
+        emulator.refuseConnections();
+        emulator.acceptConnections();
+        assertEquals(1, found(KEY).entries().size());
+    }
+
+    @Test
+    void secondEndpointGetsReadsAlwaysAndWritesOnlyAfterAProvableFailure() throws Exception {
+        try (StoreEmulator refusing = StoreEmulator.builder().start();
+                StoreEmulator losing = StoreEmulator.builder().start()) {
+            refusing.refuseConnections();
+            EtcdStore behindRefusing = client(Duration.ofSeconds(30), refusing.address(), emulator.address());
+            assertInstanceOf(
+                    WriteResult.Done.class,
+                    behindRefusing.compareAndSwap(KEY, 0, bytes("one")).join());
+
+            losing.faultAll(new StoreFault.LoseRequest());
+            EtcdStore behindLosing = client(Duration.ofSeconds(30), losing.address(), emulator.address());
+            long writes = emulator.counts().of(StoreCallKind.WRITE);
+            assertInstanceOf(
+                    WriteResult.OutcomeUnknown.class,
+                    behindLosing.compareAndSwap(KEY, 0, bytes("two")).join());
+            assertEquals(writes, emulator.counts().of(StoreCallKind.WRITE));
+            assertInstanceOf(ReadResult.Found.class, behindLosing.get(KEY).join());
+        }
+    }
+
+    @Test
+    void leaseExpiresByTheStoresClockAndTakesItsKeyAlong() {
+        LeaseResult.Granted lease = assertInstanceOf(
+                LeaseResult.Granted.class,
+                store.grantLease(Duration.ofSeconds(5)).join());
+        store.compareAndSwap(KEY, 0, bytes("held"), lease.leaseId()).join();
+        clock.addAndGet(Duration.ofSeconds(4).toNanos());
+        assertInstanceOf(
+                LeaseResult.Granted.class, store.keepAlive(lease.leaseId()).join());
+        clock.addAndGet(Duration.ofSeconds(4).toNanos());
+        emulator.tick();
+        assertEquals(1, found(KEY).entries().size());
+        clock.addAndGet(Duration.ofSeconds(1).toNanos());
+        emulator.tick();
+        assertEquals(0, found(KEY).entries().size());
+        assertEquals(new LeaseResult.Expired(), store.keepAlive(lease.leaseId()).join());
+        assertInstanceOf(
+                WriteResult.NotDone.class,
+                store.compareAndSwap(KEY, 0, bytes("late"), lease.leaseId()).join());
+    }
+
+    @Test
+    void watchReportsChangesAndAsksForARereadAfterEachReconnect() throws Exception {
+        BlockingQueue<String> seen = new LinkedBlockingQueue<>();
+        store.watch("/test/", recorder(seen));
+        assertEquals("interrupted", seen.take());
+        assertEquals(1, emulator.waitingWatches());
+        WriteResult.Done done = assertInstanceOf(WriteResult.Done.class, write(0, "one"));
+        assertEquals("changed /test/a one", seen.take());
+        store.compareAndDelete(KEY, done.revision()).join();
+        assertEquals("deleted /test/a", seen.take());
+
+        emulator.refuseConnections();
+        emulator.acceptConnections();
+        assertEquals("interrupted", seen.take());
+        client(Duration.ofSeconds(30), emulator.address()).compareAndSwap(KEY, 0, bytes("two"));
+        assertEquals("changed /test/a two", seen.take());
+        emulator.interruptWatches();
+        assertEquals("interrupted", seen.take());
+        assertTrue(emulator.counts().of(StoreCallKind.WATCH) >= 3);
+    }
+
+    @Test
+    void watchThatTheStoreNeverConfirmsIsTriedAgain() throws Exception {
+        emulator.faultOnce(StoreCallKind.WATCH, new StoreFault.NeverAnswer());
+        BlockingQueue<String> seen = new LinkedBlockingQueue<>();
+        EtcdStore hurried = client(Duration.ofMillis(100), emulator.address());
+        hurried.watch("/", recorder(seen));
+        assertEquals("interrupted", seen.take());
+        hurried.close();
+    }
+
+    @Test
+    void backoffDoublesUpToItsMaximumAndIsJittered() {
+        Backoff backoff = new Backoff(Duration.ofMillis(100), Duration.ofMillis(350), new Random(7));
+        long[] upperMillis = {100, 200, 350, 350};
+        for (long upper : upperMillis) {
+            long delay = backoff.next().toNanos();
+            assertTrue(delay >= upper * 500_000 && delay < upper * 1_000_000, "delay " + delay);
+        }
+        backoff.reset();
+        assertTrue(backoff.next().toNanos() < 100_000_000);
+    }
+
+    private static EtcdStore client(Duration callLimit, URI... endpoints) {
+        EtcdStore.Builder builder = EtcdStore.builder()
+                .callLimit(callLimit)
+                .backoff(Duration.ofMillis(1), Duration.ofMillis(10))
+                .random(new Random(1));
+        for (URI endpoint : endpoints) {
+            builder.endpoint(endpoint);
+        }
+        return builder.build();
+    }
+
+    private static WatchListener recorder(BlockingQueue<String> seen) {
+        return new WatchListener() {
+            @Override
+            public void changed(Entry entry) {
+                seen.add("changed " + entry.key() + " " + new String(entry.value(), StandardCharsets.UTF_8));
+            }
+
+            @Override
+            public void deleted(String key) {
+                seen.add("deleted " + key);
+            }
+
+            @Override
+            public void interrupted() {
+                seen.add("interrupted");
+            }
+        };
+    }
+
+    private WriteResult write(long expectedRevision, String value) {
+        return write(KEY, expectedRevision, value);
+    }
+
+    private WriteResult write(String key, long expectedRevision, String value) {
+        return store.compareAndSwap(key, expectedRevision, bytes(value)).join();
+    }
+
+    private ReadResult.Found found(String key) {
+        return assertInstanceOf(ReadResult.Found.class, store.get(key).join());
+    }
+
+    private static byte[] bytes(String text) {
+        return text.getBytes(StandardCharsets.UTF_8);
+    }
+
+    private record StoreCounts(long reads, long writes) {
+        StoreCounts(StoreCallCounts counts) {
+            this(counts.of(StoreCallKind.READ), counts.of(StoreCallKind.WRITE));
+        }
+    }
+}
