Run the whole path: store, hosts, callers and upstream

Cause: the parts existed but no process joined them. With three hosts, a team's burst of 8 gave only 4 requests: a shard that its first owner had never used was not handed over, so its next owner started from zero. Change: commands serve, status and hosts leave; a process that starts again with a new incarnation when it was removed; a first owner hands unused shards over as full, once. Conclusion: a request, a booking, a withdrawn key, a store outage and a planned stop work over real sockets.

--- a/src/main/java/org/auburnhoist/cli/Commands.java
+++ b/src/main/java/org/auburnhoist/cli/Commands.java
@@ -14,6 +14,9 @@
                 new ShowCommand(),
                 new RemoveCommand(),
                 new KeysIssueCommand(),
-                new KeysWithdrawCommand());
+                new KeysWithdrawCommand(),
+                new StatusCommand(),
+                new HostsLeaveCommand(),
+                new ServeCommand());
     }
 }
--- a/src/main/java/org/auburnhoist/cli/Main.java
+++ b/src/main/java/org/auburnhoist/cli/Main.java
@@ -1,11 +1,13 @@
 package org.auburnhoist.cli;
 
 import io.vavr.control.Either;
+import java.net.URI;
 import java.nio.file.Path;
 import java.security.SecureRandom;
 import java.time.Clock;
 import java.util.List;
 import java.util.Optional;
+import org.auburnhoist.store.EtcdStore;
 
 /** Entry point of the executable. */
 public final class Main {
@@ -25,7 +27,12 @@
     }
 
     private static StoreFactory stores() {
-        return addresses -> Either.left("this build has no store client");
+        return addresses -> {
+            EtcdStore.Builder builder = EtcdStore.builder();
+            addresses.forEach(address ->
+                    builder.endpoint(URI.create("http://" + address.getHostString() + ":" + address.getPort())));
+            return Either.right(builder.build());
+        };
     }
 
     private static String version() {
--- /dev/null
+++ b/src/main/java/org/auburnhoist/cli/RosterRepository.java
@@ -0,0 +1,97 @@
+package org.auburnhoist.cli;
+
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.function.UnaryOperator;
+import org.auburnhoist.core.membership.Roster;
+import org.auburnhoist.core.membership.RosterCodec;
+import org.auburnhoist.store.Entry;
+import org.auburnhoist.store.ReadResult;
+import org.auburnhoist.store.Store;
+import org.auburnhoist.store.StoreKeys;
+import org.auburnhoist.store.WriteResult;
+
+/** Reads and changes the roster in the platform's store for operators. */
+final class RosterRepository {
+    private static final int ATTEMPTS = 5;
+
+    private final Store store;
+    private final Duration timeout;
+
+    RosterRepository(Store store, Duration timeout) {
+        this.store = store;
+        this.timeout = timeout;
+    }
+
+    /** The newest roster. */
+    Either<Failure, Roster> read() {
+        return readEntry().flatMap(RosterRepository::decode);
+    }
+
+    /**
+     * Changes the roster; after a conflict with a host's own change, reads and tries again.
+     *
+     * @param change computes the next roster from the newest one
+     */
+    Either<Failure, Roster> change(UnaryOperator<Roster> change) {
+        Failure last = new Failure(ExitCode.UNAVAILABLE, "roster: too many conflicts; nothing was changed");
+        for (int attempt = 0; attempt < ATTEMPTS; attempt++) {
+            Either<Failure, Entry> entry = readEntry();
+            Either<Failure, Roster> current = entry.flatMap(RosterRepository::decode);
+            if (current.isLeft()) {
+                return current;
+            }
+            Roster next = change.apply(current.get());
+            WriteResult result = write(entry.get().revision(), next);
+            if (result instanceof WriteResult.Done) {
+                return Either.right(next);
+            }
+            if (result instanceof WriteResult.OutcomeUnknown unknown) {
+                return Either.left(new Failure(
+                        ExitCode.OUTCOME_UNKNOWN, "outcome unknown (" + unknown.reason() + "); look at status"));
+            }
+            if (result instanceof WriteResult.NotDone notDone) {
+                last = new Failure(ExitCode.UNAVAILABLE, "store unavailable: " + notDone.reason());
+            }
+        }
+        return Either.left(last);
+    }
+
+    private Either<Failure, Entry> readEntry() {
+        try {
+            ReadResult result = store.get(StoreKeys.ROSTER).get(timeout.toMillis(), TimeUnit.MILLISECONDS);
+            if (result instanceof ReadResult.Found found) {
+                return found.entries().isEmpty()
+                        ? Either.left(new Failure(ExitCode.REFUSED, "roster: no host has joined yet"))
+                        : Either.right(found.entries().get(0));
+            }
+            return Either.left(new Failure(
+                    ExitCode.UNAVAILABLE, "store unavailable: " + ((ReadResult.Unavailable) result).reason()));
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+            return Either.left(new Failure(ExitCode.UNAVAILABLE, "interrupted"));
+        } catch (TimeoutException | ExecutionException late) {
+            return Either.left(new Failure(ExitCode.UNAVAILABLE, "store unavailable: no answer in time"));
+        }
+    }
+
+    private WriteResult write(long expectedRevision, Roster next) {
+        try {
+            return store.compareAndSwap(StoreKeys.ROSTER, expectedRevision, RosterCodec.encode(next))
+                    .get(timeout.toMillis(), TimeUnit.MILLISECONDS);
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+            return new WriteResult.OutcomeUnknown("interrupted");
+        } catch (TimeoutException | ExecutionException late) {
+            return new WriteResult.OutcomeUnknown("no answer in time");
+        }
+    }
+
+    private static Either<Failure, Roster> decode(Entry entry) {
+        return RosterCodec.decode(entry.value())
+                .mapLeft(problem -> new Failure(ExitCode.REFUSED, StoreKeys.ROSTER + ": " + problem));
+    }
+}
--- a/src/main/java/org/auburnhoist/core/blackboard/Blackboard.java
+++ b/src/main/java/org/auburnhoist/core/blackboard/Blackboard.java
@@ -2,6 +2,7 @@
 
 import org.auburnhoist.core.HostId;
 import org.auburnhoist.core.membership.FreshnessTable;
+import org.auburnhoist.core.membership.MemberState;
 import org.auburnhoist.core.membership.MembershipSettings;
 import org.auburnhoist.core.membership.Roster;
 import org.jspecify.annotations.Nullable;
@@ -94,6 +95,15 @@
         return wasMember && !isMember();
     }
 
+    /** Whether this host is marked as leaving in the newest roster. */
+    public boolean isMarkedLeaving() {
+        Roster roster = roster();
+        return roster != null
+                && roster.member(self)
+                        .filter(member -> member.state() == MemberState.LEAVING)
+                        .isPresent();
+    }
+
     /** Whether this host's knowledge is recent enough to decide. */
     public boolean isFresh(long nowNanos) {
         FreshnessTable table = freshness;
--- a/src/main/java/org/auburnhoist/core/limit/ShardHandover.java
+++ b/src/main/java/org/auburnhoist/core/limit/ShardHandover.java
@@ -42,7 +42,7 @@
     public List<PlannedHandover> export(long nowNanos) {
         List<PlannedHandover> result = new ArrayList<>();
         for (int shard = 0; shard < ownership.shardCount(); shard++) {
-            Optional<ShardGrant> held = ownership.takeForHandover(shard);
+            Optional<ShardGrant> held = ownership.takeForHandover(shard, nowNanos);
             if (held.isPresent()) {
                 export(shard, held.get(), nowNanos).ifPresent(result::add);
             }
--- a/src/main/java/org/auburnhoist/core/limit/ShardOwnership.java
+++ b/src/main/java/org/auburnhoist/core/limit/ShardOwnership.java
@@ -20,6 +20,7 @@
     private final FreshnessTable table;
     private final MembershipSettings settings;
     private final Map<Integer, ShardGrant> started = new HashMap<>();
+    private final Map<Integer, Long> handedOver = new HashMap<>();
 
     /** Decides by the given table. */
     public ShardOwnership(FreshnessTable table, MembershipSettings settings) {
@@ -62,14 +63,24 @@
      * Returns the permission that this host held for a shard which the newest roster gives to another owner, and
      * forgets it, so that it is handed over at most once. Empty if another host owned the shard in between.
      */
-    public Optional<ShardGrant> takeForHandover(int shard) {
+    public Optional<ShardGrant> takeForHandover(int shard, long nowNanos) {
         Shard present = present(shard);
         if (present.owner().equals(table.self())) {
             return Optional.empty();
         }
-        return Optional.ofNullable(started.remove(shard))
-                .filter(grant -> table.self().equals(present.formerOwner()))
-                .filter(grant -> grant.ownedSinceVersion() == present.formerSinceVersion());
+        @Nullable ShardGrant held = started.remove(shard);
+        boolean isFormerOwner = table.self().equals(present.formerOwner());
+        @Nullable Long earlier = handedOver.get(shard);
+        boolean isRepeated = earlier != null && earlier == present.ownedSinceVersion();
+        if (!isFormerOwner || isRepeated) {
+            return Optional.empty();
+        }
+        handedOver.put(shard, present.ownedSinceVersion());
+        if (held == null && present.formerSinceVersion() == 0) {
+            // Nobody has granted from this shard yet, so its buckets are still full.
+            return Optional.of(new ShardGrant(0, nowNanos, true));
+        }
+        return Optional.ofNullable(held).filter(grant -> grant.ownedSinceVersion() == present.formerSinceVersion());
     }
 
     /** Returns the shard's owner by the newest roster. */
--- a/src/main/java/org/auburnhoist/host/DocumentController.java
+++ b/src/main/java/org/auburnhoist/host/DocumentController.java
@@ -168,8 +168,8 @@
         board.adopt(ActiveConfiguration.of(read.get()), nowNanos);
         Event.named("configuration-in-force")
                 .with("version", newer.version())
-                .with("applied_by", newer.change().appliedBy())
-                .with("summary", newer.change().summary())
+                .with("applied_by", newer.history().get(0).appliedBy())
+                .with("summary", newer.history().get(0).summary())
                 .log();
         onChange.run();
     }
--- a/src/main/java/org/auburnhoist/host/EntryHost.java
+++ b/src/main/java/org/auburnhoist/host/EntryHost.java
@@ -58,6 +58,7 @@
     private final HostMetrics metrics = new HostMetrics();
     private final TrafficCounter peerTraffic = new TrafficCounter();
     private final CompletableFuture<Boolean> removed = new CompletableFuture<>();
+    private final CompletableFuture<Boolean> leavingWished = new CompletableFuture<>();
     private final ProxyServer proxy;
     private final PeerServer peerServer;
     private final HostControllers controllers;
@@ -135,6 +136,11 @@
         return removed.copy();
     }
 
+    /** Completes when an operator has marked this host as leaving. */
+    public CompletableFuture<Boolean> leavingWished() {
+        return leavingWished.copy();
+    }
+
     /** Begins a planned stop; completes when the last request has finished and the host is closed. */
     public CompletableFuture<Void> stop() {
         return plannedStop.begin().thenRun(this::close);
@@ -216,6 +222,9 @@
         controllers.dispatchers().documentsChanged(now);
         controllers.pulls().announce();
         refreshView(now);
+        if (controllers.board().isMarkedLeaving()) {
+            leavingWished.complete(true);
+        }
         if (controllers.board().isRemoved() && !controllers.board().isStopping()) {
             Event.named("host-removed").with("host", self).warn();
             removed.complete(true);
--- /dev/null
+++ b/src/main/java/org/auburnhoist/host/HostProcess.java
@@ -0,0 +1,94 @@
+package org.auburnhoist.host;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import org.auburnhoist.store.Store;
+import org.auburnhoist.support.Event;
+
+/**
+ * Runs entry hosts one after the other in a process: when the other hosts have removed this one, for example because
+ * nobody could hear it, it starts again with a new incarnation on the same addresses.
+ */
+public final class HostProcess {
+    private final HostSettings settings;
+    private final Store store;
+    private final CompletableFuture<Void> stopped = new CompletableFuture<>();
+    private EntryHost current;
+    private boolean stopping;
+
+    private HostProcess(HostSettings settings, Store store, EntryHost first) {
+        this.settings = settings;
+        this.store = store;
+        this.current = first;
+    }
+
+    /**
+     * Starts the first incarnation.
+     *
+     * @param settings the host's settings
+     * @param store the platform's store; the caller closes it
+     * @throws IOException if an address is not available
+     */
+    public static HostProcess start(HostSettings settings, Store store) throws IOException {
+        HostProcess process = new HostProcess(settings, store, EntryHost.start(settings, store));
+        process.follow(process.current());
+        return process;
+    }
+
+    /** The incarnation that runs now. */
+    public synchronized EntryHost current() {
+        return current;
+    }
+
+    /** Begins a planned stop. */
+    public synchronized CompletableFuture<Void> stop() {
+        if (!stopping) {
+            stopping = true;
+            CompletableFuture<Void> unused = current.stop().whenComplete((done, failure) -> stopped.complete(null));
+        }
+        return stopped;
+    }
+
+    /** Waits until the process has been stopped by {@link #stop} or by an operator's wish. */
+    public void awaitStop() throws InterruptedException {
+        try {
+            stopped.get();
+        } catch (ExecutionException impossible) {
+            throw new IllegalStateException("the stop never completes exceptionally", impossible);
+        }
+    }
+
+    private void follow(EntryHost host) {
+        CompletableFuture<Void> removal = host.removed().thenAccept(removed -> restart(host));
+        CompletableFuture<Void> wish = host.leavingWished().thenRun(this::stop);
+    }
+
+    private void restart(EntryHost removed) {
+        // The removed incarnation closes itself on another thread than its own control thread.
+        Thread thread = new Thread(() -> replace(removed), "host-restart");
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    private synchronized void replace(EntryHost removed) {
+        if (stopping) {
+            return;
+        }
+        HostSettings sameAddresses = withAddresses(removed.callerAddress(), removed.peerAddress());
+        removed.close();
+        try {
+            current = EntryHost.start(sameAddresses, store);
+            follow(current);
+        } catch (IOException cause) {
+            Event.named("host-restart-failed").with("cause", cause).warn();
+            stopping = true;
+            stopped.complete(null);
+        }
+    }
+
+    private HostSettings withAddresses(InetSocketAddress callers, InetSocketAddress peers) {
+        return settings.toBuilder().callerAddress(callers).peerAddress(peers).build();
+    }
+}
--- a/src/main/java/org/auburnhoist/host/HostSettings.java
+++ b/src/main/java/org/auburnhoist/host/HostSettings.java
@@ -94,6 +94,20 @@
         return values.stopLimit;
     }
 
+    /** A builder that starts with these settings. */
+    public Builder toBuilder() {
+        return builder(values.name, values.dataCentre)
+                .callerAddress(values.callerAddress)
+                .peerAddress(values.peerAddress)
+                .storeEndpoints(values.storeEndpoints)
+                .hostList(values.hostList)
+                .fleetSecret(values.fleetSecret)
+                .membership(values.membership)
+                .trafficThreads(values.trafficThreads)
+                .addressValidity(values.addressValidity)
+                .stopLimit(values.stopLimit);
+    }
+
     @Override
     public String toString() {
         return "HostSettings[name=" + values.name + ", dataCentre=" + values.dataCentre + "]";
--- /dev/null
+++ b/src/test/java/org/auburnhoist/host/EntryHostTest.java
@@ -0,0 +1,214 @@
+package org.auburnhoist.host;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.sun.net.httpserver.HttpExchange;
+import com.sun.net.httpserver.HttpServer;
+import java.net.InetSocketAddress;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.Executors;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Whole path on loopback sockets: callers, three hosts, the store's emulator and an upstream. */
+class EntryHostTest {
+    private static final String AUTHORIZATION = "Bearer " + TestFleet.KEY;
+
+    private final AtomicInteger bookingRuns = new AtomicInteger();
+    private final Queue<String> leakedKeys = new ConcurrentLinkedQueue<>();
+    private TestFleet fleet;
+    private HttpServer upstream;
+    private EntryHost first;
+    private EntryHost second;
+    private EntryHost third;
+
+    @BeforeEach
+    void start() throws Exception {
+        upstream = HttpServer.create(new InetSocketAddress("127.0.0.1", 0), 0);
+        upstream.createContext("/", this::serve);
+        upstream.setExecutor(Executors.newCachedThreadPool());
+        upstream.start();
+        fleet = new TestFleet();
+        first = fleet.startHost("host-1");
+        second = fleet.startHost("host-2");
+        third = fleet.startHost("host-3");
+        fleet.apply(configuration(20, false));
+        for (EntryHost host : hosts()) {
+            TestFleet.await(
+                    "the host joins and has the configuration in force",
+                    () -> host.view().isMember()
+                            && host.view().active().version() == 1
+                            && host.view().isFresh(System.nanoTime())
+                            && host.view().roster().members().size() == 3);
+        }
+    }
+
+    @AfterEach
+    void stop() {
+        fleet.close();
+        upstream.stop(0);
+    }
+
+    @Test
+    void aLookupIsAnsweredThroughEveryHostAndNoKeyReachesTheUpstream() throws Exception {
+        for (EntryHost host : hosts()) {
+            HttpResponse<String> answer = fleet.get(host, "/telescopes/7", "Authorization", AUTHORIZATION);
+            assertEquals(200, answer.statusCode(), answer.body());
+            assertEquals("GET /telescopes/7", answer.body());
+        }
+        assertTrue(leakedKeys.isEmpty(), "keys seen by the upstream: " + leakedKeys);
+    }
+
+    @Test
+    void aRequestWithoutValidKeyIsRefusedBeforeItReachesAnUpstream() throws Exception {
+        assertRefused("key-missing", 401, fleet.get(first, "/telescopes/7"));
+        assertRefused("key-unknown", 401, fleet.get(first, "/telescopes/7", "Authorization", "Bearer members-1.wrong"));
+        assertRefused("route-unknown", 404, fleet.get(first, "/nowhere", "Authorization", AUTHORIZATION));
+    }
+
+    @Test
+    void aBookingSentAgainThroughAnotherHostRunsOnceAndGetsTheRecordedAnswer() throws Exception {
+        HttpResponse<String> told = fleet.post(first, "/bookings", "telescope 7", "Authorization", AUTHORIZATION);
+        assertRefused("operation-id-required", 428, told);
+        String operation = told.headers().firstValue("Operation-Id").orElseThrow();
+        HttpResponse<String> booked = book(second, operation);
+        HttpResponse<String> again = book(third, operation);
+        while (again.statusCode() == 409) {
+            // The runner's report may reach the operation's home after the caller has its answer.
+            assertEquals(
+                    "operation-running",
+                    again.headers().firstValue("Auburnhoist-Refusal").orElseThrow());
+            again = book(third, operation);
+        }
+        assertEquals(200, booked.statusCode(), booked.body());
+        assertEquals(booked.body(), again.body());
+        assertEquals(1, bookingRuns.get());
+    }
+
+    @Test
+    void aTeamGetsNoMoreThanItsBurstOverAllHostsTogether() throws Exception {
+        // With one token in 1,000 s, what is granted during the test is the burst alone.
+        fleet.apply(configuration(0.001, false));
+        awaitVersion(2);
+        int granted = 0;
+        for (int round = 0; round < 20; round++) {
+            for (EntryHost host : hosts()) {
+                HttpResponse<String> answer = fleet.get(host, "/telescopes/7", "Authorization", AUTHORIZATION);
+                granted += answer.statusCode() == 200 ? 1 : 0;
+                assertTrue(answer.statusCode() == 200 || answer.statusCode() == 429, answer.body());
+            }
+        }
+        assertEquals(8, granted);
+    }
+
+    @Test
+    void aWithdrawnKeyStopsWorkingOnEveryHost() throws Exception {
+        fleet.apply(configuration(20, true));
+        awaitVersion(2);
+        for (EntryHost host : hosts()) {
+            assertRefused("key-withdrawn", 401, fleet.get(host, "/telescopes/7", "Authorization", AUTHORIZATION));
+        }
+    }
+
+    @Test
+    void hostsServeOnWhileTheStoreIsAway() throws Exception {
+        fleet.storeEmulator().refuseConnections();
+        for (EntryHost host : hosts()) {
+            long freshUntil = host.view().freshUntilNanos();
+            TestFleet.await(
+                    "freshness advances without the store",
+                    () -> host.view().freshUntilNanos() > freshUntil
+                            && host.view().freshUntilNanos() - System.nanoTime() > 0);
+            assertEquals(
+                    200,
+                    fleet.get(host, "/telescopes/7", "Authorization", AUTHORIZATION)
+                            .statusCode());
+        }
+    }
+
+    @Test
+    void aPlannedStopTakesTheHostOutOfTheAddressesAndTheRoster() throws Exception {
+        third.stop().get(60, java.util.concurrent.TimeUnit.SECONDS);
+        TestFleet.await(
+                "the roster has two members",
+                () -> first.view().roster().members().size() == 2);
+        HttpResponse<String> addresses = fleet.get(first, "/.auburnhoist/addresses");
+        assertEquals(200, addresses.statusCode());
+        assertFalse(addresses.body().contains("host-3"), addresses.body());
+        assertEquals(
+                200,
+                fleet.get(first, "/telescopes/7", "Authorization", AUTHORIZATION)
+                        .statusCode());
+    }
+
+    private HttpResponse<String> book(EntryHost host, String operation) throws Exception {
+        return fleet.post(host, "/bookings", "telescope 7", "Authorization", AUTHORIZATION, "Operation-Id", operation);
+    }
+
+    private void awaitVersion(long version) throws Exception {
+        for (EntryHost host : hosts()) {
+            TestFleet.await(
+                    "version " + version + " in force",
+                    () -> host.view().active().version() == version);
+        }
+    }
+
+    private List<EntryHost> hosts() {
+        return List.of(first, second, third);
+    }
+
+    private static void assertRefused(String code, int status, HttpResponse<String> answer) {
+        assertEquals(code, answer.headers().firstValue("Auburnhoist-Refusal").orElse("none"), answer.body());
+        assertEquals(status, answer.statusCode());
+        assertEquals(
+                "not-run", answer.headers().firstValue("Auburnhoist-Outcome").orElseThrow());
+    }
+
+    private void serve(HttpExchange exchange) throws java.io.IOException {
+        if (exchange.getRequestHeaders().containsKey("Authorization")) {
+            leakedKeys.add(exchange.getRequestHeaders().getFirst("Authorization"));
+        }
+        exchange.getRequestBody().readAllBytes();
+        boolean booking = exchange.getRequestMethod().equals("POST");
+        String run = booking ? " run " + bookingRuns.incrementAndGet() : "";
+        byte[] body =
+                (exchange.getRequestMethod() + " " + exchange.getRequestURI() + run).getBytes(StandardCharsets.UTF_8);
+        exchange.sendResponseHeaders(200, body.length);
+        exchange.getResponseBody().write(body);
+        exchange.close();
+    }
+
+    private String configuration(double rate, boolean withdrawn) throws Exception {
+        return """
+                teams:
+                  members: {rate-per-second: %s, burst: 8, weight: 1}
+                keys:
+                  members-1: {team: members, secret-sha256: "%s", withdrawn: %s}
+                services:
+                  catalogue:
+                    slots-per-server: 6
+                    connections-per-server: 330
+                    floor: 0.7
+                    profile: cautious
+                    servers:
+                      catalogue-1: {address: "127.0.0.1:%d", data-centre: hall-1}
+                routes:
+                  search: {methods: [GET], path: /telescopes, service: catalogue, class: lookup,
+                           callers: every-team, timeout: 10s}
+                  book: {methods: [POST], path: /bookings, service: catalogue, class: booking,
+                         callers: every-team, timeout: 10s}
+                """.formatted(
+                        rate,
+                        TestFleet.hashOf(TestFleet.KEY),
+                        withdrawn,
+                        upstream.getAddress().getPort());
+    }
+}
--- /dev/null
+++ b/src/test/java/org/auburnhoist/host/TestFleet.java
@@ -0,0 +1,133 @@
+package org.auburnhoist.host;
+
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.function.BooleanSupplier;
+import org.auburnhoist.core.configuration.ConfigurationChunks;
+import org.auburnhoist.core.configuration.ConfigurationFile;
+import org.auburnhoist.core.configuration.ConfigurationHead;
+import org.auburnhoist.emulator.StoreEmulator;
+import org.auburnhoist.store.EtcdStore;
+import org.auburnhoist.store.ReadResult;
+import org.auburnhoist.store.Store;
+import org.auburnhoist.store.StoreKeys;
+import org.auburnhoist.store.WriteResult;
+import org.auburnhoist.support.Closer;
+
+/** Several entry hosts in one process with an emulated store, on loopback sockets. */
+final class TestFleet implements AutoCloseable {
+    static final String KEY = "members-1.secret-of-the-members";
+
+    /** Guards against hanging; no test depends on how much of it is used. */
+    private static final Duration GENEROUS = Duration.ofSeconds(60);
+
+    private final Closer closer = new Closer();
+    private final StoreEmulator storeEmulator;
+    private final Store operatorStore;
+    private final List<EntryHost> hosts = new ArrayList<>();
+    private final HttpClient callers =
+            HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+
+    TestFleet() throws Exception {
+        storeEmulator = closer.register(StoreEmulator.builder().start());
+        operatorStore = newStore();
+    }
+
+    StoreEmulator storeEmulator() {
+        return storeEmulator;
+    }
+
+    EntryHost startHost(String name) throws Exception {
+        HostSettings settings = HostSettings.builder(name, "dc-" + hosts.size() % 3)
+                .storeEndpoints(List.of(storeEmulator.address()))
+                .fleetSecret("a secret of the test fleet")
+                .addressValidity(Duration.ofMillis(200))
+                .build();
+        EntryHost host = closer.register(EntryHost.start(settings, newStore()));
+        hosts.add(host);
+        return host;
+    }
+
+    /** Applies one file as the whole configuration. */
+    void apply(String yaml) throws Exception {
+        ConfigurationFile file = ConfigurationFile.of("fleet.yaml", yaml);
+        for (ConfigurationChunks.Chunk chunk : ConfigurationChunks.split(file.content())) {
+            operatorStore
+                    .compareAndSwap(StoreKeys.CHUNKS + chunk.digest(), 0, chunk.content())
+                    .join();
+        }
+        ReadResult read = operatorStore.get(StoreKeys.CONFIGURATION).join();
+        if (!(read instanceof ReadResult.Found found)) {
+            throw new AssertionError("apply: expected Found, got " + read);
+        }
+        ConfigurationHead current = found.entries().isEmpty()
+                ? ConfigurationHead.NONE
+                : ConfigurationHead.parse(found.entries().get(0).value()).get();
+        long revision = found.entries().isEmpty() ? 0 : found.entries().get(0).revision();
+        ConfigurationHead next = current.next(
+                new ConfigurationHead.Change(
+                        current.version() + 1, "change", "test", "2026-12-04T00:00:00Z", "fleet.yaml"),
+                List.of(file),
+                java.util.Set.of());
+        WriteResult written = operatorStore
+                .compareAndSwap(StoreKeys.CONFIGURATION, revision, next.toBytes())
+                .join();
+        if (!(written instanceof WriteResult.Done)) {
+            throw new AssertionError("apply: expected Done, got " + written);
+        }
+    }
+
+    HttpResponse<String> get(EntryHost host, String path, String... headers) throws Exception {
+        return send(host, HttpRequest.newBuilder().GET(), path, headers);
+    }
+
+    HttpResponse<String> post(EntryHost host, String path, String body, String... headers) throws Exception {
+        return send(host, HttpRequest.newBuilder().POST(HttpRequest.BodyPublishers.ofString(body)), path, headers);
+    }
+
+    private HttpResponse<String> send(EntryHost host, HttpRequest.Builder request, String path, String... headers)
+            throws Exception {
+        InetSocketAddress address = host.callerAddress();
+        request.uri(URI.create("http://127.0.0.1:" + address.getPort() + path)).timeout(GENEROUS);
+        if (headers.length > 0) {
+            request.headers(headers);
+        }
+        return callers.send(request.build(), HttpResponse.BodyHandlers.ofString());
+    }
+
+    static String hashOf(String key) throws Exception {
+        String secret = key.substring(key.indexOf('.') + 1);
+        byte[] digest =
+                java.security.MessageDigest.getInstance("SHA-256").digest(secret.getBytes(StandardCharsets.UTF_8));
+        return HexFormat.of().formatHex(digest);
+    }
+
+    /** Waits until a condition holds; fails only if it never does. */
+    static void await(String what, BooleanSupplier condition) throws Exception {
+        long start = System.nanoTime();
+        while (!condition.getAsBoolean()) {
+            if (System.nanoTime() - start > GENEROUS.toNanos()) {
+                throw new AssertionError("never happened: " + what);
+            }
+            Thread.sleep(20);
+        }
+    }
+
+    private Store newStore() {
+        return closer.register(
+                EtcdStore.builder().endpoint(storeEmulator.address()).build());
+    }
+
+    @Override
+    public void close() {
+        closer.close();
+    }
+}
