Resume truncated downloads and bound small reads in memory

Cause: a download whose server fails was lost although another server could send the rest; a sender of single bytes cost one buffer for each byte; answers to HEAD lost their Content-Length. Change: a GET answer with a strong ETag continues with Range and If-Range, only if tag, start, end and total length agree. BodyPipe fills its last buffer first. A seeded test mixes faults of servers and callers and checks that each complete answer belongs to its request and each booking ran once.

--- a/src/main/java/org/auburnhoist/proxy/BodyPipe.java
+++ b/src/main/java/org/auburnhoist/proxy/BodyPipe.java
@@ -15,6 +15,8 @@
  * the sender. The buffer holds at most the window and one read buffer.
  */
 final class BodyPipe implements BodySource {
+    private static final int MIN_CHUNK_BYTES = 1024;
+
     private final int window;
     private final Deque<ByteBuffer> chunks = new ArrayDeque<>();
     private int buffered;
@@ -35,17 +37,29 @@
                 source.position(source.limit());
                 return;
             }
-            ByteBuffer copy = ByteBuffer.allocate(source.remaining());
-            copy.put(source).flip();
-            if (copy.hasRemaining()) {
-                buffered += copy.remaining();
-                chunks.add(copy);
+            buffered += source.remaining();
+            fillLastChunk(source);
+            if (source.hasRemaining()) {
+                ByteBuffer chunk = ByteBuffer.allocate(Math.max(MIN_CHUNK_BYTES, source.remaining()));
+                chunks.add(chunk.put(source).flip());
             }
             wake = writer;
         }
         wakeWriter(wake);
     }
 
+    /** A sender of single bytes must not cost one buffer for each of them. */
+    private void fillLastChunk(ByteBuffer source) {
+        ByteBuffer last = chunks.peekLast();
+        if (last == null) {
+            return;
+        }
+        int start = last.limit();
+        int count = Math.min(last.capacity() - start, source.remaining());
+        last.limit(start + count);
+        source.get(last.array(), start, count);
+    }
+
     void end() {
         DataStreamChannel wake;
         synchronized (this) {
--- a/src/main/java/org/auburnhoist/proxy/CallerExchange.java
+++ b/src/main/java/org/auburnhoist/proxy/CallerExchange.java
@@ -78,16 +78,16 @@
             refuseTooLarge();
             return;
         }
-        server.policy().admit(received, server.now()).whenComplete(this::admitted);
+        try {
+            server.policy().admit(received, server.now()).whenComplete(this::admitted);
+        } catch (RuntimeException cause) {
+            admitted(null, cause);
+        }
     }
 
     private RequestHead receivedHead(HttpRequest request, @Nullable EntityDetails entity) {
         String target = request.getPath();
         int mark = target.indexOf('?');
-        List<Map.Entry<String, String>> headers = new ArrayList<>();
-        for (Header header : request.getHeaders()) {
-            headers.add(Map.entry(header.getName(), header.getValue()));
-        }
         String remote = connection.session().getRemoteAddress() instanceof InetSocketAddress address
                 ? address.getAddress().getHostAddress()
                 : "unknown";
@@ -96,7 +96,7 @@
                 request.getMethod(),
                 mark < 0 ? target : target.substring(0, mark),
                 mark < 0 ? null : target.substring(mark + 1),
-                headers,
+                HeaderRules.entries(request.getHeaders()),
                 entity == null ? 0 : entity.getContentLength(),
                 remote);
     }
--- a/src/main/java/org/auburnhoist/proxy/ForwardedExchange.java
+++ b/src/main/java/org/auburnhoist/proxy/ForwardedExchange.java
@@ -1,6 +1,5 @@
 package org.auburnhoist.proxy;
 
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
@@ -8,7 +7,6 @@
 import java.util.Map;
 import java.util.concurrent.Future;
 import org.apache.hc.core5.http.EntityDetails;
-import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.message.BasicHttpRequest;
 import org.apache.hc.core5.http.nio.CapacityChannel;
 import org.auburnhoist.core.Refusal;
@@ -39,7 +37,7 @@
     private final Forwarding forwarding;
     private final boolean idempotent;
     private final BodyPipe answerBody = new BodyPipe(UpstreamConnectionFactory.WINDOW_BYTES);
-    private final ByteArrayOutputStream recordedBody = new ByteArrayOutputStream(0);
+    private final AnswerRecord record = new AnswerRecord();
 
     private State state = State.COLLECTING_BODY;
     private byte @Nullable [] keptBody;
@@ -54,7 +52,8 @@
     private boolean answered;
     private long firstByteNanos;
     private long lastAnswerNanos;
-    private boolean recordedBodyKept = true;
+    private @Nullable ResumableAnswer resumable;
+    private boolean resuming;
     private @Nullable Refusal brokenBody;
     private String brokenBodyDetail = "";
 
@@ -110,7 +109,7 @@
         if (state != State.CHOOSING) {
             return;
         }
-        boolean late = server.now() - forwarding.deadlineNanos() >= 0;
+        boolean late = !isInTime();
         if (chosen instanceof Forwarding.Target.ServerTarget granted) {
             if (!callerGone && brokenBody == null && !late) {
                 target = granted;
@@ -125,6 +124,8 @@
         }
         if (callerGone) {
             done();
+        } else if (resuming) {
+            breakAnswer();
         } else if (brokenBody != null) {
             refuse(brokenBody, brokenBodyDetail, -1);
         } else if (chosen instanceof Forwarding.Target.NoTarget none) {
@@ -138,40 +139,30 @@
         state = State.ATTEMPTING;
         byte[] kept = keptBody;
         BodySource body = kept == null ? caller.requestBody() : kept.length > 0 ? new KeptBody(kept) : null;
-        UpstreamAttempt started = new UpstreamAttempt(
-                this, this.server, server, newConnection, request(server), body, forwarding.deadlineNanos());
+        UpstreamAttempt started =
+                new UpstreamAttempt(this, this.server, server, newConnection, request(server), body, deadlineNanos());
         attempt = started;
         started.start();
     }
 
-    private BasicHttpRequest request(Forwarding.Target.ServerTarget server) {
-        String path = head.query() == null ? head.path() : head.path() + "?" + head.query();
-        BasicHttpRequest request = new BasicHttpRequest(head.method(), path);
-        HeaderRules.towardsUpstream(head, server.address(), this.server.settings().hostName)
-                .forEach(header -> request.addHeader(header.getKey(), header.getValue()));
-        request.setHeader(HeaderRules.REQUEST_ID, head.requestId());
-        byte[] kept = keptBody;
-        if (kept == null && head.contentLength() < 0) {
-            request.setHeader("Transfer-Encoding", "chunked");
-        } else if (kept == null || kept.length > 0 || head.header("Content-Length") != null) {
-            request.setHeader("Content-Length", Long.toString(kept == null ? head.contentLength() : kept.length));
+    private BasicHttpRequest request(Forwarding.Target.ServerTarget granted) {
+        BasicHttpRequest request =
+                UpstreamRequests.build(head, keptBody, granted.address(), server.settings().hostName);
+        if (resuming && resumable != null) {
+            resumable.addRange(request);
         }
         return request;
     }
 
-    static List<Map.Entry<String, String>> entries(Header... headers) {
-        List<Map.Entry<String, String>> result = new ArrayList<>(headers.length);
-        for (Header header : headers) {
-            result.add(Map.entry(header.getName(), header.getValue()));
-        }
-        return result;
-    }
-
     synchronized void answerHead(
             UpstreamAttempt source, int code, List<Map.Entry<String, String>> headers, @Nullable EntityDetails entity) {
         if (source != attempt || state != State.ATTEMPTING) {
             return;
         }
+        if (resuming) {
+            continueAnswer(source, code, headers, entity);
+            return;
+        }
         answered = true;
         firstByteNanos = server.now();
         lastAnswerNanos = firstByteNanos;
@@ -180,7 +171,7 @@
         answerHeaders = headers;
         if (outcome() != AttemptOutcome.SUCCESS && isRepeatable(source) && !callerGone) {
             boolean again = report(source, outcome());
-            if (again && server.now() - forwarding.deadlineNanos() < 0) {
+            if (again && isInTime()) {
                 source.abandon();
                 chooseTarget();
                 return;
@@ -191,6 +182,10 @@
     }
 
     private void passOnHead(@Nullable EntityDetails entity) {
+        Map.Entry<String, String> announcedLength = answerHeaders.stream()
+                .filter(header -> header.getKey().equalsIgnoreCase("Content-Length"))
+                .findFirst()
+                .orElse(null);
         answerHeaders = HeaderRules.endToEnd(answerHeaders);
         List<Map.Entry<String, String>> headers = new ArrayList<>(answerHeaders);
         long length;
@@ -198,23 +193,55 @@
             length = entity.getContentLength() >= 0 ? entity.getContentLength() : CallerExchange.CHUNKED;
         } else if (head.method().equals("HEAD") || status == 204 || status == 304) {
             length = CallerExchange.NO_BODY;
+            if (announcedLength != null) {
+                headers.add(announcedLength);
+            }
         } else {
             length = 0;
         }
+        resumable = isRepeatableBody() ? ResumableAnswer.of(head, status, answerHeaders, length) : null;
         committed = !callerGone && caller.commit(status, headers, length, answerBody);
         if (!committed) {
             callerLeft();
         }
     }
 
-    /** How a complete answer with the present status counts. */
-    private AttemptOutcome outcome() {
-        boolean retryAfter =
-                answerHeaders.stream().anyMatch(header -> header.getKey().equalsIgnoreCase("Retry-After"));
-        if (status == 429 || (status == 503 && retryAfter)) {
-            return AttemptOutcome.SHED;
+    /** Passes on the rest of a truncated answer, or gives up if this is anything else. */
+    private void continueAnswer(
+            UpstreamAttempt source, int code, List<Map.Entry<String, String>> headers, @Nullable EntityDetails entity) {
+        answered = true;
+        firstByteNanos = server.now();
+        lastAnswerNanos = firstByteNanos;
+        ResumableAnswer begun = resumable;
+        if (begun != null && entity != null && begun.isContinuedBy(code, headers, entity.getContentLength())) {
+            state = State.ANSWERING;
+        } else {
+            source.abandon();
+            report(source, AttemptOutcome.ABANDONED);
+            breakAnswer();
+        }
+    }
+
+    private void resumeOrBreak(boolean again) {
+        if (again && resumable != null && !callerGone) {
+            resuming = true;
+            lastAnswerNanos = server.now();
+            chooseTarget();
+        } else {
+            breakAnswer();
         }
-        return status >= 500 ? AttemptOutcome.SERVER_ERROR : AttemptOutcome.SUCCESS;
+    }
+
+    private long deadlineNanos() {
+        return resuming ? lastAnswerNanos + server.settings().answerIdleTimeout.toNanos() : forwarding.deadlineNanos();
+    }
+
+    private boolean isInTime() {
+        return server.now() - deadlineNanos() < 0;
+    }
+
+    private AttemptOutcome outcome() {
+        return UpstreamRequests.outcome(status, answerHeaders);
     }
 
     synchronized void answerData(UpstreamAttempt source, ByteBuffer data) {
@@ -224,21 +251,12 @@
         }
         lastAnswerNanos = server.now();
         if (!idempotent) {
-            record(data.duplicate());
+            record.add(data);
         }
-        answerBody.append(data);
-    }
-
-    private void record(ByteBuffer data) {
-        if (recordedBody.size() + data.remaining() > Forwarding.RECORDED_BODY_LIMIT) {
-            recordedBodyKept = false;
-            recordedBody.reset();
-        }
-        if (recordedBodyKept) {
-            byte[] bytes = new byte[data.remaining()];
-            data.get(bytes);
-            recordedBody.writeBytes(bytes);
+        if (resumable != null) {
+            resumable.received(data.remaining());
         }
+        answerBody.append(data);
     }
 
     void answerReaderWaits(UpstreamAttempt source, CapacityChannel channel) throws IOException {
@@ -251,7 +269,7 @@
         }
         report(source, outcome());
         if (!idempotent) {
-            recorded = new RecordedAnswer(status, answerHeaders, recordedBody.toByteArray(), recordedBodyKept);
+            recorded = record.complete(status, answerHeaders);
         }
         answerBody.end();
         caller.discardRequestBody();
@@ -270,7 +288,11 @@
     }
 
     private boolean isRepeatable(UpstreamAttempt source) {
-        return !source.isSent() || (idempotent && keptBody != null);
+        return !source.isSent() || isRepeatableBody();
+    }
+
+    private boolean isRepeatableBody() {
+        return idempotent && keptBody != null;
     }
 
     synchronized void attemptFailed(UpstreamAttempt source, AttemptOutcome outcome) {
@@ -279,12 +301,10 @@
         }
         everSent |= source.isSent();
         if (state == State.ANSWERING) {
-            report(source, AttemptOutcome.TRUNCATED);
-            breakAnswer();
+            resumeOrBreak(report(source, AttemptOutcome.TRUNCATED));
             return;
         }
-        boolean inTime = server.now() - forwarding.deadlineNanos() < 0;
-        boolean possible = isRepeatable(source) && !callerGone && inTime;
+        boolean possible = isRepeatable(source) && !callerGone && isInTime();
         if (possible && source.usesReusedConnection() && !freshConnectionTried && target != null) {
             // The server may have closed the idle connection just before; that says nothing about the server.
             freshConnectionTried = true;
@@ -294,6 +314,8 @@
         boolean again = report(source, outcome);
         if (possible && again) {
             chooseTarget();
+        } else if (resuming) {
+            breakAnswer();
         } else if (everSent) {
             refuse(Refusal.UPSTREAM_FAILED, "The server's connection broke before its answer.", -1);
         } else {
@@ -312,7 +334,7 @@
         UpstreamAttempt running = attempt;
         if (state == State.COLLECTING_BODY) {
             refuse(Refusal.REQUEST_TIMEOUT, "The body of the request did not arrive before the deadline.", -1);
-        } else if (state == State.ATTEMPTING && running != null) {
+        } else if (state == State.ATTEMPTING && running != null && !resuming) {
             running.abandon();
             boolean sent = running.isSent();
             everSent |= sent;
@@ -328,15 +350,15 @@
     /** Checks the idle limit between bytes of the answer; time in which the caller reads slowly does not count. */
     synchronized void checkTime(long now) {
         UpstreamAttempt running = attempt;
-        if (state != State.ANSWERING || running == null) {
+        boolean started = state == State.ANSWERING || (resuming && state == State.ATTEMPTING);
+        if (!started || running == null) {
             return;
         }
-        if (answerBody.isFull()) {
+        if (state == State.ANSWERING && answerBody.isFull()) {
             lastAnswerNanos = now;
         } else if (now - lastAnswerNanos > server.settings().answerIdleTimeout.toNanos()) {
             running.abandon();
-            report(running, AttemptOutcome.TRUNCATED);
-            breakAnswer();
+            resumeOrBreak(report(running, resuming ? AttemptOutcome.TIMEOUT : AttemptOutcome.TRUNCATED));
         }
     }
 
--- a/src/main/java/org/auburnhoist/proxy/HeaderRules.java
+++ b/src/main/java/org/auburnhoist/proxy/HeaderRules.java
@@ -6,6 +6,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
+import org.apache.hc.core5.http.Header;
 
 /** Which headers pass the proxy, and which it adds. */
 final class HeaderRules {
@@ -64,6 +65,14 @@
         return result;
     }
 
+    static List<Map.Entry<String, String>> entries(Header... headers) {
+        List<Map.Entry<String, String>> result = new ArrayList<>(headers.length);
+        for (Header header : headers) {
+            result.add(Map.entry(header.getName(), header.getValue()));
+        }
+        return result;
+    }
+
     /** Whether a comma-separated header contains a token. */
     static boolean hasToken(List<Map.Entry<String, String>> headers, String name, String token) {
         for (Map.Entry<String, String> header : headers) {
--- /dev/null
+++ b/src/main/java/org/auburnhoist/proxy/ResumableAnswer.java
@@ -0,0 +1,80 @@
+package org.auburnhoist.proxy;
+
+import java.util.List;
+import java.util.Map;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.apache.hc.core5.http.message.BasicHttpRequest;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * How far an answer has come whose rest can be fetched from another server.
+ *
+ * <p>A strong entity tag stands for the same bytes on every server, so a part with the same tag continues the answer.
+ */
+final class ResumableAnswer {
+    private static final Pattern CONTENT_RANGE = Pattern.compile("bytes ([0-9]{1,18})-([0-9]{1,18})/([0-9]{1,18})");
+
+    private final String entityTag;
+    private final long length;
+    private long received;
+
+    private ResumableAnswer(String entityTag, long length) {
+        this.entityTag = entityTag;
+        this.length = length;
+    }
+
+    /**
+     * Looks whether an answer can be resumed.
+     *
+     * @param length of the body, negative if unknown
+     * @return null if it cannot
+     */
+    static @Nullable ResumableAnswer of(
+            RequestHead request, int status, List<Map.Entry<String, String>> headers, long length) {
+        String tag = value(headers, "ETag");
+        boolean strong = tag != null && tag.length() >= 2 && tag.startsWith("\"") && tag.endsWith("\"");
+        boolean whole = request.method().equals("GET")
+                && status == 200
+                && request.header("Range") == null
+                && request.header("If-Range") == null;
+        return tag != null && strong && whole ? new ResumableAnswer(tag, length) : null;
+    }
+
+    void received(int bytes) {
+        received += bytes;
+    }
+
+    void addRange(BasicHttpRequest request) {
+        request.setHeader("Range", "bytes=" + received + "-");
+        request.setHeader("If-Range", entityTag);
+    }
+
+    /** Whether a further answer is exactly the rest of this one. */
+    boolean isContinuedBy(int status, List<Map.Entry<String, String>> headers, long partLength) {
+        String range = value(headers, "Content-Range");
+        if (status != 206 || range == null || !entityTag.equals(value(headers, "ETag"))) {
+            return false;
+        }
+        Matcher matcher = CONTENT_RANGE.matcher(range);
+        if (!matcher.matches()) {
+            return false;
+        }
+        long first = Long.parseLong(matcher.group(1));
+        long last = Long.parseLong(matcher.group(2));
+        long total = Long.parseLong(matcher.group(3));
+        return first == received
+                && last == total - 1
+                && (length < 0 || length == total)
+                && partLength == total - received;
+    }
+
+    private static @Nullable String value(List<Map.Entry<String, String>> headers, String name) {
+        for (Map.Entry<String, String> header : headers) {
+            if (header.getKey().equalsIgnoreCase(name)) {
+                return header.getValue();
+            }
+        }
+        return null;
+    }
+}
--- a/src/main/java/org/auburnhoist/proxy/UpstreamAttempt.java
+++ b/src/main/java/org/auburnhoist/proxy/UpstreamAttempt.java
@@ -161,7 +161,7 @@
     @Override
     public void consumeResponse(HttpResponse response, @Nullable EntityDetails entity, HttpContext context) {
         headReceived = true;
-        List<Map.Entry<String, String>> headers = ForwardedExchange.entries(response.getHeaders());
+        List<Map.Entry<String, String>> headers = HeaderRules.entries(response.getHeaders());
         keepAlive = requestComplete
                 && response.getVersion().greaterEquals(HttpVersion.HTTP_1_1)
                 && !HeaderRules.hasToken(headers, "Connection", "close");
--- /dev/null
+++ b/src/main/java/org/auburnhoist/proxy/UpstreamRequests.java
@@ -0,0 +1,44 @@
+package org.auburnhoist.proxy;
+
+import java.util.List;
+import java.util.Map;
+import org.apache.hc.core5.http.message.BasicHttpRequest;
+import org.auburnhoist.core.message.AttemptOutcome;
+import org.jspecify.annotations.Nullable;
+
+/** Builds the requests that go to upstream servers, and classifies the answers. */
+final class UpstreamRequests {
+    private UpstreamRequests() {}
+
+    /**
+     * Builds the head of one attempt.
+     *
+     * @param keptBody the whole body, or null if the body is streamed
+     * @param address the server's IP address and port
+     * @param hostName name in the {@code Via} header
+     */
+    static BasicHttpRequest build(RequestHead head, byte @Nullable [] keptBody, String address, String hostName) {
+        String path = head.query() == null ? head.path() : head.path() + "?" + head.query();
+        BasicHttpRequest request = new BasicHttpRequest(head.method(), path);
+        HeaderRules.towardsUpstream(head, address, hostName)
+                .forEach(header -> request.addHeader(header.getKey(), header.getValue()));
+        request.setHeader(HeaderRules.REQUEST_ID, head.requestId());
+        if (keptBody == null && head.contentLength() < 0) {
+            request.setHeader("Transfer-Encoding", "chunked");
+        } else if (keptBody == null) {
+            request.setHeader("Content-Length", Long.toString(head.contentLength()));
+        } else if (keptBody.length > 0 || head.header("Content-Length") != null) {
+            request.setHeader("Content-Length", Integer.toString(keptBody.length));
+        }
+        return request;
+    }
+
+    /** How a complete answer counts for its server. */
+    static AttemptOutcome outcome(int status, List<Map.Entry<String, String>> headers) {
+        boolean retryAfter = headers.stream().anyMatch(header -> header.getKey().equalsIgnoreCase("Retry-After"));
+        if (status == 429 || (status == 503 && retryAfter)) {
+            return AttemptOutcome.SHED;
+        }
+        return status >= 500 ? AttemptOutcome.SERVER_ERROR : AttemptOutcome.SUCCESS;
+    }
+}
--- /dev/null
+++ b/src/test/java/org/auburnhoist/proxy/CrossedAnswersTest.java
@@ -0,0 +1,127 @@
+package org.auburnhoist.proxy;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.auburnhoist.core.TrafficClass;
+import org.auburnhoist.core.message.AttemptOutcome;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** Mixes faults of servers and callers on shared connections. */
+@Timeout(120)
+class CrossedAnswersTest {
+    private static final int CALLERS = 8;
+    private static final int REQUESTS = 150;
+    private static final long SEED = 20261204;
+
+    private final List<TestForwarding> forwardings = new CopyOnWriteArrayList<>();
+    private final ConcurrentHashMap<String, AtomicInteger> bookingRuns = new ConcurrentHashMap<>();
+
+    /** Guards against answers that reach another request, and bookings that run twice, when faults coincide. */
+    @Test
+    void everyCompleteAnswerBelongsToItsRequest() throws Exception {
+        try (RawUpstream one = new RawUpstream(this::serve);
+                RawUpstream two = new RawUpstream(this::serve)) {
+            ProxyServer proxy = ProxyServer.start(ProxySettings.builder().build(), (head, now) -> {
+                boolean booking = head.method().equals("POST");
+                TestForwarding forwarding = new TestForwarding(
+                        booking ? TrafficClass.BOOKING : TrafficClass.LOOKUP,
+                        Duration.ofMillis(300),
+                        one.address(),
+                        two.address());
+                forwardings.add(forwarding.connectionLimit(3));
+                return CompletableFuture.completedFuture(new Admission.Forwarded(forwarding));
+            });
+            var executor = Executors.newFixedThreadPool(CALLERS);
+            List<Future<Integer>> results = new ArrayList<>();
+            for (int caller = 0; caller < CALLERS; caller++) {
+                int number = caller;
+                results.add(executor.submit(() -> call(proxy, number)));
+            }
+            int complete = 0;
+            for (Future<Integer> result : results) {
+                complete += result.get(100, TimeUnit.SECONDS);
+            }
+            executor.shutdown();
+            assertTrue(proxy.close(Duration.ofSeconds(60)));
+            assertTrue(complete > CALLERS * REQUESTS / 2, "complete answers: " + complete);
+            for (TestForwarding forwarding : forwardings) {
+                forwarding.awaitFinish();
+                assertTrue(forwarding.attempts.stream()
+                        .noneMatch(attempt -> attempt.outcome() == AttemptOutcome.CONNECT_FAILED));
+            }
+            bookingRuns.forEach((path, runs) -> assertEquals(1, runs.get(), path));
+        }
+    }
+
+    private int call(ProxyServer proxy, int number) throws IOException {
+        Random random = new Random(SEED + number);
+        int complete = 0;
+        RawConnection connection = RawConnection.to(proxy.address());
+        for (int count = 0; count < REQUESTS; count++) {
+            String path = "/" + number + "/" + count + "/" + random.nextInt(100);
+            String method = random.nextInt(3) == 0 ? "POST " : "GET ";
+            try {
+                connection.send(method + path + " HTTP/1.1\r\nHost: fleet\r\nX-Path: " + path + "\r\n\r\n");
+                if (random.nextInt(20) == 0) {
+                    throw new IOException("this caller leaves");
+                }
+                String answer = connection.readMessage();
+                if (answer.startsWith("HTTP/1.1 200")) {
+                    assertTrue(answer.endsWith("\r\n\r\n" + path), answer + " for " + path);
+                    complete++;
+                }
+            } catch (IOException broken) {
+                connection.reset();
+                connection = RawConnection.to(proxy.address());
+            }
+        }
+        connection.close();
+        return complete;
+    }
+
+    private void serve(RawConnection connection, int number) throws Exception {
+        String head;
+        while ((head = connection.readHead()) != null) {
+            String path = RawConnection.header(head, "X-Path");
+            if (head.startsWith("POST")) {
+                bookingRuns.computeIfAbsent(path, key -> new AtomicInteger()).incrementAndGet();
+            }
+            String answer = "HTTP/1.1 200 OK\r\nContent-Length: " + path.length() + "\r\n\r\n" + path;
+            int fault = Integer.parseInt(path.substring(path.lastIndexOf('/') + 1));
+            if (fault < 5) {
+                return;
+            } else if (fault < 10) {
+                connection.send(answer + answer);
+            } else if (fault < 15) {
+                connection.send(answer.substring(0, answer.length() - 1));
+                connection.reset();
+            } else if (fault == 15) {
+                // Returns when the proxy gives up at the deadline, or with the next request if it does not.
+                connection.read();
+                connection.send(answer);
+            } else if (fault < 20) {
+                connection.send(answer);
+                return;
+            } else if (fault < 25) {
+                connection.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + path.length() + "\r\n");
+                connection.reset();
+            } else {
+                connection.send(answer);
+            }
+        }
+    }
+}
--- a/src/test/java/org/auburnhoist/proxy/ProxyServerTest.java
+++ b/src/test/java/org/auburnhoist/proxy/ProxyServerTest.java
@@ -351,6 +351,73 @@
         }
     }
 
+    /** Guards against a download that is lost, or joined from different contents, when its server fails. */
+    @Test
+    void truncatedDownloadResumesOnlyWithTheSameContent() throws Exception {
+        String begin = "HTTP/1.1 200 OK\r\nETag: \"v1\"\r\nContent-Length: 10\r\n\r\n01234";
+        String rest = "HTTP/1.1 206 Partial\r\nETag: \"v1\"\r\nContent-Range: bytes 5-9/10\r\n"
+                + "Content-Length: 5\r\n\r\n56789";
+        List<String> others = List.of(
+                rest.replace("v1", "v2"),
+                rest.replace("5-9/10", "4-8/10"),
+                rest.replace("5-9/10", "5-9/11"),
+                begin + "56789",
+                "HTTP/1.1 416 No\r\nContent-Length: 0\r\n\r\n");
+        try (RawUpstream truncating = new RawUpstream((connection, number) -> {
+                    connection.readHead();
+                    connection.send(begin);
+                });
+                RawUpstream second = RawUpstream.answering(rest)) {
+            TestForwarding forwarding = TestForwarding.lookup(truncating.address(), second.address());
+            try (RawConnection caller = start(forwarding(forwarding))) {
+                assertTrue(caller.send(GET).readMessage().endsWith("\r\n\r\n0123456789"));
+                assertEquals("bytes=5-", RawConnection.header(second.heads.get(0), "Range"));
+                assertEquals("\"v1\"", RawConnection.header(second.heads.get(0), "If-Range"));
+                assertEquals(new TestForwarding.Finish(200, null, null, true), forwarding.awaitFinish());
+            }
+            proxy.close();
+            for (String other : others) {
+                try (RawUpstream different = RawUpstream.answering(other);
+                        RawConnection caller = start(lookups(truncating.address(), different.address()))) {
+                    caller.send(GET);
+                    assertThrows(IOException.class, caller::readMessage, other);
+                }
+                proxy.close();
+            }
+        }
+    }
+
+    /** Guards against a lost answer when the server refuses a body before it has read it. */
+    @Test
+    void passesOnAnAnswerThatComesBeforeTheEndOfTheBody() throws Exception {
+        upstream = new RawUpstream((connection, number) -> {
+            upstream.readHead(connection);
+            connection.send("HTTP/1.1 403 No\r\nContent-Length: 2\r\n\r\nno");
+            connection.read();
+        });
+        try (RawConnection caller = start(lookups(upstream.address()))) {
+            caller.send("POST /a HTTP/1.1\r\nHost: fleet\r\nContent-Length: 10000000\r\n\r\n");
+            caller.send(new byte[200_000]);
+            String answer = caller.readMessage();
+            assertTrue(answer.startsWith("HTTP/1.1 403") && answer.endsWith("no"), answer);
+            assertEquals("close", RawConnection.header(answer, "Connection"));
+        }
+    }
+
+    /** Guards against a caller that waits for the body of an answer that has none. */
+    @Test
+    void passesOnAnswersWithoutBody() throws Exception {
+        upstream = RawUpstream.answering("HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\n");
+        try (RawConnection caller = start(lookups(upstream.address()))) {
+            for (int count = 0; count < 3; count++) {
+                String head =
+                        caller.send("HEAD /a HTTP/1.1\r\nHost: fleet\r\n\r\n").readHead();
+                assertEquals("7", RawConnection.header(head, "Content-Length"));
+            }
+            assertEquals(1, upstream.connections.get());
+        }
+    }
+
     /** Guards against an answer whose framing could be read in two ways. */
     @Test
     void refusesAmbiguousAnswers() throws Exception {
--- a/src/test/java/org/auburnhoist/proxy/RawConnection.java
+++ b/src/test/java/org/auburnhoist/proxy/RawConnection.java
@@ -40,17 +40,19 @@
     /** Reads up to and including the empty line; null at the end of the stream. */
     String readHead() throws IOException {
         ByteArrayOutputStream head = new ByteArrayOutputStream();
-        while (!head.toString(StandardCharsets.ISO_8859_1).endsWith("\r\n\r\n")) {
-            int value = input.read();
-            if (value < 0) {
-                if (head.size() == 0) {
-                    return null;
-                }
-                throw new EOFException("within a head");
-            }
+        int lineLength = 0;
+        int value;
+        while ((value = input.read()) >= 0) {
             head.write(value);
+            if (value == '\n' && lineLength == 0) {
+                return head.toString(StandardCharsets.ISO_8859_1);
+            }
+            lineLength = value == '\n' ? 0 : value == '\r' ? lineLength : lineLength + 1;
+        }
+        if (head.size() > 0) {
+            throw new EOFException("within a head");
         }
-        return head.toString(StandardCharsets.ISO_8859_1);
+        return null;
     }
 
     byte[] readBytes(int count) throws IOException {
