Check freshness, ownership and limits on simulated fleets

Change: a simulated network with losses, one-way cuts, pauses, restarts, a store that fails and clocks with 5% rate error drives several hosts' logic. Properties check that a shard has one granting host, that fresh hosts have what was settled, and that tokens stay within rate and burst. Returned tokens count only while the owner still holds them as outstanding.

--- a/src/main/java/org/auburnhoist/core/limit/Bucket.java
+++ b/src/main/java/org/auburnhoist/core/limit/Bucket.java
@@ -77,12 +77,13 @@
     }
 
     /** Takes back tokens granted ahead; more than are outstanding are ignored, since their time is over. */
-    void giveBack(int count) {
+    int giveBack(int count) {
         int accepted = Math.min(count, ahead());
         int fromBefore = Math.min(accepted, aheadBefore);
         aheadBefore -= fromBefore;
         aheadNow -= accepted - fromBefore;
         level += accepted;
+        return accepted;
     }
 
     /** Counts tokens granted ahead by a former owner. */
--- a/src/main/java/org/auburnhoist/core/limit/LimitSettings.java
+++ b/src/main/java/org/auburnhoist/core/limit/LimitSettings.java
@@ -35,8 +35,18 @@
         return ratePerSecond * (1 - clockRateError);
     }
 
-    /** Returns the reserve lifetime as the owner counts it: its clock may be fast and that of the other host slow. */
+    /**
+     * Returns for how long the owner counts tokens granted ahead: half a lifetime longer than the other host may spend
+     * them, so that tokens returned at the end still find their count. The owner's clock may be fast and that of the
+     * other host slow.
+     */
     long ownerAheadNanos() {
-        return (long) Math.ceil(reserveLifetime.toNanos() * (1 + clockRateError) * (1 + clockRateError));
+        double stretch = (1 + clockRateError) * (1 + clockRateError);
+        return (long) Math.ceil((reserveLifetime.toNanos() + returnNanos()) * stretch);
+    }
+
+    /** Returns the time after the reserve lifetime in which unspent tokens may still be returned and arrive. */
+    long returnNanos() {
+        return reserveLifetime.toNanos() / 2;
     }
 }
--- a/src/main/java/org/auburnhoist/core/limit/TokenBuckets.java
+++ b/src/main/java/org/auburnhoist/core/limit/TokenBuckets.java
@@ -78,17 +78,21 @@
         return new TokenAnswer(true, granted, granted > 0 ? 0 : bucket.millisUntilToken(settings));
     }
 
-    /** Takes back tokens that another host did not use. Returns that come after the tokens' lifetime are ignored. */
-    public void giveBack(TokenReturn returned, long nowNanos) {
+    /**
+     * Takes back tokens that another host did not use.
+     *
+     * @return the number taken back; tokens that come after their lifetime are ignored
+     */
+    public int giveBack(TokenReturn returned, long nowNanos) {
         @Nullable Team team = teams.get(returned.team());
         if (team == null || isMalformed(returned.bucket(), returned.count())) {
-            return;
+            return 0;
         }
         int shard = TeamBuckets.shard(returned.team(), returned.bucket(), view.shardCount());
         @Nullable ShardLevels levels = grantedLevels(shard, nowNanos);
-        if (levels != null) {
-            levels.bucket(team, returned.bucket(), nowNanos, settings).giveBack(returned.count());
-        }
+        return levels == null
+                ? 0
+                : levels.bucket(team, returned.bucket(), nowNanos, settings).giveBack(returned.count());
     }
 
     /** Forgets buckets that are full again. To be called every few seconds. */
--- a/src/main/java/org/auburnhoist/core/limit/TokenReserves.java
+++ b/src/main/java/org/auburnhoist/core/limit/TokenReserves.java
@@ -131,8 +131,10 @@
         List<ReturnToOwner> result = new ArrayList<>();
         states.forEach((team, state) -> {
             if (state.reserve.isExpired(nowNanos)) {
+                // The owner may have stopped counting tokens that come back later, and would take them for others.
+                boolean inTime = !state.reserve.isExpired(nowNanos - settings.returnNanos() / 2);
                 int count = state.reserve.takeAll();
-                if (count > 0 && state.reserveOwner != null) {
+                if (inTime && count > 0 && state.reserveOwner != null) {
                     result.add(
                             new ReturnToOwner(state.reserveOwner, new TokenReturn(team, state.reserveBucket, count)));
                 }
--- /dev/null
+++ b/src/main/java/org/auburnhoist/load/package-info.java
@@ -0,0 +1,5 @@
+/** Load generation and experiments. */
+@NullMarked
+package org.auburnhoist.load;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/src/test/java/org/auburnhoist/simulation/FleetControl.java
@@ -0,0 +1,129 @@
+package org.auburnhoist.simulation;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.IntStream;
+import org.auburnhoist.core.HostId;
+
+/** The part of a simulated fleet that scenarios use. */
+public final class FleetControl {
+    private final SimulatedFleet fleet;
+    private final List<HostId> firstIncarnations = new ArrayList<>();
+
+    /** Starts a fleet whose hosts join at once. */
+    public FleetControl(long seed, int count) {
+        fleet = new SimulatedFleet(seed, count);
+        for (SimulatedHost host : fleet.hosts) {
+            firstIncarnations.add(host.id);
+        }
+    }
+
+    /** Returns the number of hosts. */
+    public int size() {
+        return fleet.hosts.length;
+    }
+
+    /** Lets simulated time pass. */
+    public void run(double seconds) {
+        fleet.run(seconds);
+    }
+
+    /** Stops a host's processing for a time. */
+    public void pause(int host, double seconds) {
+        fleet.hosts[host].pausedUntil = fleet.time + seconds;
+    }
+
+    /** Runs until just before a paused host handles its first message. */
+    public void runUntilResumed(int host) {
+        fleet.run(fleet.hosts[host].pausedUntil - fleet.time - 2 * SimulatedFleet.STEP);
+    }
+
+    /** Returns the numbers of the other hosts. */
+    public List<Integer> allBut(List<Integer> excluded) {
+        return IntStream.range(0, size())
+                .filter(host -> !excluded.contains(host))
+                .boxed()
+                .toList();
+    }
+
+    /** Cuts the connections between two groups, in both directions. */
+    public void cutBetween(List<Integer> first, List<Integer> second) {
+        for (int one : first) {
+            for (int other : second) {
+                fleet.cut[one][other] = true;
+                fleet.cut[other][one] = true;
+            }
+        }
+    }
+
+    /** Cuts a host off from the store. */
+    public void cutFromStore(int host) {
+        fleet.cutFromStore[host] = true;
+    }
+
+    /** Makes the store fail all calls. */
+    public void storeAway() {
+        fleet.store.available = false;
+    }
+
+    /** Writes a new configuration version with the same teams. */
+    public void changeConfiguration() {
+        FakeStore.Configuration before = fleet.store.configuration;
+        fleet.store.configuration = new FakeStore.Configuration(before.version() + 1, before.teams());
+    }
+
+    /** Starts another incarnation in place of a host. */
+    public void replace(int host) {
+        fleet.start(host, fleet.random.nextLong());
+    }
+
+    /** Begins a planned stop. */
+    public void markLeaving(int host) {
+        fleet.hosts[host].stopping = true;
+        fleet.store.compareAndSwap(fleet.store.roster.version(), fleet.store.roster.markLeaving(fleet.hosts[host].id));
+    }
+
+    /** Whether a host may decide now. */
+    public boolean isFresh(int host) {
+        return fleet.isFresh(host);
+    }
+
+    /** Whether a host holds the configuration that the store holds. */
+    public boolean hasNewestConfiguration(int host) {
+        return fleet.hosts[host].configuration.version() == fleet.store.configuration.version();
+    }
+
+    /** Returns the findings of the checks that run at each step. */
+    public List<String> violations() {
+        return List.copyOf(fleet.violations);
+    }
+
+    /** Returns the largest number of tokens above burst + rate x time over all windows and teams. */
+    public double worstExcess() {
+        return Math.max(fleet.granted.worstExcess, fleet.used.worstExcess);
+    }
+
+    /** Returns the number of tokens that a team has used so far. */
+    public long usedTokens(String team) {
+        return fleet.used.total(team);
+    }
+
+    /** Returns a team's rate. */
+    public double ratePerSecond(String team) {
+        return SimulatedFleet.TEAMS.get(team).ratePerSecond();
+    }
+
+    /** Whether the store's roster gives shards to the host as it was first started. */
+    public boolean firstIncarnationOwnsShards(int host) {
+        return fleet.store.roster.shards().stream()
+                .anyMatch(shard -> shard.owner().equals(firstIncarnations.get(host)));
+    }
+
+    /** Returns the shards from which no running host grants. */
+    public List<Integer> shardsWithoutGrantingHost() {
+        return IntStream.range(0, fleet.store.roster.shards().size())
+                .filter(shard -> fleet.grantingHosts(shard) == 0)
+                .boxed()
+                .toList();
+    }
+}
--- /dev/null
+++ b/src/test/java/org/auburnhoist/simulation/FleetPropertiesTest.java
@@ -0,0 +1,40 @@
+package org.auburnhoist.simulation;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+
+/** Runs generated fault schedules against the decision logic of several hosts. */
+class FleetPropertiesTest {
+    /** Guards against two owners at once and against fresh hosts that miss a settled change. */
+    @Property(tries = 60, seed = "3141592653589793238")
+    void shardsHaveOneGrantingHostAndFreshHostsHaveSettledVersions(
+            @ForAll long seed, @ForAll @IntRange(min = 3, max = 6) int count) {
+        SimulatedFleet fleet = new SimulatedFleet(seed, count);
+        new Faults(fleet).run(100);
+        assertEquals(List.of(), fleet.violations.stream().limit(3).toList());
+    }
+
+    /** Guards against second bursts, double grants and reserves that add up to more than the burst. */
+    @Property(tries = 60, seed = "2718281828459045235")
+    void teamsNeverGetMoreThanRateAndBurst(@ForAll long seed, @ForAll @IntRange(min = 3, max = 6) int count) {
+        SimulatedFleet fleet = new SimulatedFleet(seed, count);
+        new Faults(fleet).run(100);
+        assertTrue(fleet.granted.worstExcess <= 1e-6, "granted " + fleet.granted.worstExcess + " above the limits");
+        assertTrue(fleet.used.worstExcess <= 1e-6, "used " + fleet.used.worstExcess + " above the limits");
+    }
+
+    /** Guards against limits that hold only because nothing is granted. */
+    @Property(tries = 5, seed = "1618033988749894848")
+    void mostOfTheRateIsGrantedWithoutFaults(@ForAll long seed) {
+        SimulatedFleet fleet = new SimulatedFleet(seed, 5);
+        fleet.run(30);
+        long before = fleet.used.total;
+        fleet.run(30);
+        assertTrue(fleet.used.total - before > 30 * 60 * 0.7, "used " + (fleet.used.total - before) + " tokens");
+    }
+}
--- /dev/null
+++ b/src/test/java/org/auburnhoist/simulation/Ledger.java
@@ -0,0 +1,38 @@
+package org.auburnhoist.simulation;
+
+import java.util.HashMap;
+import java.util.Map;
+import org.auburnhoist.core.configuration.Team;
+
+/** Watches over all windows of time that a team's tokens stay within burst + rate x time. */
+final class Ledger {
+    private final Map<String, Window> windows = new HashMap<>();
+    private final Map<String, Team> limits;
+    double worstExcess = Double.NEGATIVE_INFINITY;
+    long total;
+
+    Ledger(Map<String, Team> limits) {
+        this.limits = limits;
+    }
+
+    void add(String team, int count, double trueSeconds) {
+        Window window = windows.computeIfAbsent(team, name -> new Window());
+        Team limit = limits.get(team);
+        double leaked = limit.ratePerSecond() * (trueSeconds - window.at);
+        window.used = Math.max(0, window.used - leaked) + count;
+        window.at = trueSeconds;
+        worstExcess = Math.max(worstExcess, window.used - limit.burst());
+        total += count;
+        window.total += count;
+    }
+
+    long total(String team) {
+        return windows.containsKey(team) ? windows.get(team).total : 0;
+    }
+
+    private static final class Window {
+        long total;
+        double used;
+        double at;
+    }
+}
