--- a/src/main/java/org/auburnhoist/load/package-info.java
+++ b/src/main/java/org/auburnhoist/load/package-info.java
@@ -1,4 +1,4 @@
-/** Load generation, experiments and reports. */
+/** Local fleets, load, experiments and measurements. */
 @NullMarked
 package org.auburnhoist.load;
 
