--- a/src/main/java/org/auburnhoist/cli/KeysWithdrawCommand.java
+++ b/src/main/java/org/auburnhoist/cli/KeysWithdrawCommand.java
@@ -52,11 +52,16 @@
     public ExitCode run(Settings settings, CommandContext context) {
         return edit(settings, context)
                 .map(file -> settings.find(CommonSettings.STORE).isPresent()
-                        ? ConfigurationChange.apply(settings, context, List.of(file), Set.of())
-                        : advise(context))
+                        ? apply(file, settings, context)
+                        : advise(ExitCode.DONE, context))
                 .getOrElseGet(failure -> failure.report(context));
     }
 
+    private static ExitCode apply(ConfigurationFile file, Settings settings, CommandContext context) {
+        ExitCode code = ConfigurationChange.apply(settings, context, List.of(file), Set.of());
+        return code == ExitCode.DONE ? code : advise(code, context);
+    }
+
     private static Either<Failure, ConfigurationFile> edit(Settings settings, CommandContext context) {
         Path path = settings.get(FILE);
         return LocalFiles.read(context, path.toString())
@@ -74,8 +79,8 @@
         return result.peek(file -> context.out().println(path + ": key marked as withdrawn"));
     }
 
-    private static ExitCode advise(CommandContext context) {
-        context.err().println("The key stays valid until the file is applied.");
-        return ExitCode.DONE;
+    private static ExitCode advise(ExitCode code, CommandContext context) {
+        context.err().println("The file on disk has the change. The key stays valid until the file is applied.");
+        return code;
     }
 }
--- a/src/test/java/org/auburnhoist/cli/ChangeCommandsTest.java
+++ b/src/test/java/org/auburnhoist/cli/ChangeCommandsTest.java
@@ -150,6 +150,10 @@
         assertEquals(issued, run.text("fleet.yaml").replace("    withdrawn: true\n", ""));
         run.run("show fleet.yaml");
         assertTrue(run.out().contains("withdrawn: true"));
+        run.file("fleet.yaml", issued);
+        String withdraw = "keys withdraw --key " + id + " --file fleet.yaml --store 127.0.0.1:2379 --expect-version 1";
+        assertEquals(ExitCode.REFUSED, run.run(withdraw));
+        assertTrue(run.err().contains("stays valid until the file is applied"), run.err());
         assertEquals(ExitCode.REFUSED, run.run("keys withdraw --key other --file fleet.yaml"));
     }
 }
