Parse only changed files again

Change: ConfigurationReader.readChanged keeps the parsed files of the previous call. References are not checked while a file is unreadable, so that one fault does not cause a finding for each reference.

--- a/src/main/java/org/auburnhoist/core/configuration/ConfigurationReader.java
+++ b/src/main/java/org/auburnhoist/core/configuration/ConfigurationReader.java
@@ -1,15 +1,15 @@
 package org.auburnhoist.core.configuration;
 
 import io.vavr.control.Either;
-import java.nio.ByteBuffer;
-import java.nio.charset.CharacterCodingException;
-import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.regex.Pattern;
-import org.jspecify.annotations.Nullable;
 
 /**
  * Reads a set of YAML files into a configuration, or reports all of their faults together.
@@ -31,10 +31,7 @@
 
     private static final Pattern FILE_NAME = Pattern.compile("[A-Za-z0-9][A-Za-z0-9._-]{0,98}\\.ya?ml");
 
-    private final FindingCollector findings = new FindingCollector();
-    private final Sections sections = Sections.empty();
-
-    private ConfigurationReader() {}
+    private Map<String, ParsedFile> known = Map.of();
 
     /**
      * Reads all files of a configuration.
@@ -44,22 +41,51 @@
      * @return the configuration, or all findings in the order of files and lines
      */
     public static Either<List<Finding>, FleetConfiguration> read(long version, Collection<ConfigurationFile> files) {
-        ConfigurationReader reader = new ConfigurationReader();
-        if (reader.acceptsSizes(files)) {
-            files.forEach(reader::readFile);
-            new CrossChecks(reader.sections, reader.findings).run();
+        return new ConfigurationReader().readChanged(version, files);
+    }
+
+    /**
+     * Reads all files of a configuration and parses only those that differ from the previous call, because parsing
+     * takes nearly all of the time. Not safe for use by several threads.
+     *
+     * @param version the version that the configuration gets
+     * @param files all files, in any order
+     * @return as {@link #read}
+     */
+    public Either<List<Finding>, FleetConfiguration> readChanged(long version, Collection<ConfigurationFile> files) {
+        FindingCollector findings = new FindingCollector();
+        if (!acceptsSizes(files, findings)) {
+            return Either.left(findings.sorted());
+        }
+        Sections sections = Sections.empty();
+        Map<String, ParsedFile> parsed = new HashMap<>();
+        for (ConfigurationFile file : inOrder(files)) {
+            String identity = file.name() + " " + Sha256.hex(file.content());
+            ParsedFile before = known.get(identity);
+            ParsedFile current = before == null ? ParsedFile.parse(file) : before;
+            parsed.put(identity, current);
+            findings.addAll(current.findings());
+            sections.merge(current.sections(), findings);
         }
-        return reader.findings.isEmpty()
-                ? Either.right(reader.sections.toConfiguration(version))
-                : Either.left(reader.findings.sorted());
+        known = parsed;
+        if (parsed.values().stream().allMatch(ParsedFile::whole)) {
+            new CrossChecks(sections, findings).run();
+        }
+        return findings.isEmpty() ? Either.right(sections.toConfiguration(version)) : Either.left(findings.sorted());
     }
 
-    private boolean acceptsSizes(Collection<ConfigurationFile> files) {
+    private static List<ConfigurationFile> inOrder(Collection<ConfigurationFile> files) {
+        List<ConfigurationFile> ordered = new ArrayList<>(files);
+        ordered.sort(Comparator.comparing(ConfigurationFile::name));
+        return ordered;
+    }
+
+    private static boolean acceptsSizes(Collection<ConfigurationFile> files, FindingCollector findings) {
         long total = 0;
         Set<String> names = new HashSet<>();
         for (ConfigurationFile file : files) {
             total += file.content().length;
-            checkFile(file, names);
+            checkFile(file, names, findings);
         }
         if (files.size() > MAXIMUM_FILES) {
             findings.addForFile("all files", "at most " + MAXIMUM_FILES + " files", files.size() + " files");
@@ -70,7 +96,7 @@
         return findings.isEmpty();
     }
 
-    private void checkFile(ConfigurationFile file, Set<String> names) {
+    private static void checkFile(ConfigurationFile file, Set<String> names, FindingCollector findings) {
         if (!FILE_NAME.matcher(file.name()).matches()) {
             String expected = "a file name of letters, digits, dots, hyphens and underscores that ends with .yaml";
             findings.addForFile(file.name(), expected, FindingCollector.excerptText(file.name()));
@@ -83,36 +109,4 @@
                     file.name(), "at most " + MAXIMUM_FILE_BYTES + " bytes", file.content().length + " bytes");
         }
     }
-
-    private void readFile(ConfigurationFile file) {
-        String text = decode(file);
-        YamlNode document = text == null ? null : YamlParser.parse(file.name(), text, findings);
-        if (document == null) {
-            return;
-        }
-        Place place = new Place(file.name(), document.line(), document.column(), "");
-        if (!(document instanceof YamlNode.Mapping mapping)) {
-            findings.add(place, "a mapping with the sections of a file", FindingCollector.excerpt(document));
-            return;
-        }
-        Fields fields = new Fields(mapping, place, Sections.NAMES, findings);
-        for (String name : List.of("teams", "keys", "services", "routes")) {
-            YamlNode section = fields.has(name) ? fields.node(name, "a section") : null;
-            if (section != null) {
-                sections.named(name).read(section, place.within(section, name), findings);
-            }
-        }
-    }
-
-    private @Nullable String decode(ConfigurationFile file) {
-        try {
-            return StandardCharsets.UTF_8
-                    .newDecoder()
-                    .decode(ByteBuffer.wrap(file.content()))
-                    .toString();
-        } catch (CharacterCodingException invalid) {
-            findings.addForFile(file.name(), "UTF-8 text", "bytes that are not UTF-8");
-            return null;
-        }
-    }
 }
--- a/src/main/java/org/auburnhoist/core/configuration/FindingCollector.java
+++ b/src/main/java/org/auburnhoist/core/configuration/FindingCollector.java
@@ -24,6 +24,10 @@
         add(new Place(safe(file), 0, 0, ""), expected, found);
     }
 
+    void addAll(List<Finding> others) {
+        others.stream().limit(MAXIMUM_FINDINGS - findings.size()).forEach(findings::add);
+    }
+
     boolean isEmpty() {
         return findings.isEmpty();
     }
--- a/src/main/java/org/auburnhoist/core/configuration/Section.java
+++ b/src/main/java/org/auburnhoist/core/configuration/Section.java
@@ -6,7 +6,7 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * The declarations of one kind from all files. A name with findings about its value stays declared, so that references
+ * The declarations of one kind. A name with findings about its value stays declared, so that references
  * to it cause no further findings.
  */
 final class Section<T> {
@@ -34,7 +34,7 @@
         this.reader = reader;
     }
 
-    /** Reads a mapping from names to declarations and adds them to those of other files. */
+    /** Reads a mapping from names to declarations and adds them. */
     void read(YamlNode node, Place place, FindingCollector findings) {
         if (!(node instanceof YamlNode.Mapping mapping)) {
             findings.add(place, "a mapping with a name for each " + kind, FindingCollector.excerpt(node));
@@ -52,11 +52,8 @@
             return;
         }
         Place place = sectionPlace.within(field.name(), name);
-        Declared<T> earlier = declarations.get(name);
-        if (earlier != null) {
-            String found = "a second " + kind + " of this name; the first is at "
-                    + earlier.place().reference();
-            findings.add(place, "each " + kind + " once", found);
+        if (declarations.containsKey(name)) {
+            reportDuplicate(name, place, findings);
             return;
         }
         T value = null;
@@ -68,6 +65,22 @@
         declarations.put(name, new Declared<>(place, value));
     }
 
+    /** Adds the declarations of the same section of another file. */
+    void merge(Section<T> other, FindingCollector findings) {
+        other.declarations.forEach((name, declared) -> {
+            if (declarations.putIfAbsent(name, declared) != null) {
+                reportDuplicate(name, declared.place(), findings);
+            }
+        });
+    }
+
+    private void reportDuplicate(String name, Place place, FindingCollector findings) {
+        Declared<T> earlier = declarations.get(name);
+        String first =
+                earlier == null ? "" : "; the first is at " + earlier.place().reference();
+        findings.add(place, "each " + kind + " once", "a second " + kind + " of this name" + first);
+    }
+
     boolean declares(String name) {
         return declarations.containsKey(name);
     }
--- a/src/main/java/org/auburnhoist/core/configuration/Sections.java
+++ b/src/main/java/org/auburnhoist/core/configuration/Sections.java
@@ -33,6 +33,14 @@
         };
     }
 
+    /** Adds the declarations of another file. */
+    void merge(Sections other, FindingCollector findings) {
+        teams.merge(other.teams, findings);
+        keys.merge(other.keys, findings);
+        services.merge(other.services, findings);
+        routes.merge(other.routes, findings);
+    }
+
     FleetConfiguration toConfiguration(long version) {
         return new FleetConfiguration(
                 version,
--- a/src/test/java/org/auburnhoist/core/configuration/ConfigurationReaderTest.java
+++ b/src/test/java/org/auburnhoist/core/configuration/ConfigurationReaderTest.java
@@ -113,6 +113,35 @@
         assertTrue(findings.get(0).found().contains("a.yaml:1"));
     }
 
+    @Test
+    void reportsNoUnknownTeamsIfTheFileOfTeamsIsUnreadable() {
+        String keys = "keys: {k: {team: t, secret-sha256: " + "ab".repeat(32) + "}}";
+        for (String teams : List.of("teams: [", "team: {}", "teams:", "x")) {
+            List<ConfigurationFile> files =
+                    List.of(ConfigurationFile.of("teams.yaml", teams), ConfigurationFile.of("keys.yaml", keys));
+            List<Finding> findings = ConfigurationReader.read(1, files).getLeft();
+            assertEquals(
+                    List.of("teams.yaml"), findings.stream().map(Finding::file).toList());
+        }
+    }
+
+    @Test
+    void readsChangedFilesTogetherWithThoseThatStayed() {
+        ConfigurationFile teams =
+                ConfigurationFile.of("a.yaml", "teams: {t: {rate-per-second: 1, burst: 1, weight: 1}}");
+        String key = "keys: {k: {team: %s, secret-sha256: " + "ab".repeat(32) + "}}";
+        ConfigurationReader reader = new ConfigurationReader();
+        assertTrue(reader.readChanged(1, List.of(teams)).isRight());
+        ConfigurationFile faulty = ConfigurationFile.of("b.yaml", key.formatted("x"));
+        assertEquals(1, reader.readChanged(2, List.of(teams, faulty)).getLeft().size());
+        ConfigurationFile valid = ConfigurationFile.of("b.yaml", key.formatted("t"));
+        FleetConfiguration configuration =
+                reader.readChanged(3, List.of(valid, teams)).get();
+        assertEquals(3, configuration.version());
+        assertEquals(ConfigurationReader.read(3, List.of(teams, valid)).get(), configuration);
+        assertEquals(1, reader.readChanged(4, List.of(valid)).getLeft().size());
+    }
+
     @ParameterizedTest
     @CsvSource(
             delimiter = '|',
