--- /dev/null
+++ b/src/main/java/org/auburnhoist/emulator/EndOfStreamSession.java
@@ -0,0 +1,33 @@
+package org.auburnhoist.emulator;
+
+import java.lang.reflect.InvocationTargetException;
+import java.lang.reflect.Proxy;
+import org.apache.hc.core5.io.CloseMode;
+import org.apache.hc.core5.reactor.IOSession;
+
+/**
+ * Closes a session as soon as the peer closes its side. HttpCore's server otherwise waits until the pending answer has
+ * been written, so that a caller who leaves would not cancel its work.
+ */
+final class EndOfStreamSession {
+    private static final int END_OF_STREAM = -1;
+
+    private EndOfStreamSession() {}
+
+    static IOSession decorate(IOSession session) {
+        Class<?>[] type = {IOSession.class};
+        return (IOSession) Proxy.newProxyInstance(
+                IOSession.class.getClassLoader(), type, (proxy, method, arguments) -> {
+                    Object result;
+                    try {
+                        result = method.invoke(session, arguments);
+                    } catch (InvocationTargetException cause) {
+                        throw cause.getTargetException();
+                    }
+                    if (method.getName().equals("read") && result instanceof Integer count && count == END_OF_STREAM) {
+                        session.close(CloseMode.IMMEDIATE);
+                    }
+                    return result;
+                });
+    }
+}
--- a/src/main/java/org/auburnhoist/emulator/LoopbackServer.java
+++ b/src/main/java/org/auburnhoist/emulator/LoopbackServer.java
@@ -2,8 +2,6 @@
 
 import java.io.IOException;
 import java.net.InetAddress;
-import java.net.InetSocketAddress;
-import java.net.Socket;
 import java.net.URI;
 import org.apache.hc.core5.http.impl.bootstrap.HttpServer;
 import org.apache.hc.core5.http.impl.bootstrap.ServerBootstrap;
@@ -19,7 +17,7 @@
     private final HttpRequestHandler handler;
     private final int port;
     private @Nullable HttpServer server;
-    private @Nullable Socket reservation;
+    private @Nullable PortReservation reservation;
 
     LoopbackServer(int port, HttpRequestHandler handler) throws IOException {
         this.handler = handler;
@@ -40,7 +38,7 @@
         }
         running.close(CloseMode.IMMEDIATE);
         server = null;
-        reservation = reserve();
+        reservation = new PortReservation(port);
     }
 
     /** Accepts connections again. */
@@ -62,28 +60,11 @@
         closeReservation();
     }
 
-    /** Holds the port with a socket that does not listen, so that no other process gets it while it is refused. */
-    private @Nullable Socket reserve() {
-        try {
-            Socket socket = new Socket();
-            socket.setReuseAddress(true);
-            socket.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), port));
-            return socket;
-        } catch (IOException cause) {
-            // Without the reservation the port is refused as well; only its later reuse is not ensured.
-            return null;
-        }
-    }
-
     private void closeReservation() {
-        Socket held = reservation;
+        PortReservation held = reservation;
         reservation = null;
         if (held != null) {
-            try {
-                held.close();
-            } catch (IOException cause) {
-                throw new IllegalStateException("could not release port " + port, cause);
-            }
+            held.close();
         }
     }
 
--- /dev/null
+++ b/src/main/java/org/auburnhoist/emulator/UpstreamListener.java
@@ -0,0 +1,94 @@
+package org.auburnhoist.emulator;
+
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.Future;
+import org.apache.hc.core5.http.URIScheme;
+import org.apache.hc.core5.http.impl.bootstrap.HttpAsyncServer;
+import org.apache.hc.core5.io.CloseMode;
+import org.apache.hc.core5.reactor.IOSession;
+import org.apache.hc.core5.reactor.ListenerEndpoint;
+import org.jspecify.annotations.Nullable;
+
+/** Listening port and open connections of one emulated server. */
+final class UpstreamListener {
+    /** The old listening socket is closed by the reactor's thread, so the port may be taken for a moment. */
+    private static final Duration RETRY_DELAY = Duration.ofMillis(20);
+
+    private final HttpAsyncServer reactor;
+    private final UpstreamEmulator emulator;
+    private final int connectionLimit;
+    private final Set<IOSession> sessions = ConcurrentHashMap.newKeySet();
+    private final int port;
+    private @Nullable ListenerEndpoint endpoint;
+    private @Nullable PortReservation reservation;
+    private volatile boolean refusing;
+
+    UpstreamListener(HttpAsyncServer reactor, UpstreamEmulator emulator, int connectionLimit)
+            throws InterruptedException, ExecutionException {
+        this.reactor = reactor;
+        this.emulator = emulator;
+        this.connectionLimit = connectionLimit;
+        ListenerEndpoint first = listen(0);
+        this.endpoint = first;
+        this.port = ((InetSocketAddress) first.getAddress()).getPort();
+    }
+
+    int port() {
+        return port;
+    }
+
+    int openConnections() {
+        return sessions.size();
+    }
+
+    void connected(IOSession session) {
+        sessions.add(session);
+        if (refusing || sessions.size() > connectionLimit) {
+            session.close(CloseMode.IMMEDIATE);
+        }
+    }
+
+    void disconnected(IOSession session) {
+        sessions.remove(session);
+    }
+
+    synchronized void refuse() {
+        refusing = true;
+        ListenerEndpoint listening = endpoint;
+        if (listening != null) {
+            listening.close(CloseMode.IMMEDIATE);
+            endpoint = null;
+            reservation = new PortReservation(port);
+        }
+        sessions.forEach(session -> session.close(CloseMode.IMMEDIATE));
+    }
+
+    synchronized void accept() {
+        if (endpoint != null) {
+            return;
+        }
+        PortReservation held = reservation;
+        reservation = null;
+        if (held != null) {
+            held.close();
+        }
+        try {
+            endpoint = listen(port);
+            refusing = false;
+        } catch (ExecutionException cause) {
+            Future<?> unused = emulator.after(RETRY_DELAY, this::accept);
+        } catch (InterruptedException cause) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private ListenerEndpoint listen(int number) throws InterruptedException, ExecutionException {
+        return reactor.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), number), URIScheme.HTTP)
+                .get();
+    }
+}
--- /dev/null
+++ b/src/test/java/org/auburnhoist/emulator/UpstreamEmulatorTest.java
@@ -0,0 +1,189 @@
+package org.auburnhoist.emulator;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.net.http.HttpResponse.BodyHandlers;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Arrays;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Guards the stand-in's reports: a duplicate run or a leaked key that it did not show would go unnoticed. */
+class UpstreamEmulatorTest {
+    private final HttpClient client =
+            HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+    private UpstreamEmulator emulator;
+
+    @BeforeEach
+    void start() throws IOException {
+        ServiceTime quick = new ServiceTime(Duration.ofMillis(1), 0.5);
+        emulator = UpstreamEmulator.builder()
+                .seed(7)
+                .server(UpstreamSpec.of("ledger", "ledger-1", 1, 50, quick).withQueueLimit(1))
+                .server(UpstreamSpec.of("ledger", "ledger-2", 4, 50, quick).withCrashDowntime(Duration.ofMillis(50)))
+                .start();
+    }
+
+    @AfterEach
+    void stop() {
+        emulator.close();
+    }
+
+    @Test
+    void echoesWhatItServed() throws Exception {
+        HttpResponse<String> answer = get("ledger-1", "/items/3", "Operation-Id", "op-9");
+        assertEquals(200, answer.statusCode());
+        assertEquals(
+                "{\"server\":\"ledger-1\",\"service\":\"ledger\",\"method\":\"GET\",\"path\":\"/items/3\","
+                        + "\"operationId\":\"op-9\",\"run\":1}",
+                answer.body());
+        assertEquals("op-9", answer.headers().firstValue("Operation-Id").orElseThrow());
+    }
+
+    @Test
+    void duplicateRunAndLeakedKeyAreSeen() throws Exception {
+        get("ledger-1", "/book", "Operation-Id", "once");
+        get("ledger-1", "/book", "Operation-Id", "twice");
+        get("ledger-2", "/book", "Operation-Id", "twice", "Authorization", "Bearer key.secret");
+        assertEquals(Set.of("twice"), emulator.ledger().duplicates());
+        assertEquals(1, emulator.ledger().runsOf("once"));
+        assertEquals(1, emulator.ledger().authorizationHeaders());
+        assertEquals(
+                "{\"runs\":3,\"operations\":2,\"authorizationHeaders\":1,\"cancelled\":0,\"shed\":0,"
+                        + "\"duplicates\":[\"twice\"]}",
+                get("ledger-1", "/admin/ledger").body());
+    }
+
+    @Test
+    void failsRealWorkWhileHealthy() throws Exception {
+        emulator.server("ledger-1").gray(new GrayMode.FailShare(1));
+        assertEquals(500, get("ledger-1", "/items").statusCode());
+        assertEquals(200, get("ledger-1", "/health").statusCode());
+        emulator.server("ledger-1").gray(new GrayMode.Healthy());
+        assertEquals(200, get("ledger-1", "/items").statusCode());
+        emulator.server("ledger-1").reportHealth(false);
+        assertEquals(503, get("ledger-1", "/health").statusCode());
+        emulator.server("ledger-1").reportLoad(42);
+        assertTrue(get("ledger-1", "/load").body().contains("\"running\":42"));
+    }
+
+    @Test
+    void truncatedBodyBreaksTheConnection() throws Exception {
+        emulator.server("ledger-1").gray(new GrayMode.TruncateBody(1));
+        assertThrows(IOException.class, () -> get("ledger-1", "/items"));
+        emulator.server("ledger-1").gray(new GrayMode.Healthy());
+        assertEquals(200, get("ledger-1", "/items").statusCode());
+    }
+
+    @Test
+    void fullQueueShedsAndCancellationFreesTheSlot() throws Exception {
+        emulator.server("ledger-1").gray(new GrayMode.NeverAnswer(1));
+        URI address = URI.create("http://" + emulator.server("ledger-1").address());
+        Socket stuck = new Socket(address.getHost(), address.getPort());
+        stuck.getOutputStream().write("GET /stuck HTTP/1.1\r\nHost: a\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+        while (emulator.ledger().allRuns() < 1) {
+            Thread.onSpinWait();
+        }
+        emulator.server("ledger-1").gray(new GrayMode.Healthy());
+        CompletableFuture<HttpResponse<String>> queued = send("ledger-1", "/queued");
+        while (!get("ledger-1", "/load").body().contains("\"queued\":1")) {
+            Thread.onSpinWait();
+        }
+        HttpResponse<String> shed = get("ledger-1", "/shed");
+        assertEquals(503, shed.statusCode());
+        assertEquals("1", shed.headers().firstValue("Retry-After").orElseThrow());
+        stuck.close();
+        assertEquals(200, queued.get().statusCode());
+        assertEquals(1, emulator.ledger().cancelled());
+        assertEquals(1, emulator.ledger().shed());
+    }
+
+    @Test
+    void workEndsAtItsDeadlineAndDrainingServerTakesNone() throws Exception {
+        assertEquals(
+                504,
+                get("ledger-1", "/slow?workMillis=3600000", "Auburnhoist-Deadline-Millis", "5")
+                        .statusCode());
+        emulator.server("ledger-1").drain(true);
+        assertEquals(503, get("ledger-1", "/items").statusCode());
+        assertEquals(503, get("ledger-1", "/health").statusCode());
+    }
+
+    @Test
+    void crashResetsAllConnectionsAndTheServerComesBack() throws Exception {
+        emulator.server("ledger-2").gray(new GrayMode.NeverAnswer(1));
+        CompletableFuture<HttpResponse<String>> bystander = send("ledger-2", "/bystander");
+        while (emulator.ledger().allRuns() < 1) {
+            Thread.onSpinWait();
+        }
+        assertThrows(IOException.class, () -> get("ledger-2", "/crash-upstream", "Operation-Id", "poison"));
+        assertThrows(Exception.class, bystander::get);
+        assertEquals(1, emulator.ledger().runsOf("poison"));
+        emulator.server("ledger-2").gray(new GrayMode.Healthy());
+        boolean back = false;
+        while (!back) {
+            try {
+                back = get("ledger-2", "/health").statusCode() == 200;
+            } catch (IOException stillDown) {
+                Thread.sleep(5);
+            }
+        }
+        assertEquals(200, get("ledger-2", "/items").statusCode());
+    }
+
+    @Test
+    void downloadResumesByRangeWhileItsTagMatches() throws Exception {
+        String path = "/charts/1?size=100000";
+        HttpResponse<byte[]> whole = client.send(request("ledger-1", path).build(), BodyHandlers.ofByteArray());
+        assertEquals(100_000, whole.body().length);
+        String tag = whole.headers().firstValue("ETag").orElseThrow();
+        HttpResponse<byte[]> rest = client.send(
+                request("ledger-1", path, "Range", "bytes=99000-", "If-Range", tag)
+                        .build(),
+                BodyHandlers.ofByteArray());
+        assertEquals(206, rest.statusCode());
+        assertArrayEquals(Arrays.copyOfRange(whole.body(), 99_000, 100_000), rest.body());
+        assertEquals(
+                200,
+                get("ledger-1", path, "Range", "bytes=5-", "If-Range", "\"other\"")
+                        .statusCode());
+    }
+
+    @Test
+    void muteServerAcceptsAndNeverAnswers() throws Exception {
+        emulator.server("ledger-1").mute(true);
+        HttpRequest request =
+                request("ledger-1", "/health").timeout(Duration.ofMillis(100)).build();
+        assertThrows(IOException.class, () -> client.send(request, BodyHandlers.ofString()));
+        emulator.server("ledger-1").mute(false);
+        assertFalse(get("ledger-1", "/health").body().isEmpty());
+    }
+
+    private HttpResponse<String> get(String server, String path, String... headers) throws Exception {
+        return client.send(request(server, path, headers).build(), BodyHandlers.ofString());
+    }
+
+    private CompletableFuture<HttpResponse<String>> send(String server, String path) {
+        return client.sendAsync(request(server, path).build(), BodyHandlers.ofString());
+    }
+
+    private HttpRequest.Builder request(String server, String path, String... headers) {
+        URI address = URI.create("http://" + emulator.server(server).address() + path);
+        HttpRequest.Builder builder = HttpRequest.newBuilder(address);
+        return headers.length == 0 ? builder : builder.headers(headers);
+    }
+}
