Report program faults apart from refusals, and hide confidential settings

Cause: an uncaught exception ended the program with status 1, which says that nothing was changed; messages would have shown a malformed secret.

--- a/src/main/java/org/auburnhoist/cli/ExitCode.java
+++ b/src/main/java/org/auburnhoist/cli/ExitCode.java
@@ -11,7 +11,9 @@
     /** A change may or may not have taken effect. */
     OUTCOME_UNKNOWN(3, "outcome unknown: the change may or may not be in force"),
     /** The store or another service did not answer; nothing was changed. */
-    UNAVAILABLE(4, "the store or another service did not answer; nothing was changed");
+    UNAVAILABLE(4, "the store or another service did not answer; nothing was changed"),
+    /** The program failed; what it did before is not known. */
+    FAULT(5, "fault of the program; what it did before is not known");
 
     private final int status;
     private final String meaning;
--- a/src/main/java/org/auburnhoist/cli/Program.java
+++ b/src/main/java/org/auburnhoist/cli/Program.java
@@ -54,7 +54,18 @@
             context.err().println("See auburnhoist " + command.name() + " --help.");
             return ExitCode.USAGE;
         }
-        return command.run(settings.get(), context);
+        return runGuarded(command, settings.get(), context);
+    }
+
+    /** Without this the virtual machine would exit with 1, which says that nothing was changed. */
+    private static ExitCode runGuarded(Command command, Settings settings, CommandContext context) {
+        try {
+            return command.run(settings, context);
+        } catch (RuntimeException fault) {
+            context.err().println("fault of the program in " + command.name() + ":");
+            fault.printStackTrace(context.err());
+            return ExitCode.FAULT;
+        }
     }
 
     private ExitCode runWithoutCommand(List<String> arguments, CommandContext context) {
--- a/src/main/java/org/auburnhoist/cli/Setting.java
+++ b/src/main/java/org/auburnhoist/cli/Setting.java
@@ -5,8 +5,10 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
 import java.util.Optional;
 import java.util.function.Function;
 import java.util.regex.Matcher;
@@ -28,6 +30,7 @@
  * @param parser reads a value; empty if it is malformed
  * @param defaultValue used if the setting is absent
  * @param required whether the setting must be given
+ * @param confidential whether messages must not show the value
  */
 public record Setting<T>(
         String flag,
@@ -36,7 +39,8 @@
         String expected,
         Function<String, Optional<T>> parser,
         Optional<T> defaultValue,
-        boolean required) {
+        boolean required,
+        boolean confidential) {
     /** Prefix of all environment variables that the program reads. */
     public static final String ENVIRONMENT_PREFIX = "AUBURNHOIST_";
 
@@ -46,7 +50,7 @@
     /** A setting with a form of its own. */
     public static <T> Setting<T> of(
             String flag, String valueName, String description, String expected, Function<String, Optional<T>> parser) {
-        return new Setting<>(flag, valueName, description, expected, parser, Optional.empty(), false);
+        return new Setting<>(flag, valueName, description, expected, parser, Optional.empty(), false, false);
     }
 
     /** A text that matches a pattern. */
@@ -74,6 +78,16 @@
                         .filter(number -> number >= minimum && number <= maximum));
     }
 
+    /** One of the constants of an enum, in lower case with hyphens. */
+    public static <E extends Enum<E>> Setting<E> choice(String flag, String description, Class<E> type) {
+        Map<String, E> choices = new LinkedHashMap<>();
+        for (E constant : type.getEnumConstants()) {
+            choices.put(constant.name().toLowerCase(Locale.ROOT).replace('_', '-'), constant);
+        }
+        String expected = "one of " + String.join(", ", choices.keySet());
+        return of(flag, "CHOICE", description, expected, value -> Optional.ofNullable(choices.get(value)));
+    }
+
     /** A duration with its unit. */
     public static Setting<Duration> duration(String flag, String description) {
         return of(flag, "DURATION", description, "a duration such as 500ms, 5s, 2m or 1h", Setting::parseDuration);
@@ -105,12 +119,17 @@
 
     /** The same setting with a value for its absence. */
     public Setting<T> withDefault(T value) {
-        return new Setting<>(flag, valueName, description, expected, parser, Optional.of(value), false);
+        return new Setting<>(flag, valueName, description, expected, parser, Optional.of(value), false, confidential);
     }
 
     /** The same setting, which must be given. */
     public Setting<T> asRequired() {
-        return new Setting<>(flag, valueName, description, expected, parser, Optional.empty(), true);
+        return new Setting<>(flag, valueName, description, expected, parser, Optional.empty(), true, confidential);
+    }
+
+    /** The same setting, whose value no message shows. */
+    public Setting<T> asConfidential() {
+        return new Setting<>(flag, valueName, description, expected, parser, defaultValue, required, true);
     }
 
     /** The name of the environment variable. */
--- a/src/main/java/org/auburnhoist/cli/SettingsReader.java
+++ b/src/main/java/org/auburnhoist/cli/SettingsReader.java
@@ -89,7 +89,7 @@
         Optional<T> fromFlag = Optional.empty();
         Set<String> given = given(setting, options);
         if (given.size() > 1) {
-            findings.add(new SettingFinding(place, "one value", String.join(" and ", given)));
+            findings.add(new SettingFinding(place, "one value", shown(setting, String.join(" and ", given))));
         } else if (options.has(setting.flag())) {
             fromFlag = parse(
                     setting, place, given.isEmpty() ? "" : given.iterator().next());
@@ -116,12 +116,18 @@
     private <T> Optional<T> parse(Setting<T> setting, String place, String text) {
         Optional<T> value = setting.parser().apply(text);
         if (value.isEmpty()) {
-            String found = text.isEmpty() ? "nothing" : "\"" + text + "\"";
-            findings.add(new SettingFinding(place, setting.expected(), found));
+            findings.add(new SettingFinding(place, setting.expected(), shown(setting, text)));
         }
         return value;
     }
 
+    private static String shown(Setting<?> setting, String text) {
+        if (text.isEmpty()) {
+            return "nothing";
+        }
+        return setting.confidential() ? "another text (not shown)" : "\"" + text + "\"";
+    }
+
     private <T> void choose(Setting<T> setting, String place, Optional<T> fromFlag, Optional<T> fromVariable) {
         if (fromFlag.isPresent() && fromVariable.isPresent() && !fromFlag.equals(fromVariable)) {
             String expected = "the value of " + setting.variable() + ", or only one of both";
--- a/src/test/java/org/auburnhoist/cli/SettingsReaderTest.java
+++ b/src/test/java/org/auburnhoist/cli/SettingsReaderTest.java
@@ -1,10 +1,19 @@
 package org.auburnhoist.cli;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.vavr.control.Either;
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
 import java.nio.file.Path;
+import java.time.Clock;
 import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.regex.Pattern;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
@@ -82,6 +91,57 @@
         assertTrue(run.run("apply --help") == ExitCode.DONE && run.out().contains("AUBURNHOIST_EXPECT_VERSION"));
     }
 
+    @Test
+    void neverShowsAConfidentialValue() {
+        Setting<String> secret = Setting.text(
+                        "fleet-secret", "TEXT", "secret", "12 letters", Pattern.compile("[a-z]{12}"))
+                .asRequired()
+                .asConfidential();
+        Command command = new OneSetting(secret);
+        for (List<String> arguments : List.of(
+                List.of("--fleet-secret", "fixture"), List.of("--fleet-secret=fixture", "--fleet-secret=fixtures"))) {
+            List<SettingFinding> findings =
+                    SettingsReader.read(command, arguments, Map.of(), Set.of()).getLeft();
+            assertFalse(findings.toString().contains("fixture"), findings.toString());
+        }
+    }
+
+    @Test
+    void aFaultOfACommandIsNotReportedAsRefused() {
+        Program program = new Program(List.of(new OneSetting(Setting.flag("quiet", "no output"))), "test");
+        CommandContext context = new CommandContext(
+                System.out,
+                new PrintStream(new ByteArrayOutputStream()),
+                directory,
+                Clock.systemUTC(),
+                new Random(1),
+                addresses -> Either.left("none"));
+        assertEquals(ExitCode.FAULT, program.run(List.of("one"), Map.of(), context));
+    }
+
+    /** A command that fails when it runs. */
+    private record OneSetting(Setting<?> setting) implements Command {
+        @Override
+        public String name() {
+            return "one";
+        }
+
+        @Override
+        public String summary() {
+            return "Fails.";
+        }
+
+        @Override
+        public List<Setting<?>> settings() {
+            return List.of(setting);
+        }
+
+        @Override
+        public ExitCode run(Settings settings, CommandContext context) {
+            throw new IllegalStateException("fixture");
+        }
+    }
+
     @Test
     void refusesUnknownCommands() {
         ProgramRun run = program();
