--- a/src/main/java/org/auburnhoist/cli/CommonSettings.java
+++ b/src/main/java/org/auburnhoist/cli/CommonSettings.java
@@ -22,7 +22,7 @@
             .withDefault("unnamed");
 
     static final Setting<Long> EXPECT_VERSION = Setting.integer(
-            "expect-version", "version that the change was prepared for; default the newest", 0, Long.MAX_VALUE / 10);
+            "expect-version", "version that the change was prepared for; default the newest", 0, 1_000_000_000_000L);
 
     private CommonSettings() {}
 }
--- a/src/test/java/org/auburnhoist/scenario/KeySteps.java
+++ b/src/test/java/org/auburnhoist/scenario/KeySteps.java
@@ -10,50 +10,50 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import org.auburnhoist.core.Refusal;
+import java.util.stream.Collectors;
 import org.auburnhoist.core.TrafficClass;
+import org.auburnhoist.core.configuration.AccessDecision;
+import org.auburnhoist.core.configuration.AccessPolicy;
+import org.auburnhoist.core.configuration.FleetConfiguration;
 import org.auburnhoist.core.configuration.Key;
-import org.auburnhoist.core.configuration.KeyCheck;
-import org.auburnhoist.core.configuration.KeyRing;
 import org.auburnhoist.core.configuration.Route;
-import org.auburnhoist.core.configuration.RouteMatch;
-import org.auburnhoist.core.configuration.RouteTable;
 import org.auburnhoist.core.configuration.Sha256;
 
 /** Steps about keys and routes. */
 public final class KeySteps {
-    private KeyRing ring = KeyRing.of(List.of());
-    private RouteTable table = RouteTable.of(List.of());
+    private Map<String, Key> keys = Map.of();
+    private AccessPolicy policy = policy(Map.of(), List.of());
     private String result = "";
 
     /** Declares keys. */
     @Given("an applied configuration with these keys")
-    public void keys(DataTable keys) {
-        ring = KeyRing.of(keys.asMaps().stream()
+    public void keys(DataTable table) {
+        keys = table.asMaps().stream()
                 .map(row -> new Key(
                         row.get("id"),
                         row.get("team"),
                         Sha256.hex(row.get("secret")),
                         Boolean.parseBoolean(row.get("withdrawn"))))
-                .toList());
+                .collect(Collectors.toMap(Key::id, key -> key));
     }
 
     /** Declares routes. */
     @Given("these routes")
-    public void routes(DataTable routes) {
-        table = RouteTable.of(routes.asMaps().stream().map(KeySteps::route).toList());
+    public void routes(DataTable table) {
+        policy = policy(keys, table.asMaps().stream().map(KeySteps::route).toList());
     }
 
     /** Decides about a request from its path and key. */
     @When("{string} comes with {string}")
     public void request(String line, String authorization) {
         String[] words = line.split(" ");
-        RouteMatch match = table.match(words[0], words[1]);
-        if (match instanceof RouteMatch.Found found) {
-            result = decide(found.route(), authorization);
+        AccessDecision decision = policy.decide(words[0], words[1], authorization);
+        if (decision instanceof AccessDecision.ForTeam allowed) {
+            result = allowed.team();
+        } else if (decision instanceof AccessDecision.Refused refused) {
+            result = "nobody: " + refused.refusal().code();
         } else {
-            boolean malformed = match instanceof RouteMatch.Malformed;
-            result = refused(malformed ? Refusal.MALFORMED_REQUEST : Refusal.ROUTE_UNKNOWN);
+            result = decision instanceof AccessDecision.ForAnyone ? "anyone" : "the fleet itself";
         }
     }
 
@@ -63,23 +63,8 @@
         assertEquals(expected, result);
     }
 
-    private String decide(Route route, String authorization) {
-        if (route.open()) {
-            return "anyone";
-        }
-        KeyCheck check = ring.check(authorization);
-        if (check instanceof KeyCheck.Accepted accepted) {
-            boolean allowed = route.teams().isEmpty() || route.teams().contains(accepted.team());
-            return allowed ? accepted.team() : refused(Refusal.TEAM_NOT_ALLOWED);
-        }
-        if (check instanceof KeyCheck.Withdrawn) {
-            return refused(Refusal.KEY_WITHDRAWN);
-        }
-        return refused(check instanceof KeyCheck.Missing ? Refusal.KEY_MISSING : Refusal.KEY_UNKNOWN);
-    }
-
-    private static String refused(Refusal refusal) {
-        return "nobody: " + refusal.code();
+    private static AccessPolicy policy(Map<String, Key> keys, List<Route> routes) {
+        return AccessPolicy.of(new FleetConfiguration(1, Map.of(), keys, Map.of(), routes));
     }
 
     private static Route route(Map<String, String> row) {
--- a/src/test/resources/org/auburnhoist/scenario/keys.feature
+++ b/src/test/resources/org/auburnhoist/scenario/keys.feature
@@ -32,3 +32,5 @@
       | GET    | /x/%2e%2e/search |                       | nobody: malformed-request |
       | GET    | //search         |                       | nobody: malformed-request |
       | GET    | /reserve         | Bearer north.fixture-north   | nobody: route-unknown |
+      | GET    | /hours           | Bearer absent.x       | anyone              |
+      | GET    | /%2Eauburnhoist/addresses |              | the fleet itself    |
