Add the demonstration and a one-line log format

Cause: nobody could see the whole path without writing a program, and the log used two lines for each event and made traffic wait for the terminal.

--- /dev/null
+++ b/src/main/java/org/auburnhoist/cli/DemoCommand.java
@@ -0,0 +1,130 @@
+package org.auburnhoist.cli;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CountDownLatch;
+import org.auburnhoist.core.configuration.ConfigurationFile;
+import org.auburnhoist.emulator.ServiceTime;
+import org.auburnhoist.host.EntryHost;
+import org.auburnhoist.load.LocalFleet;
+import org.auburnhoist.support.LogFormat;
+
+/** Runs a whole small fleet in this process, with emulated store and upstreams. */
+final class DemoCommand implements Command {
+    private static final List<String> EXAMPLES = List.of("starglass", "rosewood");
+    private static final List<String> FILES = List.of("teams.yaml", "keys.yaml", "services.yaml", "routes.yaml");
+    private static final Duration READY_LIMIT = Duration.ofSeconds(60);
+    private static final ServiceTime SERVICE_TIME = new ServiceTime(Duration.ofMillis(20), 0.3);
+
+    private static final Setting<String> EXAMPLE = Setting.of(
+                    "example",
+                    "NAME",
+                    "which configuration to run: " + String.join(" or ", EXAMPLES),
+                    "one of " + String.join(", ", EXAMPLES),
+                    value -> Optional.of(value).filter(EXAMPLES::contains))
+            .withDefault("starglass");
+
+    private static final Setting<Long> PORT = Setting.integer(
+                    "port", "port of the first host; the others follow", 1024, 65_000)
+            .withDefault(8081L);
+
+    private static final Setting<Long> HOSTS =
+            Setting.integer("hosts", "number of entry hosts", 1, 40).withDefault(3L);
+
+    @Override
+    public String name() {
+        return "demo";
+    }
+
+    @Override
+    public String summary() {
+        return "Runs a fleet with emulated store and upstreams in one process and prints requests to try.";
+    }
+
+    @Override
+    public List<Setting<?>> settings() {
+        return List.of(EXAMPLE, PORT, HOSTS);
+    }
+
+    @Override
+    public ExitCode run(Settings settings, CommandContext context) {
+        String example = settings.get(EXAMPLE);
+        LocalFleet.Options options = new LocalFleet.Options(
+                Math.toIntExact(settings.get(HOSTS)),
+                Math.toIntExact(settings.get(PORT)),
+                SERVICE_TIME,
+                Duration.ofSeconds(10),
+                1);
+        try (LocalFleet fleet = LocalFleet.start(files(example), options)) {
+            if (!fleet.awaitReady(READY_LIMIT)) {
+                context.err().println("the hosts did not become ready within " + READY_LIMIT.toSeconds() + " s");
+                return ExitCode.UNAVAILABLE;
+            }
+            explain(example, fleet, context);
+            awaitSignal(fleet);
+            return ExitCode.DONE;
+        } catch (IOException cause) {
+            context.err().println("could not start: " + cause.getMessage());
+            return ExitCode.REFUSED;
+        } catch (InterruptedException cause) {
+            Thread.currentThread().interrupt();
+            return ExitCode.DONE;
+        }
+    }
+
+    private static List<ConfigurationFile> files(String example) throws IOException {
+        List<ConfigurationFile> files = new ArrayList<>();
+        for (String name : FILES) {
+            String resource = "/examples/" + example + "/" + name;
+            try (InputStream in = DemoCommand.class.getResourceAsStream(resource)) {
+                if (in == null) {
+                    throw new IOException("the program lacks its resource " + resource);
+                }
+                files.add(new ConfigurationFile(name, in.readAllBytes()));
+            }
+        }
+        return files;
+    }
+
+    private static void explain(String example, LocalFleet fleet, CommandContext context) {
+        boolean starglass = example.equals("starglass");
+        String key = starglass ? "member-web-2026" : "resident-web-2026";
+        String lookup = starglass ? "/telescopes/7" : "/balances/7";
+        String booking = starglass ? "/bookings" : "/payments";
+        String authorization = "-H 'Authorization: Bearer " + key + ".demonstration-secret-of-" + key + "'";
+        List<EntryHost> hosts = fleet.hosts();
+        String first = "http://127.0.0.1:" + hosts.get(0).callerAddress().getPort();
+        String last = "http://127.0.0.1:"
+                + hosts.get(hosts.size() - 1).callerAddress().getPort();
+        context.out().println("The fleet is running. Try:");
+        context.out().println("  curl -i " + first + "/.auburnhoist/addresses");
+        context.out().println("  curl -i " + authorization + " " + first + lookup);
+        context.out().println("  curl -i -X POST -d x " + authorization + " " + first + booking);
+        context.out().println("      (refused with an Operation-Id; send it back with that header, through any host:)");
+        context.out().println("  curl -i -X POST -d x " + authorization + " -H 'Operation-Id: ...' " + last + booking);
+        context.out().println("  curl -s " + first + "/.auburnhoist/metrics");
+        context.out()
+                .println("  target/auburnhoist status --store "
+                        + fleet.storeEmulator().address().getAuthority());
+        context.out().println("Stop it with Ctrl-C.");
+        context.out().flush();
+    }
+
+    private static void awaitSignal(LocalFleet fleet) throws InterruptedException {
+        CountDownLatch stopped = new CountDownLatch(1);
+        Runtime.getRuntime()
+                .addShutdownHook(new Thread(
+                        () -> {
+                            fleet.close();
+                            stopped.countDown();
+                            LogFormat.flush();
+                            Runtime.getRuntime().halt(ExitCode.DONE.status());
+                        },
+                        "demo-stop"));
+        stopped.await();
+    }
+}
--- a/src/main/java/org/auburnhoist/cli/Main.java
+++ b/src/main/java/org/auburnhoist/cli/Main.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Optional;
 import org.auburnhoist.store.EtcdStore;
+import org.auburnhoist.support.LogFormat;
 
 /** Entry point of the executable. */
 public final class Main {
@@ -19,6 +20,7 @@
      * @param arguments the command line
      */
     public static void main(String[] arguments) {
+        LogFormat.install();
         CommandContext context = new CommandContext(
                 System.out, System.err, Path.of(""), Clock.systemUTC(), new SecureRandom(), stores());
         ExitCode code = new Program(Commands.all(), version()).run(List.of(arguments), System.getenv(), context);
--- a/src/main/java/org/auburnhoist/host/ControlThread.java
+++ b/src/main/java/org/auburnhoist/host/ControlThread.java
@@ -2,7 +2,6 @@
 
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.Future;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
@@ -45,14 +44,14 @@
 
     /** Runs a task at a fixed interval, starting after one interval. */
     void every(Duration interval, LongConsumer task) {
-        Future<?> unused = executor.scheduleWithFixedDelay(
+        executor.scheduleWithFixedDelay(
                 () -> runLogged(task), interval.toNanos(), interval.toNanos(), TimeUnit.NANOSECONDS);
     }
 
     /** Runs a task once after a delay. */
     void after(Duration delay, LongConsumer task) {
         try {
-            Future<?> unused = executor.schedule(() -> runLogged(task), delay.toNanos(), TimeUnit.NANOSECONDS);
+            executor.schedule(() -> runLogged(task), delay.toNanos(), TimeUnit.NANOSECONDS);
         } catch (RejectedExecutionException closed) {
             // The process is stopping; nobody waits for this task.
         }
--- a/src/main/java/org/auburnhoist/host/HostProcess.java
+++ b/src/main/java/org/auburnhoist/host/HostProcess.java
@@ -46,7 +46,7 @@
     public synchronized CompletableFuture<Void> stop() {
         if (!stopping) {
             stopping = true;
-            CompletableFuture<Void> unused = current.stop().whenComplete((done, failure) -> stopped.complete(null));
+            current.stop().whenComplete((done, failure) -> stopped.complete(null));
         }
         return stopped;
     }
@@ -61,8 +61,8 @@
     }
 
     private void follow(EntryHost host) {
-        CompletableFuture<Void> removal = host.removed().thenAccept(removed -> restart(host));
-        CompletableFuture<Void> wish = host.leavingWished().thenRun(this::stop);
+        host.removed().thenAccept(removed -> restart(host));
+        host.leavingWished().thenRun(this::stop);
     }
 
     private void restart(EntryHost removed) {
--- a/src/main/java/org/auburnhoist/host/StoreController.java
+++ b/src/main/java/org/auburnhoist/host/StoreController.java
@@ -109,10 +109,10 @@
                 head == null ? new byte[0] : head.value(),
                 roster == null ? new byte[0] : roster.value(),
                 this::chunk,
-                now -> confirmed(head, roster, sentAtNanos, now));
+                now -> confirmed(head, roster, sentAtNanos));
     }
 
-    private void confirmed(@Nullable Entry head, @Nullable Entry roster, long sentAtNanos, long nowNanos) {
+    private void confirmed(@Nullable Entry head, @Nullable Entry roster, long sentAtNanos) {
         FreshnessTable table = board.freshness();
         long headVersion = head == null
                 ? 0
--- a/src/main/java/org/auburnhoist/peer/PeerClient.java
+++ b/src/main/java/org/auburnhoist/peer/PeerClient.java
@@ -70,7 +70,7 @@
         Runnable forget = link.send(request, result, System.nanoTime());
         if (!result.isDone()) {
             Future<?> expiry = timer.schedule(forget, timeout.toNanos(), TimeUnit.NANOSECONDS);
-            CompletableFuture<CallResult> unused = result.whenComplete((answer, failure) -> expiry.cancel(false));
+            result.whenComplete((answer, failure) -> expiry.cancel(false));
         }
         return result;
     }
