Point findings about references at the name itself

Cause: a route with an unknown team or service was reported at the line of the route, up to ten lines above the name. Change: declarations keep the places of the names that they refer to.

--- a/src/main/java/org/auburnhoist/core/configuration/Callers.java
+++ b/src/main/java/org/auburnhoist/core/configuration/Callers.java
@@ -26,7 +26,7 @@
             return null;
         }
         if (node instanceof YamlNode.Sequence) {
-            Set<String> teams = fields.texts(FIELD, "a list of team names, each once, at least one", Fields.NAME);
+            Set<String> teams = fields.references(FIELD, "a list of team names, each once, at least one");
             return teams == null ? null : new Callers(false, teams);
         }
         boolean scalar = node instanceof YamlNode.Scalar;
--- a/src/main/java/org/auburnhoist/core/configuration/CrossChecks.java
+++ b/src/main/java/org/auburnhoist/core/configuration/CrossChecks.java
@@ -16,14 +16,14 @@
     void run() {
         checkKeys();
         checkServers();
-        checkRouteReferences();
+        checkReferences(sections.keys());
+        checkReferences(sections.routes());
         checkRouteOverlaps();
     }
 
     private void checkKeys() {
         Map<String, Place> hashes = new HashMap<>();
         forEach(sections.keys(), (place, key) -> {
-            requireTeam(place, "team", key.team());
             Place earlier = hashes.putIfAbsent(key.secretSha256(), place);
             if (earlier != null) {
                 String found = "the hash of " + earlier.path() + " at " + earlier.reference();
@@ -46,23 +46,21 @@
         });
     }
 
-    private void checkRouteReferences() {
-        forEach(sections.routes(), (place, route) -> {
-            if (!sections.services().declares(route.service())) {
-                findings.add(
-                        field(place, "service"),
-                        "the name of a declared service",
-                        FindingCollector.excerptText(route.service()));
-            }
-            for (String team : route.teams()) {
-                requireTeam(place, Callers.FIELD, team);
-            }
-        });
+    private <T> void checkReferences(Section<T> section) {
+        for (Declared<T> declared : section.declarations().values()) {
+            declared.references().forEach(reference -> checkReference(declared.place(), reference));
+        }
     }
 
-    private void requireTeam(Place place, String field, String team) {
-        if (!sections.teams().declares(team)) {
-            findings.add(field(place, field), "the name of a declared team", FindingCollector.excerptText(team));
+    private void checkReference(Place place, Reference reference) {
+        boolean toService = reference.field().equals(EntryReaders.SERVICE);
+        Section<?> targets = toService ? sections.services() : sections.teams();
+        if (!targets.declares(reference.target())) {
+            String path = place.path() + "." + reference.field();
+            findings.add(
+                    new Place(place.file(), reference.line(), reference.column(), path),
+                    toService ? "the name of a declared service" : "the name of a declared team",
+                    FindingCollector.excerptText(reference.target()));
         }
     }
 
--- a/src/main/java/org/auburnhoist/core/configuration/Declared.java
+++ b/src/main/java/org/auburnhoist/core/configuration/Declared.java
@@ -1,5 +1,6 @@
 package org.auburnhoist.core.configuration;
 
+import java.util.List;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -7,5 +8,6 @@
  *
  * @param place where it stands
  * @param value the declared value, or null if findings were reported about it
+ * @param references names in it that must be declared elsewhere
  */
-record Declared<T>(Place place, @Nullable T value) {}
+record Declared<T>(Place place, @Nullable T value, List<Reference> references) {}
--- a/src/main/java/org/auburnhoist/core/configuration/EntryReaders.java
+++ b/src/main/java/org/auburnhoist/core/configuration/EntryReaders.java
@@ -14,6 +14,12 @@
 
 /** Reads the fields of teams, keys, services, servers and routes. */
 final class EntryReaders {
+    /** Field of a key that names its team. */
+    static final String TEAM = "team";
+
+    /** Field of a route that names its service. */
+    static final String SERVICE = "service";
+
     static final Set<String> TEAM_FIELDS = Set.of("rate-per-second", "burst", "weight");
     static final Set<String> KEY_FIELDS = Set.of("team", "secret-sha256", "withdrawn");
     static final Set<String> SERVICE_FIELDS =
@@ -84,7 +90,7 @@
     }
 
     static @Nullable Key key(String id, Fields fields, FindingCollector findings) {
-        String team = fields.name("team", "the name of a team");
+        String team = fields.reference(TEAM, "the name of a team");
         String hash = secretHash(fields, findings);
         Boolean withdrawn = fields.flag("withdrawn");
         if (team == null || hash == null || withdrawn == null) {
@@ -171,7 +177,7 @@
                 "a path in normal form that starts with / and does not end with it, outside " + RouteTable.RESERVED,
                 false,
                 EntryReaders::routePath);
-        String service = fields.name("service", "the name of a service");
+        String service = fields.reference(SERVICE, "the name of a service");
         Callers callers = Callers.read(fields, trafficClass, findings);
         Duration timeout = fields.parsed(
                 "timeout", "a duration from 10ms to 10m, such as 800ms or 5s", true, EntryReaders::duration);
--- a/src/main/java/org/auburnhoist/core/configuration/Fields.java
+++ b/src/main/java/org/auburnhoist/core/configuration/Fields.java
@@ -33,6 +33,7 @@
     private final Place place;
     private final FindingCollector findings;
     private final Map<String, YamlNode> values = new HashMap<>();
+    private final List<Reference> references = new ArrayList<>(1);
 
     /** Reports unknown and duplicate names. */
     Fields(YamlNode.Mapping mapping, Place place, Set<String> known, FindingCollector findings) {
@@ -103,6 +104,34 @@
         return parsed(name, expected, false, text -> NAME.matcher(text).matches() ? text : null);
     }
 
+    /** The name of a declaration elsewhere; kept for the check of references. */
+    @Nullable
+    String reference(String name, String meaning) {
+        String target = name(name, meaning);
+        YamlNode node = values.get(name);
+        if (target != null && node != null) {
+            references.add(new Reference(name, target, node.line(), node.column()));
+        }
+        return target;
+    }
+
+    /** A list of names of declarations elsewhere; kept for the check of references. */
+    @Nullable
+    Set<String> references(String name, String expected) {
+        Set<String> targets = texts(name, expected, NAME);
+        if (targets != null && values.get(name) instanceof YamlNode.Sequence sequence) {
+            for (YamlNode item : sequence.items()) {
+                references.add(new Reference(name, ((YamlNode.Scalar) item).text(), item.line(), item.column()));
+            }
+        }
+        return targets;
+    }
+
+    /** All references read so far. */
+    List<Reference> references() {
+        return List.copyOf(references);
+    }
+
     /** A scalar that a function accepts by returning a value other than null. */
     <T> @Nullable T parsed(String name, String expected, boolean plainOnly, ScalarParser<T> parser) {
         YamlNode node = node(name, expected);
--- a/src/main/java/org/auburnhoist/core/configuration/Section.java
+++ b/src/main/java/org/auburnhoist/core/configuration/Section.java
@@ -1,6 +1,7 @@
 package org.auburnhoist.core.configuration;
 
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import org.jspecify.annotations.Nullable;
@@ -57,12 +58,15 @@
             return;
         }
         T value = null;
+        List<Reference> references = List.of();
         if (field.value() instanceof YamlNode.Mapping mapping) {
-            value = reader.read(name, new Fields(mapping, place, knownFields, findings), findings);
+            Fields fields = new Fields(mapping, place, knownFields, findings);
+            value = reader.read(name, fields, findings);
+            references = fields.references();
         } else {
             findings.add(place, "the fields of a " + kind, FindingCollector.excerpt(field.value()));
         }
-        declarations.put(name, new Declared<>(place, value));
+        declarations.put(name, new Declared<>(place, value, references));
     }
 
     /** Adds the declarations of the same section of another file. */
