Report a server that dies of a request on a reused connection

Cause: the silent second try on a new connection hid that the first one was lost after the request was written, so a request that crashes servers was reported as "could not connect, nothing sent". Change: such an attempt is reported as a lost connection with the request sent. The tests of back pressure now look at what is written while the receiver does not read; the earlier one passed with unlimited buffering, because its caller read all the time.

--- a/src/main/java/org/auburnhoist/proxy/BodyPipe.java
+++ b/src/main/java/org/auburnhoist/proxy/BodyPipe.java
@@ -57,7 +57,10 @@
         int start = last.limit();
         int count = Math.min(last.capacity() - start, source.remaining());
         last.limit(start + count);
-        source.get(last.array(), start, count);
+        ByteBuffer part = source.duplicate();
+        part.limit(part.position() + count);
+        last.duplicate().position(start).put(part);
+        source.position(part.limit());
     }
 
     void end() {
--- a/src/main/java/org/auburnhoist/proxy/ForwardedExchange.java
+++ b/src/main/java/org/auburnhoist/proxy/ForwardedExchange.java
@@ -47,6 +47,7 @@
     private @Nullable UpstreamAttempt attempt;
     private boolean attemptReported;
     private boolean freshConnectionTried;
+    private boolean lostAfterSending;
     private boolean everSent;
     private long attemptStartedNanos;
     private boolean answered;
@@ -114,6 +115,7 @@
             if (!callerGone && brokenBody == null && !late) {
                 target = granted;
                 freshConnectionTried = false;
+                lostAfterSending = false;
                 attemptStartedNanos = server.now();
                 attemptReported = false;
                 answered = false;
@@ -284,7 +286,10 @@
         long now = server.now();
         long until = answered ? firstByteNanos : now;
         long micros = Math.max(0, until - attemptStartedNanos) / NANOS_PER_MICRO;
-        return forwarding.attemptEnded(outcome, source.isSent(), micros, now);
+        // A server that takes a request on an open connection and then accepts no other one may have died of it.
+        AttemptOutcome told =
+                lostAfterSending && outcome == AttemptOutcome.CONNECT_FAILED ? AttemptOutcome.CONNECTION_LOST : outcome;
+        return forwarding.attemptEnded(told, source.isSent() || lostAfterSending, micros, now);
     }
 
     private boolean isRepeatable(UpstreamAttempt source) {
@@ -308,6 +313,7 @@
         if (possible && source.usesReusedConnection() && !freshConnectionTried && target != null) {
             // The server may have closed the idle connection just before; that says nothing about the server.
             freshConnectionTried = true;
+            lostAfterSending = source.isSent();
             startAttempt(target, true);
             return;
         }
--- a/src/main/java/org/auburnhoist/proxy/ProxyServer.java
+++ b/src/main/java/org/auburnhoist/proxy/ProxyServer.java
@@ -71,7 +71,7 @@
                 ShutdownCommand.GRACEFUL_IMMEDIATE_CALLBACK);
         reactor.start();
         address = listen();
-        timer.scheduleWithFixedDelay(
+        Future<?> unused = timer.scheduleWithFixedDelay(
                 this::checkTime, CHECK_INTERVAL_MILLIS, CHECK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
     }
 
--- a/src/main/java/org/auburnhoist/proxy/ProxySettings.java
+++ b/src/main/java/org/auburnhoist/proxy/ProxySettings.java
@@ -1,5 +1,6 @@
 package org.auburnhoist.proxy;
 
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 
@@ -56,7 +57,7 @@
 
     /** Collects settings. */
     public static final class Builder {
-        private InetSocketAddress listenAddress = new InetSocketAddress("127.0.0.1", 0);
+        private InetSocketAddress listenAddress = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
         private String hostName = "auburnhoist";
         private String requestIdPrefix = "request";
         private int callerThreads = 2;
--- a/src/main/java/org/auburnhoist/proxy/UpstreamPool.java
+++ b/src/main/java/org/auburnhoist/proxy/UpstreamPool.java
@@ -9,6 +9,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.Future;
 import org.apache.hc.core5.concurrent.FutureCallback;
 import org.apache.hc.core5.http.HttpHost;
 import org.apache.hc.core5.io.CloseMode;
@@ -216,7 +217,7 @@
             int colon = address.lastIndexOf(':');
             InetAddress ip = InetAddress.getByName(address.substring(0, Math.max(0, colon)));
             int port = Integer.parseInt(address.substring(colon + 1));
-            reactor.connect(
+            Future<IOSession> unused = reactor.connect(
                     new HttpHost("http", ip, port),
                     new InetSocketAddress(ip, port),
                     null,
--- a/src/test/java/org/auburnhoist/proxy/CallerSideTest.java
+++ b/src/test/java/org/auburnhoist/proxy/CallerSideTest.java
@@ -26,6 +26,10 @@
 class CallerSideTest {
     private static final String OK = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
     private static final String START = "POST /a HTTP/1.1\r\nHost: fleet\r\n";
+    private static final int BLOCK_BYTES = 1 << 16;
+    /** More than the socket buffers of two connections hold. */
+    private static final long SOCKET_BUFFERS = 64L << 20;
+
     private static final Duration SHORT = Duration.ofMillis(200);
 
     private final AtomicInteger admitted = new AtomicInteger();
@@ -188,28 +192,75 @@
     @Test
     void largeAnswerWaitsForTheCaller() throws Exception {
         long size = 256L << 20;
-        byte[] block = new byte[1 << 16];
         AtomicLong written = new AtomicLong();
-        CountDownLatch started = new CountDownLatch(1);
         upstream = new RawUpstream((connection, number) -> {
-            upstream.readHead(connection);
-            connection.send("HTTP/1.1 200 OK\r\nContent-Length: " + size + "\r\n\r\n");
-            while (written.get() < size) {
-                connection.send(block);
-                written.addAndGet(block.length);
-                started.countDown();
+            if (upstream.readHead(connection).startsWith("GET")) {
+                connection.send(OK);
+                return;
             }
+            connection.send("HTTP/1.1 200 OK\r\nContent-Length: " + size + "\r\n\r\n");
+            writeBlocks(connection, size, written);
         });
         try (RawConnection caller = start(ProxySettings.builder())) {
             String head = caller.send(START + "\r\n").readHead();
             assertEquals(Long.toString(size), RawConnection.header(head, "Content-Length"));
-            assertTrue(started.await(60, TimeUnit.SECONDS));
-            long read = 0;
-            while (read < size) {
-                read += caller.readBytes(block.length).length;
-                // Socket buffers of both connections hold a few megabytes; without back pressure the rest follows.
-                assertTrue(written.get() - read < 64L << 20, "ahead by " + (written.get() - read));
+            passOtherRequests();
+            assertTrue(written.get() < SOCKET_BUFFERS, "written for a caller that does not read: " + written.get());
+            for (long read = 0; read < size; read += BLOCK_BYTES) {
+                caller.readBytes(BLOCK_BYTES);
+            }
+        }
+    }
+
+    /** Guards against buffering of a large request body for a server that does not read. */
+    @Test
+    void largeRequestBodyWaitsForTheServer() throws Exception {
+        long size = 256L << 20;
+        AtomicLong written = new AtomicLong();
+        CountDownLatch received = new CountDownLatch(1);
+        CountDownLatch reading = new CountDownLatch(1);
+        upstream = new RawUpstream((connection, number) -> {
+            if (upstream.readHead(connection).startsWith("POST")) {
+                received.countDown();
+                reading.await();
+                for (long read = 0; read < size; read += BLOCK_BYTES) {
+                    connection.readBytes(BLOCK_BYTES);
+                }
+            }
+            connection.send(OK);
+        });
+        try (RawConnection caller = start(ProxySettings.builder())) {
+            caller.send(START + "Content-Length: " + size + "\r\n\r\n");
+            CompletableFuture<Void> sending = CompletableFuture.runAsync(() -> writeBlocks(caller, size, written));
+            received.await();
+            passOtherRequests();
+            assertTrue(written.get() < SOCKET_BUFFERS, "written for a server that does not read: " + written.get());
+            reading.countDown();
+            assertTrue(caller.readMessage().endsWith("ok"));
+            sending.get(60, TimeUnit.SECONDS);
+        }
+    }
+
+    /** Gives the proxy the time of many other requests to buffer more than it should. */
+    private void passOtherRequests() throws IOException {
+        try (RawConnection other = RawConnection.to(proxy.address())) {
+            for (int count = 0; count < 500; count++) {
+                assertTrue(other.send("GET /other HTTP/1.1\r\nHost: fleet\r\n\r\n")
+                        .readMessage()
+                        .endsWith("ok"));
+            }
+        }
+    }
+
+    private static void writeBlocks(RawConnection connection, long size, AtomicLong written) {
+        byte[] block = new byte[BLOCK_BYTES];
+        try {
+            while (written.get() < size) {
+                connection.send(block);
+                written.addAndGet(BLOCK_BYTES);
             }
+        } catch (IOException cause) {
+            throw new IllegalStateException(cause);
         }
     }
 
--- a/src/test/java/org/auburnhoist/proxy/ProxyServerTest.java
+++ b/src/test/java/org/auburnhoist/proxy/ProxyServerTest.java
@@ -192,6 +192,28 @@
         }
     }
 
+    /** Guards against hiding that a server died of a request which came over a reused connection. */
+    @Test
+    void reportsAServerThatDiesOfARequest() throws Exception {
+        upstream = new RawUpstream((connection, number) -> {
+            upstream.readHead(connection);
+            connection.send(OK);
+            upstream.readHead(connection);
+            upstream.close();
+        });
+        TestForwarding first = TestForwarding.lookup(upstream.address());
+        TestForwarding second = TestForwarding.lookup(upstream.address());
+        RequestPolicy policy = (head, now) -> CompletableFuture.completedFuture(
+                new Admission.Forwarded(head.path().equals("/deadly") ? second : first));
+        try (RawConnection caller = start(policy)) {
+            assertTrue(caller.send(GET).readMessage().endsWith("ok"));
+            String answer =
+                    caller.send("GET /deadly HTTP/1.1\r\nHost: fleet\r\n\r\n").readMessage();
+            assertRefused(answer, Refusal.UPSTREAM_FAILED);
+            assertEquals(List.of(new TestForwarding.Attempt(AttemptOutcome.CONNECTION_LOST, true)), second.attempts);
+        }
+    }
+
     /** Guards against a lookup that is not repeated on another server, and against a lost body in the repetition. */
     @Test
     void repeatsAnIdempotentRequestWithItsBody() throws Exception {
