Rebind the emulators' ports without a race

Cause: a closed listening socket keeps its port until the accepting thread has let go of it, so accepting again failed with "Address already in use" in 2 of 3 repetitions of the emulator tests.

Change: refusing connections waits until the port can be reserved (the upstream emulator retries from its timer instead), and a connection that was accepted while the server closed is not served.

--- a/src/main/java/org/auburnhoist/emulator/LoopbackServer.java
+++ b/src/main/java/org/auburnhoist/emulator/LoopbackServer.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.URI;
+import java.util.concurrent.locks.LockSupport;
 import org.apache.hc.core5.http.impl.bootstrap.HttpServer;
 import org.apache.hc.core5.http.impl.bootstrap.ServerBootstrap;
 import org.apache.hc.core5.http.io.HttpRequestHandler;
@@ -14,14 +15,23 @@
 
 /** An HTTP server on loopback that can refuse connections and accept them again at the same port. */
 final class LoopbackServer implements AutoCloseable {
+    private static final int RESERVATION_ATTEMPTS = 1000;
+    private static final long RESERVATION_PAUSE_NANOS = 2_000_000;
+
     private final HttpRequestHandler handler;
     private final int port;
+    private volatile boolean refusing;
     private @Nullable HttpServer server;
     private @Nullable PortReservation reservation;
 
     LoopbackServer(int port, HttpRequestHandler handler) throws IOException {
-        this.handler = handler;
-        HttpServer first = start(port, handler);
+        this.handler = (request, response, context) -> {
+            if (refusing) {
+                throw new IOException("a connection accepted while the server closed is not served");
+            }
+            handler.handle(request, response, context);
+        };
+        HttpServer first = start(port, this.handler);
         this.server = first;
         this.port = first.getLocalPort();
     }
@@ -36,9 +46,10 @@
         if (running == null) {
             return;
         }
+        refusing = true;
         running.close(CloseMode.IMMEDIATE);
         server = null;
-        reservation = new PortReservation(port);
+        reservation = reserve();
     }
 
     /** Accepts connections again. */
@@ -47,6 +58,7 @@
             return;
         }
         closeReservation();
+        refusing = false;
         server = start(port, handler);
     }
 
@@ -60,6 +72,16 @@
         closeReservation();
     }
 
+    /** Waits until the accepting thread has let go of the old listening socket. */
+    private @Nullable PortReservation reserve() {
+        PortReservation held = PortReservation.tryReserve(port);
+        for (int attempt = 1; held == null && attempt < RESERVATION_ATTEMPTS; attempt++) {
+            LockSupport.parkNanos(RESERVATION_PAUSE_NANOS);
+            held = PortReservation.tryReserve(port);
+        }
+        return held;
+    }
+
     private void closeReservation() {
         PortReservation held = reservation;
         reservation = null;
--- a/src/main/java/org/auburnhoist/emulator/PortReservation.java
+++ b/src/main/java/org/auburnhoist/emulator/PortReservation.java
@@ -8,26 +8,27 @@
 
 /** Holds a loopback port with a socket that does not listen, so that no other process gets it while it is refused. */
 final class PortReservation implements AutoCloseable {
-    private final @Nullable Socket socket;
+    private final Socket socket;
 
-    /** Reserves a port; if that fails, the port is refused as well, and only its later reuse is not ensured. */
-    PortReservation(int port) {
-        Socket bound = null;
+    private PortReservation(Socket socket) {
+        this.socket = socket;
+    }
+
+    /** Reserves a port; null while a listening socket still holds it. */
+    static @Nullable PortReservation tryReserve(int port) {
+        Socket bound = new Socket();
         try {
-            bound = new Socket();
             bound.setReuseAddress(true);
             bound.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), port));
+            return new PortReservation(bound);
         } catch (IOException cause) {
-            bound = null;
+            new PortReservation(bound).close();
+            return null;
         }
-        socket = bound;
     }
 
     @Override
     public void close() {
-        if (socket == null) {
-            return;
-        }
         try {
             socket.close();
         } catch (IOException cause) {
--- a/src/main/java/org/auburnhoist/emulator/UpstreamListener.java
+++ b/src/main/java/org/auburnhoist/emulator/UpstreamListener.java
@@ -16,7 +16,7 @@
 
 /** Listening port and open connections of one emulated server. */
 final class UpstreamListener {
-    /** The old listening socket is closed by the reactor's thread, so the port may be taken for a moment. */
+    /** The old listening socket is closed by the reactor's thread, so the port stays taken for a moment. */
     private static final Duration RETRY_DELAY = Duration.ofMillis(20);
 
     private final HttpAsyncServer reactor;
@@ -57,17 +57,30 @@
         sessions.remove(session);
     }
 
+    /** Resets all connections and refuses new ones. */
     synchronized void refuse() {
         refusing = true;
         ListenerEndpoint listening = endpoint;
         if (listening != null) {
             listening.close(CloseMode.IMMEDIATE);
             endpoint = null;
-            reservation = new PortReservation(port);
+            reserve();
         }
         sessions.forEach(session -> session.close(CloseMode.IMMEDIATE));
     }
 
+    /** Tries until the reactor's thread has closed the old listening socket. */
+    private synchronized void reserve() {
+        if (!refusing || reservation != null) {
+            return;
+        }
+        reservation = PortReservation.tryReserve(port);
+        if (reservation == null) {
+            Future<?> unused = emulator.after(RETRY_DELAY, this::reserve);
+        }
+    }
+
+    /** Listens again at the same port. */
     synchronized void accept() {
         if (endpoint != null) {
             return;
