Measure dispatch and aim the properties at resends and crashes

Cause: three trials without a guard were not caught, because the generated schedules spread over too many operations and innocents were seldom in flight on a dying server. Trials on a scratch copy, each seen failing: floor check in ServerHealth (mayEject) and in configure (readmitDownToFloor), room check of the baseline (I1); leaving checks of dispatcher, judge and local choice (I9); the check of used against slotsPerServer; comparison of the attempt number and refusal after an export (I8); FairQueue replaced by ArrivalQueue; quarantine that never convicts. Conclusion: two I8 guards (expiry boundary, removed runner) are seen by OperationHomeTest only, not by the property.

--- a/src/main/java/org/auburnhoist/load/DispatchResult.java
+++ b/src/main/java/org/auburnhoist/load/DispatchResult.java
@@ -9,6 +9,7 @@
  * @param teams counts by team name
  * @param ejections ejections in order of time
  * @param crashes how often the poisonous request crashed a server
+ * @param copiesAtFirstCrash copies of the poisonous request in progress at its first crash
  * @param poisonRefusals how often the poisonous request was refused as quarantined
  * @param innocentsQuarantined how often another request was refused as quarantined
  */
@@ -16,6 +17,7 @@
         Map<String, TeamCount> teams,
         List<Ejection> ejections,
         int crashes,
+        int copiesAtFirstCrash,
         int poisonRefusals,
         int innocentsQuarantined) {
 
--- a/src/main/java/org/auburnhoist/load/DispatchSimulation.java
+++ b/src/main/java/org/auburnhoist/load/DispatchSimulation.java
@@ -29,6 +29,7 @@
 
     private static final long TICK_NANOS = 50_000_000L;
     private static final long POISON_FINGERPRINT = -1;
+    private static final long POPULAR_FINGERPRINT = -2;
     private static final String POISON_TEAM = "poison-sender";
 
     private final DispatchScenario scenario;
@@ -46,6 +47,7 @@
     private long nextOrder;
     private long nextToken;
     private int crashes;
+    private int copiesAtFirstCrash;
     private int poisonRefusals;
     private int innocentsQuarantined;
 
@@ -105,7 +107,7 @@
         running.values().forEach(attempt -> count(attempt.request().team())[0]--);
         Map<String, DispatchResult.TeamCount> teams = new TreeMap<>();
         counts.forEach((team, count) -> teams.put(team, new DispatchResult.TeamCount(count[0], count[1], count[2])));
-        return new DispatchResult(teams, ejections, crashes, poisonRefusals, innocentsQuarantined);
+        return new DispatchResult(teams, ejections, crashes, copiesAtFirstCrash, poisonRefusals, innocentsQuarantined);
     }
 
     private void at(long atNanos, Runnable action) {
@@ -123,11 +125,17 @@
         }
         long gap = (long) (-Math.log(1 - random.nextDouble()) / rate * 1e9);
         at(nowNanos + gap, () -> {
-            send(team, random.nextLong() & Long.MAX_VALUE);
+            send(team, innocentFingerprint());
             scheduleArrival(team, rate);
         });
     }
 
+    /** Beside a crashing request, a popular one is often in progress, so that it is a suspect of many deaths. */
+    private long innocentFingerprint() {
+        boolean popular = scenario.poison().ratePerSecond() > 0 && random.nextDouble() < 0.3;
+        return popular ? POPULAR_FINGERPRINT : random.nextLong() & Long.MAX_VALUE;
+    }
+
     private void schedulePoison() {
         long gap = (long) (1e9 / scenario.poison().ratePerSecond());
         at(nowNanos + gap, () -> {
@@ -217,6 +225,11 @@
         if (!running.containsKey(grant.grantId())) {
             return;
         }
+        if (crashes == 0) {
+            copiesAtFirstCrash = (int) running.values().stream()
+                    .filter(attempt -> attempt.request().fingerprint() == POISON_FINGERPRINT)
+                    .count();
+        }
         crashes++;
         downUntilSeconds.put(grant.server(), nowNanos / 1e9 + scenario.poison().restartSeconds());
         List<Long> lost = running.values().stream()
--- a/src/test/java/org/auburnhoist/core/operation/AtMostOncePropertyTest.java
+++ b/src/test/java/org/auburnhoist/core/operation/AtMostOncePropertyTest.java
@@ -47,7 +47,7 @@
     /** Two homes, three asking hosts, and a network that may lose, delay, reorder and repeat each message. */
     private static final class World {
         final SplittableRandom random = new SplittableRandom(7);
-        final OperationSettings settings = new OperationSettings(Duration.ofHours(1), 12, 3);
+        final OperationSettings settings = new OperationSettings(Duration.ofHours(1), 4, 3);
         final Map<HostId, OperationHome> homes = new HashMap<>();
         final HostId[] homeIds = new HostId[2];
         final HostId[] askers = new HostId[3];
@@ -157,12 +157,19 @@
                     });
                 case 16 -> withRun(choice, run -> claim(run, choice % 2));
                 case 17 ->
-                    now += choice % 4 == 0 ? Duration.ofMinutes(choice % 90).toNanos() : choice * 1_000L;
+                    now += choice % 8 == 0 ? Duration.ofMinutes(choice % 90).toNanos() : choice % 3 * 1_000_000_000L;
                 case 18 -> rareStep(choice);
                 default -> homes.values().forEach(home -> home.tick(now));
             }
         }
 
+        /** Few operations, so that most steps act on one that has already been claimed. */
+        void issue(int choice) {
+            if (operations.isEmpty() || choice % 3 == 0) {
+                operations.add(homes.get(homeIds[choice % 2]).issue(now).encode());
+            }
+        }
+
         void rareStep(int choice) {
             switch (choice % 5) {
                 case 0 -> startHome(choice / 5 % 2);
@@ -203,7 +210,7 @@
 
         /** Mostly one of the newest elements, so that steps act on the same few operations. */
         int recent(int choice, int size) {
-            int back = choice % 7 == 0 ? choice % size : choice % Math.min(size, 4);
+            int back = choice % 7 == 0 ? choice % size : choice % Math.min(size, 3);
             return size - 1 - back;
         }
     }
--- a/src/test/java/org/auburnhoist/load/DispatchSimulationPropertyTest.java
+++ b/src/test/java/org/auburnhoist/load/DispatchSimulationPropertyTest.java
@@ -50,15 +50,17 @@
     void aCrashingRequestKillsFewServersAndBlamesNoOther(
             @ForAll @IntRange(min = 3, max = 10) int servers,
             @ForAll @IntRange(min = 1, max = 5) int copies,
-            @ForAll @DoubleRange(min = 0.2, max = 5) double rate,
+            @ForAll @DoubleRange(min = 0.2, max = 40) double rate,
             @ForAll @DoubleRange(min = 0, max = 5) double restartSeconds,
             @ForAll @IntRange int seed) {
         List<Double> rates = Collections.nCopies(4, 0.06 * servers * 2 / 0.05);
         DispatchScenario.Poison poison = new DispatchScenario.Poison(rate, copies, restartSeconds);
         DispatchResult result = new DispatchSimulation(scenario(servers, 2, rates, poison, 30, seed)).run();
-        // Copies that run before the first death is known may each kill a server.
-        int most = Math.max(3, copies) + 1;
-        assertTrue(result.crashes() <= most, () -> result.crashes() + " deaths, " + copies + " copies at once");
+        // Copies that run when the first death happens may each kill a server; one more may start before it is known.
+        int most = Math.max(3, result.copiesAtFirstCrash()) + 1;
+        assertTrue(
+                result.crashes() <= most,
+                () -> result.crashes() + " deaths, " + result.copiesAtFirstCrash() + " copies at the first");
         assertTrue(result.poisonRefusals() > 0);
         assertEquals(0, result.innocentsQuarantined());
     }
