Decide about access in one place of the host

Cause: the host repeated what AccessPolicy decides, and a refusal's record did not say why. Change: the host uses AccessPolicy; refused requests are recorded with their reason; only changed configuration files are parsed again.

--- a/src/main/java/org/auburnhoist/cli/ServeCommand.java
+++ b/src/main/java/org/auburnhoist/cli/ServeCommand.java
@@ -37,6 +37,7 @@
                     "secret that all hosts share; better given in the environment than on the command line",
                     "at least " + PeerSettings.MINIMUM_SECRET_LENGTH + " characters",
                     Pattern.compile(".{" + PeerSettings.MINIMUM_SECRET_LENGTH + ",}"))
+            .asConfidential()
             .asRequired();
 
     private static final Setting<Long> THREADS = Setting.integer(
--- a/src/main/java/org/auburnhoist/host/DocumentController.java
+++ b/src/main/java/org/auburnhoist/host/DocumentController.java
@@ -35,6 +35,7 @@
 final class DocumentController {
     private final Blackboard board;
     private final ControlThread control;
+    private final ConfigurationReader reader = new ConfigurationReader();
     private final Map<String, byte[]> chunks = new HashMap<>();
     private byte[] headBytes = new byte[0];
     private byte[] rosterBytes = new byte[0];
@@ -153,7 +154,7 @@
             }
             files.add(new ConfigurationFile(entry.name(), joined.get()));
         }
-        Either<List<Finding>, FleetConfiguration> read = ConfigurationReader.read(newer.version(), files);
+        Either<List<Finding>, FleetConfiguration> read = reader.readChanged(newer.version(), files);
         if (read.isLeft()) {
             Event.named("configuration-refused")
                     .with("version", newer.version())
--- a/src/main/java/org/auburnhoist/host/HostPolicy.java
+++ b/src/main/java/org/auburnhoist/host/HostPolicy.java
@@ -9,9 +9,8 @@
 import org.auburnhoist.core.Refusal;
 import org.auburnhoist.core.TrafficClass;
 import org.auburnhoist.core.blackboard.HostView;
-import org.auburnhoist.core.configuration.KeyCheck;
+import org.auburnhoist.core.configuration.AccessDecision;
 import org.auburnhoist.core.configuration.Route;
-import org.auburnhoist.core.configuration.RouteMatch;
 import org.auburnhoist.core.limit.TokenDecision;
 import org.auburnhoist.core.message.ClaimAnswer;
 import org.auburnhoist.core.message.ClaimRequest;
@@ -70,48 +69,29 @@
         }
         RequestRecord record = new RequestRecord(head.requestId(), head.method(), head.path());
         HostView current = view.get();
-        RouteMatch match = current.active().routes().match(head.method(), head.path());
-        if (match instanceof RouteMatch.Malformed malformed) {
-            return refused(record, Refusal.MALFORMED_REQUEST, malformed.reason(), NO_ADVICE);
-        }
-        if (!(match instanceof RouteMatch.Found found)) {
-            return current.active().version() == 0
-                    ? refused(record, Refusal.HOST_ISOLATED, "this host has no configuration yet", STALE_RETRY_MILLIS)
-                    : refused(record, Refusal.ROUTE_UNKNOWN, "no route accepts this method and path", NO_ADVICE);
-        }
-        record.route(found.route().name());
-        return authenticate(current, head, found, record, nowNanos);
-    }
-
-    private CompletionStage<Admission> authenticate(
-            HostView current, RequestHead head, RouteMatch.Found found, RequestRecord record, long nowNanos) {
-        Route route = found.route();
         if (!current.isFresh(nowNanos)) {
             return refused(
                     record,
                     Refusal.HOST_ISOLATED,
-                    "this host has lost contact with the fleet; use another address",
+                    "this host has no configuration that is fresh; use another address",
                     STALE_RETRY_MILLIS);
         }
-        if (route.open()) {
-            return proceed(new Request(head, found.path(), route, "", "", record, nowNanos));
-        }
-        KeyCheck check = current.active().keys().check(head.header(AUTHORIZATION));
-        if (check instanceof KeyCheck.Missing) {
-            return refused(record, Refusal.KEY_MISSING, "this route needs a key", NO_ADVICE);
-        }
-        if (check instanceof KeyCheck.Withdrawn withdrawn) {
-            record.caller(withdrawn.team(), withdrawn.keyId());
-            return refused(record, Refusal.KEY_WITHDRAWN, "the key was withdrawn", NO_ADVICE);
+        AccessDecision decision =
+                current.active().access().decide(head.method(), head.path(), head.header(AUTHORIZATION));
+        if (decision instanceof AccessDecision.ForTeam access) {
+            record.caller(access.team(), access.keyId());
+            record.route(access.route().name());
+            return proceed(
+                    new Request(head, access.path(), access.route(), access.team(), access.keyId(), record, nowNanos));
         }
-        if (!(check instanceof KeyCheck.Accepted accepted)) {
-            return refused(record, Refusal.KEY_UNKNOWN, "the key is not known", NO_ADVICE);
+        if (decision instanceof AccessDecision.ForAnyone access) {
+            record.route(access.route().name());
+            return proceed(new Request(head, access.path(), access.route(), "", "", record, nowNanos));
         }
-        record.caller(accepted.team(), accepted.keyId());
-        if (!route.teams().isEmpty() && !route.teams().contains(accepted.team())) {
-            return refused(record, Refusal.TEAM_NOT_ALLOWED, "the team may not use this route", NO_ADVICE);
+        if (decision instanceof AccessDecision.Refused denied) {
+            return refused(record, denied.refusal(), denied.detail(), NO_ADVICE);
         }
-        return proceed(new Request(head, found.path(), route, accepted.team(), accepted.keyId(), record, nowNanos));
+        return refused(record, Refusal.ROUTE_UNKNOWN, "no such endpoint", NO_ADVICE);
     }
 
     private CompletionStage<Admission> proceed(Request request) {
@@ -223,7 +203,7 @@
 
     private Admission operationIdRequired(Request request, long nowNanos) {
         OperationId issued = controllers.operations().issue(nowNanos);
-        request.record().write(Refusal.OPERATION_ID_REQUIRED.status(), Refusal.OPERATION_ID_REQUIRED, true, 0);
+        request.record().refused(Refusal.OPERATION_ID_REQUIRED, "the request has no Operation-Id");
         metrics.requestRefused(Refusal.OPERATION_ID_REQUIRED, request.team());
         List<Map.Entry<String, String>> headers =
                 issued == null ? List.of() : List.of(Map.entry(OPERATION_ID, issued.encode()));
@@ -247,7 +227,7 @@
     }
 
     private Admission refusal(RequestRecord record, Refusal refusal, String detail, long retryAfterMillis) {
-        record.write(refusal.status(), refusal, true, 0);
+        record.refused(refusal, detail);
         metrics.requestRefused(refusal, record.team());
         return new Admission.Refused(refusal, detail, retryAfterMillis, List.of());
     }
--- a/src/main/java/org/auburnhoist/host/LocalEndpoints.java
+++ b/src/main/java/org/auburnhoist/host/LocalEndpoints.java
@@ -16,6 +16,7 @@
 import org.auburnhoist.core.HostId;
 import org.auburnhoist.core.Refusal;
 import org.auburnhoist.core.blackboard.HostView;
+import org.auburnhoist.core.configuration.AccessDecision;
 import org.auburnhoist.core.configuration.KeyCheck;
 import org.auburnhoist.core.membership.AddressRanking;
 import org.auburnhoist.core.membership.FreshnessTable;
@@ -133,9 +134,7 @@
     }
 
     private boolean authenticated(RequestHead head, long nowNanos) {
-        HostView current = view.get();
-        return current.isFresh(nowNanos)
-                && current.active().keys().check(head.header(HostPolicy.AUTHORIZATION)) instanceof KeyCheck.Accepted;
+        return view.get().isFresh(nowNanos) && keyOf(head) instanceof KeyCheck.Accepted;
     }
 
     private static CompletionStage<Admission> unauthenticated() {
@@ -143,8 +142,13 @@
     }
 
     private String teamOf(RequestHead head) {
-        KeyCheck check = view.get().active().keys().check(head.header(HostPolicy.AUTHORIZATION));
-        return check instanceof KeyCheck.Accepted accepted ? accepted.team() : "";
+        return keyOf(head) instanceof KeyCheck.Accepted accepted ? accepted.team() : "";
+    }
+
+    private KeyCheck keyOf(RequestHead head) {
+        AccessDecision decision =
+                view.get().active().access().decide(head.method(), head.path(), head.header(HostPolicy.AUTHORIZATION));
+        return decision instanceof AccessDecision.Reserved reserved ? reserved.key() : new KeyCheck.Missing();
     }
 
     private static int requestedCount(@Nullable String query) {
--- a/src/main/java/org/auburnhoist/host/RequestRecord.java
+++ b/src/main/java/org/auburnhoist/host/RequestRecord.java
@@ -45,8 +45,27 @@
         return team;
     }
 
-    /** Writes the line. */
+    /** Writes the line of a request that was refused before any server was chosen. */
+    void refused(Refusal refusal, String reason) {
+        start().with("status", refusal.status())
+                .with("refusal", refusal.code())
+                .with("outcome", refusal.outcome().headerValue())
+                .with("reason", reason)
+                .log();
+    }
+
+    /** Writes the line of a request that was forwarded or answered from the record of an operation. */
     void write(int status, @Nullable Refusal refusal, boolean complete, long durationMicros) {
+        Event event = start();
+        event.with("attempts", String.join(",", attempts)).with("status", status);
+        if (refusal != null) {
+            event.with("refusal", refusal.code())
+                    .with("outcome", refusal.outcome().headerValue());
+        }
+        event.with("complete", complete).with("micros", durationMicros).log();
+    }
+
+    private Event start() {
         Event event = Event.named("request")
                 .with("id", requestId)
                 .with("method", method)
@@ -54,14 +73,6 @@
                 .with("team", team)
                 .with("key", keyId)
                 .with("route", route);
-        if (!operation.isEmpty()) {
-            event.with("operation", operation);
-        }
-        event.with("attempts", String.join(",", attempts)).with("status", status);
-        if (refusal != null) {
-            event.with("refusal", refusal.code())
-                    .with("outcome", refusal.outcome().headerValue());
-        }
-        event.with("complete", complete).with("micros", durationMicros).log();
+        return operation.isEmpty() ? event : event.with("operation", operation);
     }
 }
