--- a/src/main/java/org/auburnhoist/host/EntryHost.java
+++ b/src/main/java/org/auburnhoist/host/EntryHost.java
@@ -53,7 +53,7 @@
 
     private final HostSettings settings;
     private final HostId self;
-    private final Closer closer = new Closer();
+    private final Closer closer;
     private final ControlThread control;
     private final HostMetrics metrics = new HostMetrics();
     private final TrafficCounter peerTraffic = new TrafficCounter();
@@ -67,7 +67,8 @@
     private volatile @Nullable PeerRequests peerRequests;
     private volatile @Nullable HostPolicy policy;
 
-    private EntryHost(HostSettings settings, Store store) throws IOException {
+    private EntryHost(HostSettings settings, Store store, Closer closer) throws IOException {
+        this.closer = closer;
         this.settings = settings;
         SecureRandom secure = new SecureRandom();
         this.self = new HostId(settings.name(), secure.nextLong());
@@ -96,9 +97,15 @@
      * @throws IOException if an address is not available
      */
     public static EntryHost start(HostSettings settings, Store store) throws IOException {
-        EntryHost host = new EntryHost(settings, store);
-        host.begin();
-        return host;
+        Closer closer = new Closer();
+        try {
+            EntryHost host = new EntryHost(settings, store, closer);
+            host.begin();
+            return host;
+        } catch (IOException | RuntimeException cause) {
+            closer.close();
+            throw cause;
+        }
     }
 
     /** Name and incarnation. */
@@ -146,6 +153,11 @@
         return plannedStop.begin().thenRun(this::close);
     }
 
+    /** Finishes the requests of an incarnation that was removed, and closes it. */
+    CompletableFuture<Void> stopRemoved() {
+        return plannedStop.drainRemoved().thenRun(this::close);
+    }
+
     /** Stops at once, as a failure does. */
     @Override
     public void close() {
--- a/src/main/java/org/auburnhoist/host/Fingerprint.java
+++ b/src/main/java/org/auburnhoist/host/Fingerprint.java
@@ -19,6 +19,15 @@
         return (hash ^ head.contentLength()) * PRIME;
     }
 
+    /** Adds the whole body, so that different requests to the same path are told apart. */
+    static long withBody(long fingerprint, byte[] body) {
+        long hash = fingerprint;
+        for (byte octet : body) {
+            hash = (hash ^ (octet & 0xff)) * PRIME;
+        }
+        return hash;
+    }
+
     private static long add(long hash, @Nullable String text) {
         long result = hash;
         String value = text == null ? "" : text;
--- a/src/main/java/org/auburnhoist/host/HostForwarding.java
+++ b/src/main/java/org/auburnhoist/host/HostForwarding.java
@@ -34,7 +34,7 @@
     private final ControlThread control;
     private final HostControllers controllers;
     private final HostMetrics metrics;
-    private final long fingerprint;
+    private volatile long fingerprint;
     private final List<String> failedServers = new ArrayList<>();
     private SlotClient.@Nullable Slot slot;
     private int attempts;
@@ -64,6 +64,17 @@
         return request.route().trafficClass();
     }
 
+    /** The normal form, so that a server sees the path that was matched. */
+    @Override
+    public String path(String received) {
+        return request.path();
+    }
+
+    @Override
+    public void bodyRead(byte[] body) {
+        fingerprint = Fingerprint.withBody(fingerprint, body);
+    }
+
     @Override
     public long deadlineNanos() {
         return deadlineNanos;
@@ -71,6 +82,9 @@
 
     @Override
     public CompletionStage<Target> nextTarget(long nowNanos) {
+        if (attempts == 0) {
+            controllers.retries().requestStarted(request.route().service(), nowNanos);
+        }
         CompletableFuture<Target> result = new CompletableFuture<>();
         CompletableFuture<Boolean> accepted = control.compute(now -> {
             acquireSlot(now, result);
--- a/src/main/java/org/auburnhoist/host/HostPolicy.java
+++ b/src/main/java/org/auburnhoist/host/HostPolicy.java
@@ -13,7 +13,9 @@
 import org.auburnhoist.core.configuration.Route;
 import org.auburnhoist.core.limit.TokenDecision;
 import org.auburnhoist.core.message.ClaimAnswer;
+import org.auburnhoist.core.message.ClaimOutcome;
 import org.auburnhoist.core.message.ClaimRequest;
+import org.auburnhoist.core.message.ClaimResult;
 import org.auburnhoist.core.message.RecordedAnswer;
 import org.auburnhoist.core.operation.OperationId;
 import org.auburnhoist.proxy.Admission;
@@ -153,7 +155,14 @@
         long fingerprint = Fingerprint.of(request.head(), request.path(), request.team());
         ClaimRequest claim = new ClaimRequest(operation.encode(), request.team(), fingerprint, attempt);
         controllers.operations().claim(operation, claim, System.nanoTime(), (answer, now) -> {
-            result.complete(answer == null ? operationUnknown(request) : claimed(request, operation, attempt, answer));
+            if (answer == null) {
+                // The claim may have been granted and its answer lost; without this report it would block the id.
+                ClaimOutcome notRun = new ClaimOutcome(operation.encode(), attempt, ClaimResult.NOT_RUN, null);
+                controllers.operations().report(operation, notRun, now);
+                result.complete(operationUnknown(request));
+            } else {
+                result.complete(claimed(request, operation, attempt, answer));
+            }
         });
     }
 
--- a/src/main/java/org/auburnhoist/host/HostProcess.java
+++ b/src/main/java/org/auburnhoist/host/HostProcess.java
@@ -2,8 +2,10 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
+import java.util.concurrent.locks.LockSupport;
 import org.auburnhoist.store.Store;
 import org.auburnhoist.support.Event;
 
@@ -12,6 +14,9 @@
  * nobody could hear it, it starts again with a new incarnation on the same addresses.
  */
 public final class HostProcess {
+    private static final int START_ATTEMPTS = 40;
+    private static final Duration START_PAUSE = Duration.ofMillis(250);
+
     private final HostSettings settings;
     private final Store store;
     private final CompletableFuture<Void> stopped = new CompletableFuture<>();
@@ -67,24 +72,38 @@
 
     private void restart(EntryHost removed) {
         // The removed incarnation closes itself on another thread than its own control thread.
-        Thread thread = new Thread(() -> replace(removed), "host-restart");
+        Thread thread = new Thread(() -> drainAndReplace(removed), "host-restart");
         thread.setDaemon(true);
         thread.start();
     }
 
-    private synchronized void replace(EntryHost removed) {
+    private void drainAndReplace(EntryHost removed) {
+        HostSettings sameAddresses = withAddresses(removed.callerAddress(), removed.peerAddress());
+        removed.stopRemoved().join();
+        for (int attempt = 1; attempt <= START_ATTEMPTS; attempt++) {
+            if (replace(sameAddresses, attempt == START_ATTEMPTS)) {
+                return;
+            }
+            LockSupport.parkNanos(START_PAUSE.toNanos());
+        }
+    }
+
+    /** Whether nothing is left to do; a port may stay occupied for a moment after its socket was closed. */
+    private synchronized boolean replace(HostSettings sameAddresses, boolean lastAttempt) {
         if (stopping) {
-            return;
+            return true;
         }
-        HostSettings sameAddresses = withAddresses(removed.callerAddress(), removed.peerAddress());
-        removed.close();
         try {
             current = EntryHost.start(sameAddresses, store);
             follow(current);
+            return true;
         } catch (IOException cause) {
             Event.named("host-restart-failed").with("cause", cause).warn();
-            stopping = true;
-            stopped.complete(null);
+            if (lastAttempt) {
+                stopping = true;
+                stopped.complete(null);
+            }
+            return lastAttempt;
         }
     }
 
--- a/src/main/java/org/auburnhoist/host/PlannedStop.java
+++ b/src/main/java/org/auburnhoist/host/PlannedStop.java
@@ -55,6 +55,20 @@
         return finished;
     }
 
+    /** Finishes the requests in progress of a host that the others have removed; completes when it may be closed. */
+    CompletableFuture<Void> drainRemoved() {
+        control.execute(now -> {
+            if (!begun) {
+                begun = true;
+                controllers.board().stop();
+                proxy.stopAccepting();
+                drainDeadlineNanos = now + settings.stopLimit().toNanos();
+                awaitNoRequests(now, later -> finished.complete(null));
+            }
+        });
+        return finished;
+    }
+
     /** Without the store the roster cannot be changed; the host then stops all the same. */
     private void mark(int attemptsLeft) {
         controllers
@@ -72,14 +86,18 @@
     private void drain(long nowNanos) {
         proxy.stopAccepting();
         drainDeadlineNanos = nowNanos + settings.stopLimit().toNanos();
-        awaitRequests(nowNanos);
+        awaitNoRequests(nowNanos, this::handOver);
     }
 
-    private void awaitRequests(long nowNanos) {
+    private void awaitNoRequests(long nowNanos, LongConsumer next) {
         if (proxy.requestsInProgress() > 0 && drainDeadlineNanos - nowNanos > 0) {
-            control.after(CHECK_INTERVAL, this::awaitRequests);
-            return;
+            control.after(CHECK_INTERVAL, later -> awaitNoRequests(later, next));
+        } else {
+            next.accept(nowNanos);
         }
+    }
+
+    private void handOver(long nowNanos) {
         controllers
                 .operations()
                 .handOver(nowNanos)
--- a/src/main/java/org/auburnhoist/proxy/ForwardedExchange.java
+++ b/src/main/java/org/auburnhoist/proxy/ForwardedExchange.java
@@ -92,7 +92,9 @@
             return;
         }
         if (caller.requestBody().isEnded()) {
-            keptBody = caller.requestBody().takeAll();
+            byte[] body = caller.requestBody().takeAll();
+            keptBody = body;
+            forwarding.bodyRead(body);
         } else if (!caller.requestBody().isFull()) {
             return;
         }
@@ -148,8 +150,8 @@
     }
 
     private BasicHttpRequest request(Forwarding.Target.ServerTarget granted) {
-        BasicHttpRequest request =
-                UpstreamRequests.build(head, keptBody, granted.address(), server.settings().hostName);
+        BasicHttpRequest request = UpstreamRequests.build(
+                head, forwarding.path(head.path()), keptBody, granted.address(), server.settings().hostName);
         if (resuming && resumable != null) {
             resumable.addRange(request);
         }
--- a/src/main/java/org/auburnhoist/proxy/Forwarding.java
+++ b/src/main/java/org/auburnhoist/proxy/Forwarding.java
@@ -17,6 +17,22 @@
     /** Kind of work; a request that is not idempotent is never attempted again once any byte of it was written. */
     TrafficClass trafficClass();
 
+    /**
+     * Path with which the request is forwarded.
+     *
+     * @param received path as the caller sent it
+     */
+    default String path(String received) {
+        return received;
+    }
+
+    /**
+     * Tells the body before the first {@link #nextTarget}, if the whole body is small enough to be held in memory.
+     *
+     * @param body the whole body; must not be changed
+     */
+    default void bodyRead(byte[] body) {}
+
     /** Time until which the first byte of the answer must have come. */
     long deadlineNanos();
 
--- a/src/main/java/org/auburnhoist/proxy/UpstreamRequests.java
+++ b/src/main/java/org/auburnhoist/proxy/UpstreamRequests.java
@@ -13,13 +13,15 @@
     /**
      * Builds the head of one attempt.
      *
+     * @param path path to forward
      * @param keptBody the whole body, or null if the body is streamed
      * @param address the server's IP address and port
      * @param hostName name in the {@code Via} header
      */
-    static BasicHttpRequest build(RequestHead head, byte @Nullable [] keptBody, String address, String hostName) {
-        String path = head.query() == null ? head.path() : head.path() + "?" + head.query();
-        BasicHttpRequest request = new BasicHttpRequest(head.method(), path);
+    static BasicHttpRequest build(
+            RequestHead head, String path, byte @Nullable [] keptBody, String address, String hostName) {
+        String target = head.query() == null ? path : path + "?" + head.query();
+        BasicHttpRequest request = new BasicHttpRequest(head.method(), target);
         HeaderRules.towardsUpstream(head, address, hostName)
                 .forEach(header -> request.addHeader(header.getKey(), header.getValue()));
         request.setHeader(HeaderRules.REQUEST_ID, head.requestId());
--- a/src/test/java/org/auburnhoist/host/TestFleet.java
+++ b/src/test/java/org/auburnhoist/host/TestFleet.java
@@ -46,14 +46,22 @@
     }
 
     EntryHost startHost(String name) throws Exception {
-        HostSettings settings = HostSettings.builder(name, "dc-" + hosts.size() % 3)
+        EntryHost host = closer.register(EntryHost.start(settings(name), newStore()));
+        hosts.add(host);
+        return host;
+    }
+
+    HostSettings settings(String name) {
+        return HostSettings.builder(name, "dc-" + hosts.size() % 3)
                 .storeEndpoints(List.of(storeEmulator.address()))
                 .fleetSecret("a secret of the test fleet")
                 .addressValidity(Duration.ofMillis(200))
                 .build();
-        EntryHost host = closer.register(EntryHost.start(settings, newStore()));
-        hosts.add(host);
-        return host;
+    }
+
+    /** Opens a client that the caller closes. */
+    Store openStore() {
+        return EtcdStore.builder().endpoint(storeEmulator.address()).build();
     }
 
     /** Applies one file as the whole configuration. */
@@ -122,8 +130,7 @@
     }
 
     private Store newStore() {
-        return closer.register(
-                EtcdStore.builder().endpoint(storeEmulator.address()).build());
+        return closer.register(openStore());
     }
 
     @Override
