Let a store that lost its data confirm nothing

Cause: a read of an empty or older store counted as fresh knowledge, so a host cut off from all others would have served on by it. Change: a read counts only if it holds at least the versions known when it was sent; otherwise an event says so. Conclusion: hosts go on by their quorum, or refuse.

--- a/src/main/java/org/auburnhoist/host/StoreController.java
+++ b/src/main/java/org/auburnhoist/host/StoreController.java
@@ -93,26 +93,30 @@
         }
         reading = true;
         long sentAt = System.nanoTime();
+        Roster known = board.roster();
+        long knownRoster = known == null ? 0 : known.version();
+        long knownConfiguration = board.active().version();
         store.range(StoreKeys.CURRENT)
                 .thenAccept(result -> control.execute(now -> {
                     reading = false;
                     if (result instanceof ReadResult.Found found) {
-                        received(found, sentAt);
+                        received(found, sentAt, knownRoster, knownConfiguration);
                     }
                 }));
     }
 
-    private void received(ReadResult.Found found, long sentAtNanos) {
+    private void received(ReadResult.Found found, long sentAtNanos, long knownRoster, long knownConfiguration) {
         Entry head = entry(found, StoreKeys.CONFIGURATION);
         Entry roster = entry(found, StoreKeys.ROSTER);
         documents.offer(
                 head == null ? new byte[0] : head.value(),
                 roster == null ? new byte[0] : roster.value(),
                 this::chunk,
-                now -> confirmed(head, roster, sentAtNanos));
+                now -> confirmed(head, roster, sentAtNanos, knownRoster, knownConfiguration));
     }
 
-    private void confirmed(@Nullable Entry head, @Nullable Entry roster, long sentAtNanos) {
+    private void confirmed(
+            @Nullable Entry head, @Nullable Entry roster, long sentAtNanos, long knownRoster, long knownConfiguration) {
         FreshnessTable table = board.freshness();
         long headVersion = head == null
                 ? 0
@@ -122,6 +126,16 @@
         long rosterVersion = roster == null
                 ? 0
                 : RosterCodec.decode(roster.value()).map(Roster::version).getOrElse(Long.MAX_VALUE);
+        if (rosterVersion < knownRoster || headVersion < knownConfiguration) {
+            // A store that was restored from an old copy, or is another one, confirms nothing.
+            Event.named("store-older-than-host")
+                    .with("roster", rosterVersion)
+                    .with("known_roster", knownRoster)
+                    .with("configuration", headVersion)
+                    .with("known_configuration", knownConfiguration)
+                    .warn();
+            return;
+        }
         if (table != null) {
             table.storeConfirmed(sentAtNanos, rosterVersion, headVersion);
         }
--- a/src/test/java/org/auburnhoist/host/EntryHostTest.java
+++ b/src/test/java/org/auburnhoist/host/EntryHostTest.java
@@ -134,6 +134,18 @@
         }
     }
 
+    @Test
+    void aStoreThatLostItsDataKeepsNoHostFreshAndTakesNothingBack() throws Exception {
+        fleet.deleteDocuments();
+        second.close();
+        third.close();
+        TestFleet.await(
+                "the host that is left has no quorum", () -> !first.view().isFresh(System.nanoTime()));
+        assertRefused("host-isolated", 503, fleet.get(first, "/telescopes/7", "Authorization", AUTHORIZATION));
+        assertEquals(1, first.view().active().version());
+        assertEquals(3, first.view().roster().members().size());
+    }
+
     @Test
     void aPlannedStopTakesTheHostOutOfTheAddressesAndTheRoster() throws Exception {
         third.stop().get(60, java.util.concurrent.TimeUnit.SECONDS);
--- a/src/test/java/org/auburnhoist/host/TestFleet.java
+++ b/src/test/java/org/auburnhoist/host/TestFleet.java
@@ -93,6 +93,16 @@
         }
     }
 
+    /** Removes both documents from the store, as a store without its data would be. */
+    void deleteDocuments() {
+        ReadResult.Found found =
+                (ReadResult.Found) operatorStore.range(StoreKeys.CURRENT).join();
+        found.entries()
+                .forEach(entry -> operatorStore
+                        .compareAndDelete(entry.key(), entry.revision())
+                        .join());
+    }
+
     HttpResponse<String> get(EntryHost host, String path, String... headers) throws Exception {
         return send(host, HttpRequest.newBuilder().GET(), path, headers);
     }
