--- a/src/main/java/org/auburnhoist/host/EntryHost.java
+++ b/src/main/java/org/auburnhoist/host/EntryHost.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ThreadFactory;
+import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 import org.auburnhoist.core.HostId;
 import org.auburnhoist.core.blackboard.Blackboard;
@@ -141,6 +142,11 @@
         return leavingWished.copy();
     }
 
+    /** Lets tests cut this host's links to others. */
+    void filterLinks(Predicate<InetSocketAddress> filter) {
+        controllers.peers().filterLinks(filter);
+    }
+
     /** Begins a planned stop; completes when the last request has finished and the host is closed. */
     public CompletableFuture<Void> stop() {
         return plannedStop.begin().thenRun(this::close);
--- a/src/main/java/org/auburnhoist/host/Peers.java
+++ b/src/main/java/org/auburnhoist/host/Peers.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.function.BiConsumer;
+import java.util.function.Predicate;
 import org.auburnhoist.core.HostId;
 import org.auburnhoist.core.blackboard.Blackboard;
 import org.auburnhoist.core.membership.Member;
@@ -20,6 +21,7 @@
     private final PeerClient client;
     private final ControlThread control;
     private final Map<HostId, Long> heardAt = new HashMap<>();
+    private volatile Predicate<InetSocketAddress> links = address -> true;
 
     Peers(Blackboard board, PeerClient client, ControlThread control) {
         this.board = board;
@@ -53,8 +55,17 @@
         });
     }
 
+    /** Lets tests cut links one way: calls to an address that the filter rejects end as not sent. */
+    void filterLinks(Predicate<InetSocketAddress> filter) {
+        links = filter;
+    }
+
     /** Calls whichever process listens on an address. */
     void call(InetSocketAddress address, Message request, Duration timeout, ResultHandler handler) {
+        if (!links.test(address)) {
+            control.execute(now -> handler.accept(new CallResult.NotSent("the link is cut"), now));
+            return;
+        }
         client.call(address, request, timeout)
                 .thenAccept(result -> control.execute(now -> {
                     if (result instanceof CallResult.Answered answered) {
--- /dev/null
+++ b/src/test/java/org/auburnhoist/host/FleetBookingSteps.java
@@ -0,0 +1,100 @@
+package org.auburnhoist.host;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.cucumber.java.en.Given;
+import io.cucumber.java.en.Then;
+import io.cucumber.java.en.When;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.Future;
+import org.auburnhoist.host.ScenarioCaller.Answer;
+
+/** Steps about single bookings that take a while. */
+public final class FleetBookingSteps {
+    private static final String PATH = "/bookings?workMillis=1500";
+
+    private final ScenarioFleet fleet;
+    private final List<Future<Answer>> running = new ArrayList<>();
+    private final List<String> operations = new ArrayList<>();
+    private Answer last;
+
+    /** Shares the scenario's fleet. */
+    public FleetBookingSteps(ScenarioFleet fleet) {
+        this.fleet = fleet;
+    }
+
+    /** Sends bookings and waits until servers run them. */
+    @Given("{int} booking(s) issued by host {int} run(s) through host {int}")
+    public void runBooking(int count, int home, int runner) throws Exception {
+        for (int number = 0; number < count; number++) {
+            ScenarioCaller caller = fleet.newCaller(ScenarioFleet.KEY);
+            String operation = caller.call(fleet.host(home), "POST", PATH, "").header("Operation-Id");
+            operations.add(operation);
+            EntryHost host = fleet.host(runner);
+            running.add(fleet.threads.submit(() -> caller.call(host, "POST", PATH, operation)));
+        }
+        for (String operation : operations) {
+            TestFleet.await(
+                    "a server runs the booking", () -> fleet.upstream().ledger().runsOf(operation) > 0);
+        }
+    }
+
+    /** Waits for the first answers. */
+    @Then("the booking(s) is/are answered")
+    public void answered() throws Exception {
+        for (Future<Answer> booking : running) {
+            assertEquals(200, booking.get().status(), booking.get().head());
+        }
+    }
+
+    /** Sends the first booking again. */
+    @When("the booking is sent again through host {int}")
+    public void sendAgain(int host) throws Exception {
+        last = resend(host);
+    }
+
+    private Answer resend(int host) throws Exception {
+        return fleet.newCaller(ScenarioFleet.KEY).call(fleet.host(host), "POST", PATH, operations.get(0));
+    }
+
+    /** Checks the last answer. */
+    @Then("it is refused as {string}")
+    public void refusedAs(String code) {
+        assertEquals(code, last.refusal(), last.head());
+    }
+
+    /** Sends the first booking again until its outcome is settled. */
+    @Then("sent again through host {int} until it no longer runs, it is refused as {string}")
+    public void settlesAs(int host, String code) throws Exception {
+        do {
+            last = resend(host);
+        } while (last.refusal().equals("operation-running") || last.refusal().equals("host-isolated"));
+        assertEquals(code, last.refusal(), last.head());
+    }
+
+    /** Compares with the first answer. */
+    @Then("sent again through host {int} until it no longer runs, it gets the first answer")
+    public void replayed(int host) throws Exception {
+        settlesAs(host, "");
+        assertEquals(running.get(0).get().text(), last.text());
+    }
+
+    /** Checks the servers' ledger. */
+    @Then("the booking ran once")
+    public void ranOnce() {
+        assertEquals(1, fleet.upstream().ledger().runsOf(operations.get(0)));
+        assertTrue(fleet.upstream().ledger().duplicates().isEmpty());
+    }
+
+    /** Checks who ran the bookings. */
+    @Then("one of them was answered by server {string}")
+    public void answeredBy(String server) throws Exception {
+        List<String> servers = new ArrayList<>();
+        for (Future<Answer> booking : running) {
+            servers.add(booking.get().header("Upstream-Server"));
+        }
+        assertTrue(servers.contains(server), () -> "servers: " + servers);
+    }
+}
--- a/src/test/java/org/auburnhoist/host/TestFleet.java
+++ b/src/test/java/org/auburnhoist/host/TestFleet.java
@@ -11,6 +11,7 @@
 import java.util.HexFormat;
 import java.util.List;
 import java.util.function.BooleanSupplier;
+import java.util.function.UnaryOperator;
 import org.auburnhoist.core.configuration.ConfigurationChunks;
 import org.auburnhoist.core.configuration.ConfigurationFile;
 import org.auburnhoist.core.configuration.ConfigurationHead;
@@ -46,12 +47,15 @@
     }
 
     EntryHost startHost(String name) throws Exception {
-        HostSettings settings = HostSettings.builder(name, "dc-" + hosts.size() % 3)
+        return startHost(name, newStore(), settings -> settings);
+    }
+
+    EntryHost startHost(String name, Store store, UnaryOperator<HostSettings.Builder> changes) throws Exception {
+        HostSettings.Builder settings = HostSettings.builder(name, "dc-" + hosts.size() % 3)
                 .storeEndpoints(List.of(storeEmulator.address()))
                 .fleetSecret("a secret of the test fleet")
-                .addressValidity(Duration.ofMillis(200))
-                .build();
-        EntryHost host = closer.register(EntryHost.start(settings, newStore()));
+                .addressValidity(Duration.ofMillis(200));
+        EntryHost host = closer.register(EntryHost.start(changes.apply(settings).build(), store));
         hosts.add(host);
         return host;
     }
@@ -121,7 +125,7 @@
         }
     }
 
-    private Store newStore() {
+    Store newStore() {
         return closer.register(
                 EtcdStore.builder().endpoint(storeEmulator.address()).build());
     }
--- a/src/test/java/org/auburnhoist/proxy/RawConnection.java
+++ b/src/test/java/org/auburnhoist/proxy/RawConnection.java
@@ -10,7 +10,7 @@
 import java.util.Locale;
 
 /** Speaks HTTP/1.1 byte by byte, on either side, so that tests can break its rules. */
-final class RawConnection implements AutoCloseable {
+public final class RawConnection implements AutoCloseable {
     /** Guards against a hanging test only. */
     private static final int GUARD_MILLIS = 60_000;
 
@@ -24,11 +24,13 @@
         input = new java.io.BufferedInputStream(socket.getInputStream());
     }
 
-    static RawConnection to(InetSocketAddress address) throws IOException {
+    /** Connects. */
+    public static RawConnection to(InetSocketAddress address) throws IOException {
         return new RawConnection(new Socket(address.getAddress(), address.getPort()));
     }
 
-    RawConnection send(String text) throws IOException {
+    /** Sends text. */
+    public RawConnection send(String text) throws IOException {
         return send(text.getBytes(StandardCharsets.ISO_8859_1));
     }
 
@@ -38,7 +40,7 @@
     }
 
     /** Reads up to and including the empty line; null at the end of the stream. */
-    String readHead() throws IOException {
+    public String readHead() throws IOException {
         ByteArrayOutputStream head = new ByteArrayOutputStream();
         int lineLength = 0;
         int value;
@@ -64,7 +66,7 @@
     }
 
     /** Reads the body that belongs to a head, to the end of its framing. */
-    byte[] readBody(String head) throws IOException {
+    public byte[] readBody(String head) throws IOException {
         String length = header(head, "Content-Length");
         if (length != null) {
             return readBytes(Integer.parseInt(length));
@@ -106,7 +108,8 @@
         return input.read();
     }
 
-    static String header(String head, String name) {
+    /** The value of a header, or null. */
+    public static String header(String head, String name) {
         for (String line : head.split("\r\n")) {
             if (line.toLowerCase(Locale.ROOT).startsWith(name.toLowerCase(Locale.ROOT) + ":")) {
                 return line.substring(name.length() + 1).strip();
