Wait for a settled roster before hosts of a scenario die

Cause: a fleet whose first host dies before the first roster is settled keeps no quorum, because the electorates since version 1 include the first host alone; the scenarios about buckets killed that host within a second of the start. Change: these scenarios wait until no change of the roster is unsettled.

--- a/src/test/java/org/auburnhoist/host/FleetFaultSteps.java
+++ b/src/test/java/org/auburnhoist/host/FleetFaultSteps.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.CompletableFuture;
 import org.auburnhoist.core.HostId;
 import org.auburnhoist.core.limit.TokenReserves;
+import org.auburnhoist.core.membership.Roster;
 import org.auburnhoist.emulator.GrayMode;
 
 /** Steps that start a fleet and make its parts fail. */
@@ -145,6 +146,17 @@
         fleet.awaitMembers(count);
     }
 
+    /** Until then a quorum needs a majority of the first roster too, which is the first host alone. */
+    @Given("the roster of {int} members is settled")
+    public void awaitSettled(int count) throws Exception {
+        for (EntryHost host : fleet.hosts()) {
+            TestFleet.await("the roster is settled", () -> {
+                Roster roster = host.view().roster();
+                return roster.members().size() == count && !roster.hasChangesUpTo(roster.version());
+            });
+        }
+    }
+
     /** Begins a planned stop. */
     @When("host {int} begins a planned stop")
     public void stop(int host) {
--- a/src/test/resources/org/auburnhoist/host/limits-under-failure.feature
+++ b/src/test/resources/org/auburnhoist/host/limits-under-failure.feature
@@ -3,6 +3,7 @@
 
   Scenario: the owners of the team's buckets die and another host joins
     Given 5 entry hosts and a team with rate 1 and burst 8
+    And the roster of 5 members is settled
     When callers ask every host 5 times
     And both hosts that own the team's buckets die
     And host 6 is started
@@ -14,6 +15,7 @@
 
   Scenario: an owner dies while the store is away
     Given 3 entry hosts and a team with rate 1 and burst 8
+    And the roster of 3 members is settled
     When no host can reach the store
     And callers ask every host 5 times
     And host 1 dies
