--- a/src/test/java/org/auburnhoist/host/TestFleet.java
+++ b/src/test/java/org/auburnhoist/host/TestFleet.java
@@ -11,6 +11,7 @@
 import java.util.HexFormat;
 import java.util.List;
 import java.util.function.BooleanSupplier;
+import java.util.function.UnaryOperator;
 import org.auburnhoist.core.configuration.ConfigurationChunks;
 import org.auburnhoist.core.configuration.ConfigurationFile;
 import org.auburnhoist.core.configuration.ConfigurationHead;
@@ -46,7 +47,12 @@
     }
 
     EntryHost startHost(String name) throws Exception {
-        EntryHost host = closer.register(EntryHost.start(settings(name), newStore()));
+        return startHost(name, newStore(), settings -> settings);
+    }
+
+    EntryHost startHost(String name, Store store, UnaryOperator<HostSettings.Builder> changes) throws Exception {
+        HostSettings settings = changes.apply(settings(name).toBuilder()).build();
+        EntryHost host = closer.register(EntryHost.start(settings, store));
         hosts.add(host);
         return host;
     }
@@ -139,8 +145,14 @@
         }
     }
 
+<<<<<<< HEAD
     private Store newStore() {
         return closer.register(openStore());
+=======
+    Store newStore() {
+        return closer.register(
+                EtcdStore.builder().endpoint(storeEmulator.address()).build());
+>>>>>>> scenarios
     }
 
     @Override
