Report the rollout of a change and rebuild the roster

Cause: apply, remove and keys withdraw ended with the accepted version and said nothing about the hosts. After the loss of a majority no quorum can form, and Roster.rebuild had no command.

UpstreamSpec can name the port of an emulated server.

Conclusion: an operator sees which hosts have a change, and can repair a fleet that lost its majority.

--- a/src/main/java/org/auburnhoist/cli/ApplyCommand.java
+++ b/src/main/java/org/auburnhoist/cli/ApplyCommand.java
@@ -37,7 +37,8 @@
                 CommonSettings.STORE.asRequired(),
                 CommonSettings.STORE_TIMEOUT,
                 CommonSettings.EXPECT_VERSION,
-                CommonSettings.OPERATOR);
+                CommonSettings.OPERATOR,
+                CommonSettings.WAIT);
     }
 
     @Override
--- a/src/main/java/org/auburnhoist/cli/Commands.java
+++ b/src/main/java/org/auburnhoist/cli/Commands.java
@@ -17,6 +17,7 @@
                 new KeysWithdrawCommand(),
                 new StatusCommand(),
                 new HostsLeaveCommand(),
+                new HostsRebuildCommand(),
                 new ServeCommand(),
                 new DemoCommand());
     }
--- a/src/main/java/org/auburnhoist/cli/CommonSettings.java
+++ b/src/main/java/org/auburnhoist/cli/CommonSettings.java
@@ -24,5 +24,9 @@
     static final Setting<Long> EXPECT_VERSION = Setting.integer(
             "expect-version", "version that the change was prepared for; default the newest", 0, 1_000_000_000_000L);
 
+    static final Setting<Duration> WAIT = Setting.duration(
+                    "wait", "longest wait until all hosts have the change in force; 0s asks no host")
+            .withDefault(Duration.ofSeconds(15));
+
     private CommonSettings() {}
 }
--- a/src/main/java/org/auburnhoist/cli/ConfigurationChange.java
+++ b/src/main/java/org/auburnhoist/cli/ConfigurationChange.java
@@ -1,6 +1,7 @@
 package org.auburnhoist.cli;
 
 import io.vavr.control.Either;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HexFormat;
 import java.util.List;
@@ -23,11 +24,19 @@
     private final Settings settings;
     private final CommandContext context;
     private final ConfigurationRepository repository;
+    private final Rollout rollout;
 
-    private ConfigurationChange(Settings settings, CommandContext context, ConfigurationRepository repository) {
+    private ConfigurationChange(Settings settings, CommandContext context, Store store) {
         this.settings = settings;
         this.context = context;
-        this.repository = repository;
+        Duration timeout = settings.get(CommonSettings.STORE_TIMEOUT);
+        this.repository = new ConfigurationRepository(store, timeout);
+        this.rollout = new Rollout(
+                new RosterRepository(store, timeout)::find,
+                FleetStatus::ask,
+                System::nanoTime,
+                duration -> Thread.sleep(duration.toMillis()),
+                context.out());
     }
 
     /** Opens the store, does a task with the repository and closes the store. */
@@ -35,15 +44,10 @@
             Settings settings,
             CommandContext context,
             Function<ConfigurationRepository, Either<Failure, ExitCode>> task) {
-        Either<String, Store> opened = context.stores().open(settings.get(CommonSettings.STORE));
-        if (opened.isLeft()) {
-            return new Failure(ExitCode.UNAVAILABLE, "store unavailable: " + opened.getLeft()).report(context);
-        }
-        try (Store store = opened.get()) {
-            ConfigurationRepository repository =
-                    new ConfigurationRepository(store, settings.get(CommonSettings.STORE_TIMEOUT));
-            return task.apply(repository).getOrElseGet(failure -> failure.report(context));
-        }
+        return HostCommands.withStore(
+                settings,
+                context,
+                store -> task.apply(new ConfigurationRepository(store, settings.get(CommonSettings.STORE_TIMEOUT))));
     }
 
     /**
@@ -56,10 +60,8 @@
      */
     static ExitCode apply(
             Settings settings, CommandContext context, List<ConfigurationFile> replaced, Set<String> removed) {
-        return withRepository(
-                settings,
-                context,
-                repository -> new ConfigurationChange(settings, context, repository).apply(replaced, removed));
+        return HostCommands.withStore(
+                settings, context, store -> new ConfigurationChange(settings, context, store).apply(replaced, removed));
     }
 
     private Either<Failure, ExitCode> apply(List<ConfigurationFile> replaced, Set<String> removed) {
@@ -135,6 +137,7 @@
         replaced.forEach(file -> chunks.addAll(ConfigurationChunks.split(file.content())));
         return repository.replace(before, next, chunks).map(version -> {
             context.out().println("accepted version: " + version);
+            rollout.report(version, settings.get(CommonSettings.WAIT));
             return ExitCode.DONE;
         });
     }
--- a/src/main/java/org/auburnhoist/cli/FleetStatus.java
+++ b/src/main/java/org/auburnhoist/cli/FleetStatus.java
@@ -21,7 +21,10 @@
  * @param reports one for each member, in roster order
  */
 record FleetStatus(List<Report> reports) {
+    private static final Duration ASK_TIMEOUT = Duration.ofSeconds(2);
     private static final ObjectMapper MAPPER = new ObjectMapper();
+    private static final HttpClient CLIENT =
+            HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
     private static final String PATH = "/.auburnhoist/versions";
 
     /** Copies the list. */
@@ -40,18 +43,14 @@
      */
     record Report(Member member, boolean reachable, long configurationVersion, boolean fresh, long settledVersion) {}
 
-    /** Asks all members at the same time. */
-    static FleetStatus ask(Roster roster, Duration timeout) {
-        HttpClient client = HttpClient.newBuilder()
-                .version(HttpClient.Version.HTTP_1_1)
-                .connectTimeout(timeout)
-                .build();
+    /** Asks all members at the same time, and waits for each at most 2 s. */
+    static FleetStatus ask(Roster roster) {
         List<CompletableFuture<Report>> answers = new ArrayList<>();
         for (Member member : roster.members()) {
             HttpRequest request = HttpRequest.newBuilder(URI.create("http://" + member.callerAddress() + PATH))
-                    .timeout(timeout)
+                    .timeout(ASK_TIMEOUT)
                     .build();
-            answers.add(client.sendAsync(request, HttpResponse.BodyHandlers.ofString())
+            answers.add(CLIENT.sendAsync(request, HttpResponse.BodyHandlers.ofString())
                     .handle((response, failure) -> failure == null ? read(member, response) : unreachable(member)));
         }
         return new FleetStatus(answers.stream().map(CompletableFuture::join).toList());
--- a/src/main/java/org/auburnhoist/cli/KeysWithdrawCommand.java
+++ b/src/main/java/org/auburnhoist/cli/KeysWithdrawCommand.java
@@ -38,7 +38,8 @@
                 CommonSettings.STORE,
                 CommonSettings.STORE_TIMEOUT,
                 CommonSettings.EXPECT_VERSION,
-                CommonSettings.OPERATOR);
+                CommonSettings.OPERATOR,
+                CommonSettings.WAIT);
     }
 
     @Override
--- a/src/main/java/org/auburnhoist/cli/RosterRepository.java
+++ b/src/main/java/org/auburnhoist/cli/RosterRepository.java
@@ -2,9 +2,11 @@
 
 import io.vavr.control.Either;
 import java.time.Duration;
+import java.util.Optional;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.function.Function;
 import java.util.function.UnaryOperator;
 import org.auburnhoist.core.membership.Roster;
 import org.auburnhoist.core.membership.RosterCodec;
@@ -26,11 +28,47 @@
         this.timeout = timeout;
     }
 
-    /** The newest roster. */
+    /** The newest roster; a failure if no host has joined yet. */
     Either<Failure, Roster> read() {
         return readEntry().flatMap(RosterRepository::decode);
     }
 
+    /** The newest roster, empty if no host has joined yet. */
+    Either<Failure, Optional<Roster>> find() {
+        return findEntry()
+                .flatMap(found -> found.isEmpty()
+                        ? Either.right(Optional.empty())
+                        : decode(found.get()).map(Optional::of));
+    }
+
+    /**
+     * Replaces the roster by one computed from the newest one. A change by anybody else in between is a conflict, since
+     * an operator's decision about one roster must not be carried over to another.
+     */
+    Either<Failure, Roster> replace(Function<Roster, Either<Failure, Roster>> change) {
+        return readEntry().flatMap(entry -> decode(entry).flatMap(change).flatMap(next -> replace(entry, next)));
+    }
+
+    private Either<Failure, Roster> replace(Entry entry, Roster next) {
+        WriteResult result = write(entry.revision(), next);
+        if (result instanceof WriteResult.Done) {
+            return Either.right(next);
+        }
+        if (result instanceof WriteResult.OutcomeUnknown unknown) {
+            return Either.left(outcomeUnknown(unknown));
+        }
+        return Either.left(
+                result instanceof WriteResult.NotDone notDone
+                        ? new Failure(ExitCode.UNAVAILABLE, "store unavailable: " + notDone.reason())
+                        : new Failure(
+                                ExitCode.REFUSED,
+                                "conflict: the roster was changed in the meantime; nothing was changed"));
+    }
+
+    private static Failure outcomeUnknown(WriteResult.OutcomeUnknown unknown) {
+        return new Failure(ExitCode.OUTCOME_UNKNOWN, "outcome unknown (" + unknown.reason() + "); look at status");
+    }
+
     /**
      * Changes the roster; after a conflict with a host's own change, reads and tries again.
      *
@@ -50,8 +88,7 @@
                 return Either.right(next);
             }
             if (result instanceof WriteResult.OutcomeUnknown unknown) {
-                return Either.left(new Failure(
-                        ExitCode.OUTCOME_UNKNOWN, "outcome unknown (" + unknown.reason() + "); look at status"));
+                return Either.left(outcomeUnknown(unknown));
             }
             if (result instanceof WriteResult.NotDone notDone) {
                 last = new Failure(ExitCode.UNAVAILABLE, "store unavailable: " + notDone.reason());
@@ -61,12 +98,17 @@
     }
 
     private Either<Failure, Entry> readEntry() {
+        return findEntry()
+                .flatMap(found -> found.isEmpty()
+                        ? Either.left(new Failure(ExitCode.REFUSED, "roster: no host has joined yet"))
+                        : Either.right(found.get()));
+    }
+
+    private Either<Failure, Optional<Entry>> findEntry() {
         try {
             ReadResult result = store.get(StoreKeys.ROSTER).get(timeout.toMillis(), TimeUnit.MILLISECONDS);
             if (result instanceof ReadResult.Found found) {
-                return found.entries().isEmpty()
-                        ? Either.left(new Failure(ExitCode.REFUSED, "roster: no host has joined yet"))
-                        : Either.right(found.entries().get(0));
+                return Either.right(found.entries().stream().findFirst());
             }
             return Either.left(new Failure(
                     ExitCode.UNAVAILABLE, "store unavailable: " + ((ReadResult.Unavailable) result).reason()));
--- a/src/main/java/org/auburnhoist/cli/StatusCommand.java
+++ b/src/main/java/org/auburnhoist/cli/StatusCommand.java
@@ -5,8 +5,6 @@
 
 /** Shows what each host has in force. */
 final class StatusCommand implements Command {
-    private static final Duration ASK_TIMEOUT = Duration.ofSeconds(2);
-
     @Override
     public String name() {
         return "status";
@@ -37,7 +35,7 @@
                                 context.out()
                                         .println("roster version: " + roster.version() + ", settled "
                                                 + roster.settledVersion());
-                                FleetStatus status = FleetStatus.ask(roster, ASK_TIMEOUT);
+                                FleetStatus status = FleetStatus.ask(roster);
                                 status.print(context.out());
                                 return ExitCode.DONE;
                             }));
--- a/src/main/java/org/auburnhoist/emulator/UpstreamEmulator.java
+++ b/src/main/java/org/auburnhoist/emulator/UpstreamEmulator.java
@@ -131,13 +131,13 @@
 
     private void add(UpstreamSpec spec, long seed) throws IOException {
         try {
-            UpstreamListener listener = new UpstreamListener(reactor, this, spec.connectionLimit());
+            UpstreamListener listener = new UpstreamListener(reactor, this, spec);
             UpstreamServer server = new UpstreamServer(spec, this, listener, seed);
             listeners.put(listener.port(), listener);
             serversByPort.put(listener.port(), server);
             servers.put(spec.name(), server);
         } catch (ExecutionException cause) {
-            throw new IOException("could not listen for " + spec.name(), cause);
+            throw new IOException("could not listen for " + spec.name() + " on port " + spec.port(), cause);
         } catch (InterruptedException cause) {
             Thread.currentThread().interrupt();
             throw new IOException("interrupted while starting " + spec.name(), cause);
@@ -208,7 +208,7 @@
             return this;
         }
 
-        /** Starts all servers, each on a free loopback port. */
+        /** Starts all servers, each on the loopback port of its spec. */
         public UpstreamEmulator start() throws IOException {
             return new UpstreamEmulator(this);
         }
--- a/src/main/java/org/auburnhoist/emulator/UpstreamListener.java
+++ b/src/main/java/org/auburnhoist/emulator/UpstreamListener.java
@@ -28,12 +28,12 @@
     private @Nullable PortReservation reservation;
     private volatile boolean refusing;
 
-    UpstreamListener(HttpAsyncServer reactor, UpstreamEmulator emulator, int connectionLimit)
+    UpstreamListener(HttpAsyncServer reactor, UpstreamEmulator emulator, UpstreamSpec spec)
             throws InterruptedException, ExecutionException {
         this.reactor = reactor;
         this.emulator = emulator;
-        this.connectionLimit = connectionLimit;
-        ListenerEndpoint first = listen(0);
+        this.connectionLimit = spec.connectionLimit();
+        ListenerEndpoint first = listen(spec.port());
         this.endpoint = first;
         this.port = ((InetSocketAddress) first.getAddress()).getPort();
     }
--- a/src/main/java/org/auburnhoist/emulator/UpstreamSpec.java
+++ b/src/main/java/org/auburnhoist/emulator/UpstreamSpec.java
@@ -14,6 +14,7 @@
  * @param coldStart time after a start during which work takes {@code coldFactor} times as long
  * @param coldFactor factor of the cold start
  * @param crashDowntime time during which connections are refused after a crash
+ * @param port loopback port to listen on, 0 for a free one
  */
 public record UpstreamSpec(
         String service,
@@ -24,29 +25,57 @@
         ServiceTime serviceTime,
         Duration coldStart,
         double coldFactor,
-        Duration crashDowntime) {
-    /** A server without a cold start, with a queue of twice its slots, that is down for 5 s after a crash. */
+        Duration crashDowntime,
+        int port) {
+    /**
+     * A server on a free port, without a cold start, with a queue of twice its slots, down for 5 s
+     * after a crash.
+     */
     public static UpstreamSpec of(
             String service, String name, int slots, int connectionLimit, ServiceTime serviceTime) {
         return new UpstreamSpec(
-                service, name, slots, 2 * slots, connectionLimit, serviceTime, Duration.ZERO, 1, Duration.ofSeconds(5));
+                service,
+                name,
+                slots,
+                2 * slots,
+                connectionLimit,
+                serviceTime,
+                Duration.ZERO,
+                1,
+                Duration.ofSeconds(5),
+                0);
     }
 
     /** The same server with a cold start. */
     public UpstreamSpec withColdStart(Duration duration, double factor) {
         return new UpstreamSpec(
-                service, name, slots, queueLimit, connectionLimit, serviceTime, duration, factor, crashDowntime);
+                service, name, slots, queueLimit, connectionLimit, serviceTime, duration, factor, crashDowntime, port);
     }
 
     /** The same server with another time down after a crash. */
     public UpstreamSpec withCrashDowntime(Duration downtime) {
         return new UpstreamSpec(
-                service, name, slots, queueLimit, connectionLimit, serviceTime, coldStart, coldFactor, downtime);
+                service, name, slots, queueLimit, connectionLimit, serviceTime, coldStart, coldFactor, downtime, port);
     }
 
     /** The same server with another queue. */
     public UpstreamSpec withQueueLimit(int limit) {
         return new UpstreamSpec(
-                service, name, slots, limit, connectionLimit, serviceTime, coldStart, coldFactor, crashDowntime);
+                service, name, slots, limit, connectionLimit, serviceTime, coldStart, coldFactor, crashDowntime, port);
+    }
+
+    /** The same server on another loopback port. */
+    public UpstreamSpec withPort(int number) {
+        return new UpstreamSpec(
+                service,
+                name,
+                slots,
+                queueLimit,
+                connectionLimit,
+                serviceTime,
+                coldStart,
+                coldFactor,
+                crashDowntime,
+                number);
     }
 }
