Add the measurement of capacity and a simulation of convergence

Cause: the target of 890 hosts, 81,000 teams, 3,900 routes and 13,000 servers was worked out on paper only. Change: CapacityMeasurement measures the core and the peer protocol at several sizes and fits a line to each cost; ConvergenceExperiment simulates a change of configuration, the loss of a data centre and a parted region with the real freshness tables and stewards; WireCost gives the frames as sent.

--- /dev/null
+++ b/src/main/java/org/auburnhoist/load/CapacityMeasurement.java
@@ -0,0 +1,40 @@
+package org.auburnhoist.load;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * Measures how the costs of the core and of the peer protocol grow, and fits a straight line to each.
+ *
+ * <p>Arguments: the parts to run, of {@code hosts}, {@code teams}, {@code work} and {@code messages}; all without
+ * arguments. Run it with the serial collector, which the hosts use too; figures of memory are the heap in use after a
+ * full collection.
+ */
+public final class CapacityMeasurement {
+    /** Headers of a recorded answer to a booking. */
+    static final List<Map.Entry<String, String>> HEADERS = List.of(
+            Map.entry("Content-Type", "application/json"),
+            Map.entry("Content-Length", "300"),
+            Map.entry("Location", "/bookings/2026-000123"),
+            Map.entry("Date", "Fri, 04 Dec 2026 03:00:00 GMT"));
+
+    private CapacityMeasurement() {}
+
+    /** Runs the parts and prints tables. */
+    public static void main(String[] arguments) {
+        Set<String> parts = arguments.length == 0 ? Set.of("hosts", "teams", "work", "messages") : Set.of(arguments);
+        if (parts.contains("messages")) {
+            new MessageCosts().run();
+        }
+        if (parts.contains("hosts")) {
+            new HostCosts().run();
+        }
+        if (parts.contains("work")) {
+            new WorkCosts().run();
+        }
+        if (parts.contains("teams")) {
+            new TeamCosts().run();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/auburnhoist/load/ConvergenceExperiment.java
@@ -0,0 +1,92 @@
+package org.auburnhoist.load;
+
+import java.util.Locale;
+
+/**
+ * Measures in simulated time how a fleet of real freshness tables, stewards and rosters takes up a new configuration,
+ * loses a data centre, and parts from a region that comes back.
+ *
+ * <p>Arguments: scenario ({@code change}, {@code loss} or {@code partition}), hosts, pull interval in milliseconds,
+ * time to read a changed configuration in milliseconds, seed.
+ */
+public final class ConvergenceExperiment {
+    private static final int WARM_UP_MILLIS = 20_000;
+    private static final int CHANGE_MILLIS = 15_000;
+    private static final int LOSS_MILLIS = 60_000;
+    private static final int PARTED_MILLIS = 120_000;
+    private static final int HEALED_MILLIS = 120_000;
+
+    private ConvergenceExperiment() {}
+
+    /** Runs one scenario and prints what happened. */
+    public static void main(String[] arguments) {
+        String scenario = arguments.length > 0 ? arguments[0] : "change";
+        int hosts = arguments.length > 1 ? Integer.parseInt(arguments[1]) : 890;
+        int interval = arguments.length > 2 ? Integer.parseInt(arguments[2]) : 250;
+        int readMillis = arguments.length > 3 ? Integer.parseInt(arguments[3]) : 500;
+        long seed = arguments.length > 4 ? Long.parseLong(arguments[4]) : 7;
+        ConvergenceFleet fleet = new ConvergenceFleet(hosts, interval, readMillis, seed);
+        System.out.println("scenario " + scenario + ", hosts " + hosts + ", pull interval " + interval + " ms, read "
+                + readMillis + " ms, seed " + seed);
+        fleet.runUntil(WARM_UP_MILLIS);
+        fleet.resetCounts();
+        switch (scenario) {
+            case "change" -> change(fleet);
+            case "loss" -> loss(fleet);
+            case "partition" -> partition(fleet);
+            default ->
+                throw new IllegalArgumentException("scenario: " + scenario + ", expected change, loss or partition");
+        }
+    }
+
+    private static void change(ConvergenceFleet fleet) {
+        fleet.writeConfiguration();
+        fleet.runUntil(WARM_UP_MILLIS + CHANGE_MILLIS);
+        double[] adopted = fleet.adoptionSeconds();
+        System.out.printf(
+                Locale.ROOT,
+                "in force: p50 %.2f s, p99 %.2f s, last %.2f s, hosts %d; settled: first %.2f s, last %.2f%n",
+                adopted[adopted.length / 2],
+                adopted[adopted.length * 99 / 100],
+                adopted[adopted.length - 1],
+                adopted.length,
+                fleet.firstSettledSeconds(),
+                fleet.lastSettledSeconds());
+        fleet.printCounts();
+    }
+
+    private static void loss(ConvergenceFleet fleet) {
+        fleet.stopDataCentre(3);
+        report(fleet, WARM_UP_MILLIS, LOSS_MILLIS);
+    }
+
+    private static void partition(ConvergenceFleet fleet) {
+        fleet.part(true);
+        report(fleet, WARM_UP_MILLIS, PARTED_MILLIS);
+        fleet.part(false);
+        fleet.resetCounts();
+        report(fleet, WARM_UP_MILLIS + PARTED_MILLIS, HEALED_MILLIS);
+    }
+
+    private static void report(ConvergenceFleet fleet, int fromMillis, int millis) {
+        int calm = -1;
+        for (int at = 500; at <= millis; at += 500) {
+            fleet.runUntil(fromMillis + at);
+            if (!fleet.isCalm()) {
+                calm = -1;
+            } else if (calm < 0) {
+                calm = at;
+            }
+            if (at % 5_000 == 0 || at == 2_000) {
+                System.out.println("after " + at / 1000 + " s: " + fleet.state());
+            }
+        }
+        System.out.printf(
+                Locale.ROOT,
+                "calm (every reachable host is a member, is fresh and has the newest roster, which is settled): %s%n",
+                calm < 0
+                        ? "not within " + millis / 1000 + " s"
+                        : String.format(Locale.ROOT, "after %.1f s", calm / 1e3));
+        fleet.printCounts();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/auburnhoist/load/ConvergenceFleet.java
@@ -0,0 +1,415 @@
+package org.auburnhoist.load;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.SplittableRandom;
+import java.util.function.Function;
+import java.util.stream.DoubleStream;
+import org.auburnhoist.core.HostId;
+import org.auburnhoist.core.membership.FreshnessTable;
+import org.auburnhoist.core.membership.Member;
+import org.auburnhoist.core.membership.MembershipSettings;
+import org.auburnhoist.core.membership.PullSchedule;
+import org.auburnhoist.core.membership.Roster;
+import org.auburnhoist.core.membership.RosterProposal;
+import org.auburnhoist.core.membership.Steward;
+import org.auburnhoist.core.membership.WatcherChoice;
+import org.auburnhoist.core.message.PullAnswer;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Hosts, their network and the store in simulated time. Hosts follow the same rules as the host process: pulls,
+ * announcements to 3 members, two store readers per data centre, stewards, and joining by compare-and-swap. Regions are
+ * three groups of data centres; the store is in the first and cannot be reached from the third while it is parted.
+ */
+final class ConvergenceFleet {
+    private static final long MILLI = 1_000_000L;
+    private static final int REGIONS = 3;
+    private static final int DATA_CENTRES = 8;
+    private static final int NEAR_MILLIS = 1;
+    private static final int FAR_MILLIS = 30;
+    private static final int STORE_MILLIS = 3;
+    private static final int ANNOUNCED_TO = 3;
+    private static final int MOST_JOIN_DELAY_MILLIS = 200;
+
+    private final SplittableRandom random;
+    private final int interval;
+    private final int readMillis;
+    private final PullSchedule pulls;
+    private final Steward steward = new Steward(MembershipSettings.STANDARD);
+    private final WatcherChoice watchers = new WatcherChoice(MembershipSettings.STANDARD);
+    private final PriorityQueue<Event> events = new PriorityQueue<>();
+    private final List<Host> hosts = new ArrayList<>();
+    private final Map<HostId, Host> byId = new HashMap<>();
+    private Roster storedRoster;
+    private long storedConfiguration = 2_000;
+    private long now;
+    private long order;
+    private long configurationWritten;
+    private long storeReads;
+    private long storeWrites;
+    private long lostWrites;
+    private long pullCount;
+    private long documentCount;
+    private boolean parted;
+
+    ConvergenceFleet(int count, int interval, int readMillis, long seed) {
+        this.random = new SplittableRandom(seed);
+        this.interval = interval;
+        this.readMillis = readMillis;
+        this.pulls = new PullSchedule(random);
+        this.storedRoster = CapacityFleet.roster(count);
+        for (int number = 0; number < count; number++) {
+            Host host = new Host(number, storedRoster.members().get(number));
+            hosts.add(host);
+            at(random.nextInt(interval), () -> pullTick(host));
+            at(random.nextInt(1_000), () -> storeTick(host));
+        }
+    }
+
+    private record Event(long time, long order, Runnable action) implements Comparable<Event> {
+        @Override
+        public int compareTo(Event other) {
+            int byTime = Long.compare(time, other.time);
+            return byTime != 0 ? byTime : Long.compare(order, other.order);
+        }
+    }
+
+    /** One host; a removed host takes a new incarnation. */
+    private final class Host {
+        final int number;
+        Member member;
+        FreshnessTable table;
+        boolean stopped;
+        boolean reading;
+        boolean writing;
+        long wanted = 2_000;
+        long adoptedAt = -1;
+        long settledAt = -1;
+
+        Host(int number, Member member) {
+            this.number = number;
+            this.member = member;
+            this.table = newTable(member, storedRoster);
+            byId.put(member.id(), this);
+        }
+
+        int region() {
+            return number % DATA_CENTRES * REGIONS / DATA_CENTRES;
+        }
+
+        boolean isMember() {
+            return table.roster().rank(member.id()) >= 0;
+        }
+    }
+
+    private FreshnessTable newTable(Member member, Roster roster) {
+        return new FreshnessTable(member.id(), MembershipSettings.STANDARD, roster, storedConfiguration, now);
+    }
+
+    void runUntil(int millis) {
+        while (!events.isEmpty() && events.peek().time() <= millis * MILLI) {
+            Event event = events.remove();
+            now = event.time();
+            event.action().run();
+        }
+        now = millis * MILLI;
+    }
+
+    void writeConfiguration() {
+        configurationWritten = now;
+        storedConfiguration++;
+    }
+
+    void stopDataCentre(int dataCentre) {
+        hosts.stream().filter(host -> host.number % DATA_CENTRES == dataCentre).forEach(host -> host.stopped = true);
+    }
+
+    void part(boolean isParted) {
+        parted = isParted;
+    }
+
+    private void at(long delayMillis, Runnable action) {
+        events.add(new Event(now + delayMillis * MILLI, order++, action));
+    }
+
+    private boolean connected(Host from, Host to) {
+        boolean crosses = (from.region() == REGIONS - 1) != (to.region() == REGIONS - 1);
+        return !to.stopped && !(parted && crosses);
+    }
+
+    private boolean reachesStore(Host host) {
+        return !(parted && host.region() == REGIONS - 1);
+    }
+
+    private static int delay(Host from, Host to) {
+        return from.region() == to.region() ? NEAR_MILLIS : FAR_MILLIS;
+    }
+
+    private static int storeDelay(Host host) {
+        return host.region() == 0 ? STORE_MILLIS : FAR_MILLIS + STORE_MILLIS;
+    }
+
+    private void pullTick(Host host) {
+        if (!host.stopped) {
+            pulls.next(host.table.roster(), host.table.self()).ifPresent(peer -> pull(host, peer));
+            at(interval, () -> pullTick(host));
+        }
+    }
+
+    private void pull(Host asking, Member peer) {
+        Host answering = byId.get(peer.id());
+        if (answering == null || !answering.member.id().equals(peer.id()) || !connected(asking, answering)) {
+            return;
+        }
+        pullCount++;
+        long sentAt = now;
+        long knownRoster = asking.table.roster().version();
+        long knownConfiguration = asking.table.configurationVersion();
+        HostId askingAs = asking.member.id();
+        int delay = delay(asking, answering);
+        at(delay, () -> {
+            FreshnessTable table = answering.table;
+            boolean behind =
+                    knownRoster > table.roster().version() || knownConfiguration > table.configurationVersion();
+            if (behind && answering.isMember()) {
+                table.roster().member(askingAs).ifPresent(member -> pull(answering, member));
+            }
+            PullAnswer answer = table.answer(now);
+            at(delay, () -> received(asking, askingAs, answering, peer.id(), sentAt, answer));
+        });
+    }
+
+    private void received(Host asking, HostId askingAs, Host from, HostId fromId, long sentAt, PullAnswer answer) {
+        if (!asking.member.id().equals(askingAs)) {
+            return;
+        }
+        boolean newConfiguration = answer.configurationVersion() > asking.table.configurationVersion();
+        boolean newRoster = answer.rosterVersion() > asking.table.roster().version();
+        if (!newConfiguration && !newRoster) {
+            merge(asking, fromId, sentAt, answer);
+            return;
+        }
+        documentCount++;
+        // A head and two chunks, one after the other, then the reading; a roster comes with the head.
+        int exchanges = newConfiguration ? 3 : 1;
+        Roster roster = from.table.roster();
+        adoptLater(
+                asking,
+                askingAs,
+                2L * exchanges * delay(asking, from),
+                answer.configurationVersion(),
+                roster,
+                () -> merge(asking, fromId, sentAt, answer));
+    }
+
+    /** Reads of one version run once at a time on a host; the answers that wait for it are merged after it. */
+    private void adoptLater(
+            Host host, HostId as, long transfer, long configuration, Roster roster, Runnable afterwards) {
+        boolean reads = configuration > host.wanted;
+        if (configuration > host.table.configurationVersion() && !reads) {
+            return;
+        }
+        host.wanted = Math.max(host.wanted, configuration);
+        at(transfer + (reads ? readMillis : 0), () -> {
+            if (host.member.id().equals(as)) {
+                adopt(host, configuration, roster);
+                afterwards.run();
+            }
+        });
+    }
+
+    private void adopt(Host host, long configuration, Roster roster) {
+        boolean newer = configuration > host.table.configurationVersion()
+                || roster.version() > host.table.roster().version();
+        if (configuration > host.table.configurationVersion()) {
+            host.table.adoptConfiguration(configuration, now);
+            host.adoptedAt = now;
+        }
+        boolean wasMember = host.isMember();
+        host.table.adoptRoster(roster, now);
+        if (wasMember && !host.isMember()) {
+            restart(host);
+        } else if (newer) {
+            pulls.some(host.table.roster(), host.table.self(), ANNOUNCED_TO).forEach(peer -> pull(host, peer));
+        }
+    }
+
+    /** A host that finds itself removed starts again with a new incarnation and joins. */
+    private void restart(Host host) {
+        Roster known = host.table.roster();
+        byId.remove(host.member.id());
+        host.member = CapacityFleet.member(host.number, random.nextLong());
+        host.table = newTable(host.member, known);
+        byId.put(host.member.id(), host);
+        host.reading = false;
+        host.writing = false;
+        join(host);
+    }
+
+    private void merge(Host host, HostId from, long sentAt, PullAnswer answer) {
+        host.table.merge(from, sentAt, answer, now);
+        if (host.settledAt < 0
+                && configurationWritten > 0
+                && host.table.settledConfigurationVersion() >= storedConfiguration) {
+            host.settledAt = now;
+        }
+    }
+
+    private void storeTick(Host host) {
+        if (host.stopped) {
+            return;
+        }
+        FreshnessTable table = host.table;
+        if (!host.isMember()) {
+            join(host);
+        } else if (!table.isFresh(now) || watchers.isReader(table, now)) {
+            read(host);
+        }
+        Optional<RosterProposal> proposal = steward.propose(table, now);
+        proposal.ifPresent(
+                change -> write(host, current -> current.version() == change.expectedVersion() ? change.next() : null));
+        at(1_000, () -> storeTick(host));
+    }
+
+    private void read(Host host) {
+        if (host.reading || !reachesStore(host)) {
+            return;
+        }
+        host.reading = true;
+        storeReads++;
+        long sentAt = now;
+        HostId as = host.member.id();
+        at(storeDelay(host), () -> {
+            Roster roster = storedRoster;
+            long configuration = storedConfiguration;
+            at(storeDelay(host), () -> {
+                host.reading = false;
+                long transfer = configuration > host.table.configurationVersion() ? 4L * storeDelay(host) : 0;
+                adoptLater(
+                        host,
+                        as,
+                        transfer,
+                        configuration,
+                        roster,
+                        () -> host.table.storeConfirmed(sentAt, roster.version(), configuration));
+            });
+        });
+    }
+
+    private void join(Host host) {
+        write(host, current -> current.member(host.member.id()).isPresent() ? null : current.join(host.member));
+    }
+
+    /** A read and a compare-and-swap, each with its own way to the store and back. */
+    private void write(Host host, Function<Roster, @Nullable Roster> successor) {
+        if (host.writing || !reachesStore(host)) {
+            return;
+        }
+        host.writing = true;
+        storeReads++;
+        int delay = storeDelay(host);
+        HostId as = host.member.id();
+        at(delay, () -> {
+            Roster read = storedRoster;
+            at(2L * delay, () -> compareAndSwap(host, as, read, successor.apply(read), delay));
+        });
+    }
+
+    private void compareAndSwap(Host host, HostId as, Roster read, @Nullable Roster next, int delay) {
+        if (next == null || !host.member.id().equals(as)) {
+            host.writing = false;
+            return;
+        }
+        storeWrites++;
+        boolean won = storedRoster.version() == read.version();
+        if (won) {
+            storedRoster = next;
+        } else {
+            lostWrites++;
+        }
+        at(delay, () -> {
+            host.writing = false;
+            if (won && host.member.id().equals(as)) {
+                adopt(host, host.table.configurationVersion(), next);
+            } else if (!host.isMember()) {
+                at(random.nextInt(MOST_JOIN_DELAY_MILLIS), () -> {
+                    if (!host.isMember()) {
+                        join(host);
+                    }
+                });
+            }
+        });
+    }
+
+    void resetCounts() {
+        storeReads = 0;
+        storeWrites = 0;
+        lostWrites = 0;
+        pullCount = 0;
+        documentCount = 0;
+    }
+
+    void printCounts() {
+        System.out.println("store reads " + storeReads + ", store writes " + storeWrites + " (lost " + lostWrites
+                + "), pulls " + pullCount + ", documents fetched " + documentCount);
+    }
+
+    /** Seconds from the write of the configuration to its adoption, by host, in order. */
+    double[] adoptionSeconds() {
+        return hosts.stream()
+                .filter(host -> host.adoptedAt >= 0)
+                .mapToDouble(host -> (host.adoptedAt - configurationWritten) / 1e9)
+                .sorted()
+                .toArray();
+    }
+
+    double firstSettledSeconds() {
+        return settled().min().orElse(Double.NaN);
+    }
+
+    double lastSettledSeconds() {
+        return hosts.stream().allMatch(host -> host.settledAt >= 0)
+                ? settled().max().orElse(Double.NaN)
+                : Double.NaN;
+    }
+
+    private DoubleStream settled() {
+        return hosts.stream()
+                .filter(host -> host.settledAt >= 0)
+                .mapToDouble(host -> (host.settledAt - configurationWritten) / 1e9);
+    }
+
+    /** Whether every host that runs and reaches the store is fresh, a member, and up to date and settled. */
+    boolean isCalm() {
+        return hosts.stream()
+                        .filter(host -> !host.stopped && reachesStore(host))
+                        .allMatch(host -> host.isMember()
+                                && host.table.isFresh(now)
+                                && host.table.roster().version() == storedRoster.version())
+                && storedRoster.removed().isEmpty()
+                && !storedRoster.hasChangesUpTo(storedRoster.version());
+    }
+
+    String state() {
+        long fresh = hosts.stream()
+                .filter(host -> !host.stopped && host.table.isFresh(now))
+                .count();
+        long running = hosts.stream().filter(host -> !host.stopped).count();
+        return String.format(
+                Locale.ROOT,
+                "roster version %d, members %d, unsettled sets %d, running %d, fresh %d, store reads %d, writes %d",
+                storedRoster.version(),
+                storedRoster.members().size(),
+                storedRoster.electorates().size(),
+                running,
+                fresh,
+                storeReads,
+                storeWrites);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/auburnhoist/load/HostCosts.java
@@ -0,0 +1,135 @@
+package org.auburnhoist.load;
+
+import java.time.Duration;
+import java.util.List;
+import org.auburnhoist.core.HostId;
+import org.auburnhoist.core.dispatch.DispatcherPlacement;
+import org.auburnhoist.core.membership.AddressRanking;
+import org.auburnhoist.core.membership.FreshnessTable;
+import org.auburnhoist.core.membership.Member;
+import org.auburnhoist.core.membership.MembershipSettings;
+import org.auburnhoist.core.membership.Roster;
+import org.auburnhoist.core.membership.RosterCodec;
+import org.auburnhoist.core.membership.Steward;
+import org.auburnhoist.core.message.PullAnswer;
+import org.auburnhoist.core.message.PullRequest;
+import org.auburnhoist.peer.WireCost;
+
+/** Costs that depend on the number of hosts. */
+final class HostCosts {
+    private static final int[] HOSTS = {5, 20, 40, 160, 640, 890};
+    private static final int[] UNSETTLED = {0, 4, 16, 64};
+    private static final long NOW = 1_000_000_000_000L;
+    private static final Duration LIMIT = Duration.ofSeconds(6);
+
+    private final WireCost wire = new WireCost();
+    private final CostSeries request = series("PullRequest", "bytes");
+    private final CostSeries answer = series("PullAnswer", "bytes");
+    private final CostSeries answerTime = series("FreshnessTable.answer", "us");
+    private final CostSeries mergeTime = series("FreshnessTable.merge", "us");
+    private final CostSeries pullCodec = series("PullAnswer encode, authenticate, check, decode", "us");
+    private final CostSeries rosterBytes = series("roster document", "bytes");
+    private final CostSeries rosterEncode = series("RosterCodec.encode", "us");
+    private final CostSeries rosterDecode = series("RosterCodec.decode", "us");
+    private final CostSeries tableBytes = series("freshness state of a host", "bytes of heap");
+    private final CostSeries rosterHeap = series("one roster in memory", "bytes of heap");
+    private final CostSeries propose = series("Steward.propose, nothing to do", "us");
+    private final CostSeries rank = series("AddressRanking.rank", "us");
+    private final CostSeries join = series("Roster.join with shard assignment", "us");
+    private final CostSeries setMembers = series("DispatcherPlacement.setMembers, unchanged", "us");
+    private final CostSeries order = series("DispatcherPlacement.order of one service after a change", "us");
+
+    private static CostSeries series(String name, String unit) {
+        return new CostSeries(name, "hosts", unit);
+    }
+
+    void run() {
+        // The first pass compiles the code for all sizes; its figures are overwritten.
+        for (int pass = 0; pass < 2; pass++) {
+            for (int hosts : HOSTS) {
+                Roster roster = CapacityFleet.roster(hosts);
+                measureMemory(hosts, roster);
+                measurePulls(hosts, roster);
+                measureRoster(hosts, roster);
+                measureChoices(hosts, roster);
+            }
+        }
+        CostSeries.printHeading("Costs by hosts");
+        List.of(request, answer, answerTime, mergeTime, pullCodec, tableBytes, rosterHeap, rosterBytes, rosterEncode)
+                .forEach(CostSeries::print);
+        List.of(rosterDecode, propose, join, rank, setMembers, order).forEach(CostSeries::print);
+        measureUnsettled();
+    }
+
+    private void measurePulls(int hosts, Roster roster) {
+        List<FreshnessTable> tables = CapacityFleet.tables(roster, NOW);
+        FreshnessTable asking = tables.get(0);
+        FreshnessTable answering = tables.get(1);
+        PullAnswer message = answering.answer(NOW + 1_000_000_000L);
+        request.add(hosts, wire.frameBytes(new PullRequest(10_000, 2_000)));
+        answer.add(hosts, wire.frameBytes(message));
+        answerTime.add(hosts, CostMeter.micros(call -> answering.answer(NOW + call)));
+        mergeTime.add(hosts, CostMeter.micros(call -> asking.merge(answering.self(), NOW + call, message, NOW + call)));
+        pullCodec.add(hosts, CostMeter.micros(call -> wire.open(wire.seal(message, call), call)));
+    }
+
+    private void measureMemory(int hosts, Roster roster) {
+        HostId self = roster.members().get(0).id();
+        int copies = 20 + 20_000 / hosts;
+        tableBytes.add(
+                hosts,
+                CostMeter.bytesEach(
+                        copies, copy -> new FreshnessTable(self, MembershipSettings.STANDARD, roster, 2_000, NOW)));
+        byte[] encoded = RosterCodec.encode(roster);
+        rosterHeap.add(hosts, CostMeter.bytesEach(copies, copy -> RosterCodec.decode(encoded)));
+    }
+
+    private void measureRoster(int hosts, Roster roster) {
+        byte[] encoded = RosterCodec.encode(roster);
+        Member joining = CapacityFleet.member(9_000, 1);
+        rosterBytes.add(hosts, encoded.length);
+        rosterEncode.add(hosts, CostMeter.micros(call -> RosterCodec.encode(roster)));
+        rosterDecode.add(hosts, CostMeter.micros(call -> RosterCodec.decode(encoded)));
+        join.add(hosts, CostMeter.micros(call -> roster.join(joining)));
+    }
+
+    private void measureChoices(int hosts, Roster roster) {
+        FreshnessTable table = CapacityFleet.tables(roster, NOW).get(0);
+        Steward steward = new Steward(MembershipSettings.STANDARD);
+        propose.add(hosts, CostMeter.micros(call -> steward.propose(table, NOW)));
+        List<HostId> ids = roster.members().stream().map(Member::id).toList();
+        List<HostId> owners = List.of(ids.get(2), ids.get(3));
+        rank.add(hosts, CostMeter.micros(call -> AddressRanking.rank(table, "parish-team-00007", owners, LIMIT, NOW)));
+        DispatcherPlacement placement = new DispatcherPlacement();
+        setMembers.add(hosts, CostMeter.micros(call -> placement.setMembers(ids)));
+        order.add(hosts, CostMeter.micros(call -> placement.order("service-" + call)));
+    }
+
+    /** Each change of members that is not settled adds a set of members to every count of a quorum. */
+    private void measureUnsettled() {
+        CostSeries merge = new CostSeries("FreshnessTable.merge at 890 hosts", "unsettled changes", "us");
+        CostSeries adopt = new CostSeries("FreshnessTable of a new roster, 890 hosts", "unsettled changes", "us");
+        CostSeries heap = new CostSeries("freshness state, 890 hosts", "unsettled changes", "bytes of heap");
+        Roster settled = CapacityFleet.roster(890);
+        for (int pass = 0; pass < 2; pass++) {
+            for (int changes : UNSETTLED) {
+                Roster roster = CapacityFleet.unsettled(settled, changes);
+                HostId self = roster.members().get(0).id();
+                HostId peer = roster.members().get(1).id();
+                FreshnessTable table = new FreshnessTable(self, MembershipSettings.STANDARD, roster, 2_000, NOW);
+                PullAnswer message =
+                        new FreshnessTable(peer, MembershipSettings.STANDARD, roster, 2_000, NOW).answer(NOW);
+                merge.add(changes, CostMeter.micros(call -> table.merge(peer, NOW + call, message, NOW + call)));
+                adopt.add(
+                        changes,
+                        CostMeter.micros(call ->
+                                new FreshnessTable(self, MembershipSettings.STANDARD, roster, 2_000, NOW + call)));
+                heap.add(
+                        changes,
+                        CostMeter.bytesEach(
+                                4, copy -> new FreshnessTable(self, MembershipSettings.STANDARD, roster, 2_000, NOW)));
+            }
+        }
+        List.of(merge, adopt, heap).forEach(CostSeries::print);
+    }
+}
