--- a/src/main/java/org/auburnhoist/cli/Commands.java
+++ b/src/main/java/org/auburnhoist/cli/Commands.java
@@ -18,6 +18,8 @@
                 new StatusCommand(),
                 new HostsLeaveCommand(),
                 new ServeCommand(),
-                new DemoCommand());
+                new DemoCommand(),
+                new ExperimentCommand(),
+                new LoadCommand());
     }
 }
--- a/src/main/java/org/auburnhoist/cli/DemoCommand.java
+++ b/src/main/java/org/auburnhoist/cli/DemoCommand.java
@@ -1,22 +1,19 @@
 package org.auburnhoist.cli;
 
 import java.io.IOException;
-import java.io.InputStream;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
-import org.auburnhoist.core.configuration.ConfigurationFile;
 import org.auburnhoist.emulator.ServiceTime;
 import org.auburnhoist.host.EntryHost;
+import org.auburnhoist.load.ExampleConfiguration;
 import org.auburnhoist.load.LocalFleet;
 import org.auburnhoist.support.LogFormat;
 
 /** Runs a whole small fleet in this process, with emulated store and upstreams. */
 final class DemoCommand implements Command {
     private static final List<String> EXAMPLES = List.of("starglass", "rosewood");
-    private static final List<String> FILES = List.of("teams.yaml", "keys.yaml", "services.yaml", "routes.yaml");
     private static final Duration READY_LIMIT = Duration.ofSeconds(60);
     private static final ServiceTime SERVICE_TIME = new ServiceTime(Duration.ofMillis(20), 0.3);
 
@@ -59,7 +56,7 @@
                 SERVICE_TIME,
                 Duration.ofSeconds(10),
                 1);
-        try (LocalFleet fleet = LocalFleet.start(files(example), options)) {
+        try (LocalFleet fleet = LocalFleet.start(ExampleConfiguration.files(example), options)) {
             if (!fleet.awaitReady(READY_LIMIT)) {
                 context.err().println("the hosts did not become ready within " + READY_LIMIT.toSeconds() + " s");
                 return ExitCode.UNAVAILABLE;
@@ -76,20 +73,6 @@
         }
     }
 
-    private static List<ConfigurationFile> files(String example) throws IOException {
-        List<ConfigurationFile> files = new ArrayList<>();
-        for (String name : FILES) {
-            String resource = "/examples/" + example + "/" + name;
-            try (InputStream in = DemoCommand.class.getResourceAsStream(resource)) {
-                if (in == null) {
-                    throw new IOException("the program lacks its resource " + resource);
-                }
-                files.add(new ConfigurationFile(name, in.readAllBytes()));
-            }
-        }
-        return files;
-    }
-
     private static void explain(String example, LocalFleet fleet, CommandContext context) {
         boolean starglass = example.equals("starglass");
         String key = starglass ? "member-web-2026" : "resident-web-2026";
--- a/src/main/java/org/auburnhoist/emulator/UpstreamServer.java
+++ b/src/main/java/org/auburnhoist/emulator/UpstreamServer.java
@@ -54,6 +54,11 @@
         this.startedNanos = emulator.nowNanos();
     }
 
+    /** The byte at an index of the download with a path and query, for callers that check what they received. */
+    public static byte downloadByte(String path, long index) {
+        return UpstreamAnswer.byteAt(path, index);
+    }
+
     /** The server's name. */
     public String name() {
         return spec.name();
--- /dev/null
+++ b/src/main/java/org/auburnhoist/load/FleetCaller.java
@@ -0,0 +1,186 @@
+package org.auburnhoist.load;
+
+import java.net.ConnectException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpConnectTimeoutException;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Supplier;
+import org.auburnhoist.core.Refusal;
+import org.auburnhoist.core.TrafficClass;
+import org.auburnhoist.load.RequestResult.Ending;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * A caller that behaves as the operators' page asks: it keeps the address answer, gets operation ids in advance, goes
+ * to the next address when a host refuses or does not answer, repeats a booking with the same id, and obeys
+ * {@code Retry-After} at most once for each request.
+ */
+final class FleetCaller {
+    private static final Duration ANSWER_TIMEOUT = Duration.ofSeconds(30);
+    private static final int MOST_ATTEMPTS = 4;
+    private static final long LONGEST_WAIT_SECONDS = 5;
+    private static final Set<String> NEXT_ADDRESS = Set.of(Refusal.HOST_ISOLATED.code(), Refusal.HOST_STOPPING.code());
+
+    private final HttpClient client;
+    private final ScheduledExecutorService timer;
+    private final TeamLoad team;
+    private final LoadLog log;
+    private final AnswerChecker checker;
+    private final AddressBook book;
+    private final OperationIds ids;
+
+    FleetCaller(
+            HttpClient client,
+            ScheduledExecutorService timer,
+            TeamLoad team,
+            LoadLog log,
+            AnswerChecker checker,
+            Supplier<List<String>> seeds,
+            int firstSeed) {
+        this.client = client;
+        this.timer = timer;
+        this.team = team;
+        this.log = log;
+        this.checker = checker;
+        this.book = new AddressBook(client, team.authorization(), seeds, firstSeed);
+        this.ids = new OperationIds(client, team.authorization(), book);
+    }
+
+    /** Sends a request; completes normally in every case. */
+    CompletableFuture<RequestResult> send(LoadRequest request) {
+        Run run = new Run(request);
+        if (request.trafficClass() != TrafficClass.BOOKING) {
+            run.attempt();
+            return run.result;
+        }
+        ids.next(System.nanoTime()).whenComplete((id, failure) -> {
+            if (failure != null) {
+                run.finish(RequestResult.of(Ending.NO_ANSWER, false));
+            } else {
+                run.operationId = id;
+                run.attempt();
+            }
+        });
+        return run.result;
+    }
+
+    private static boolean isUnreached(Throwable failure) {
+        for (Throwable cause = failure; cause != null; cause = cause.getCause()) {
+            if (cause instanceof ConnectException || cause instanceof HttpConnectTimeoutException) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** One request over its attempts; the attempts follow one another, so its fields need no lock. */
+    private final class Run {
+        private final LoadRequest request;
+        private final CompletableFuture<RequestResult> result = new CompletableFuture<>();
+        private volatile String operationId = "";
+        private final AtomicInteger attempts = new AtomicInteger();
+        private volatile boolean waited;
+        private volatile boolean mayHaveRun;
+
+        Run(LoadRequest request) {
+            this.request = request;
+        }
+
+        void finish(RequestResult end) {
+            result.complete(end);
+        }
+
+        void attempt() {
+            attempts.incrementAndGet();
+            book.best(System.nanoTime()).whenComplete((address, failure) -> {
+                if (address == null) {
+                    finish(RequestResult.of(Ending.NO_ANSWER, waited));
+                } else {
+                    attempt(address);
+                }
+            });
+        }
+
+        private void attempt(String address) {
+            long sentNanos = System.nanoTime();
+            client.sendAsync(message(address), HttpResponse.BodyHandlers.ofByteArray())
+                    .whenComplete((answer, failure) -> ended(address, sentNanos, answer, failure));
+        }
+
+        private HttpRequest message(String address) {
+            HttpRequest.Builder message = HttpRequest.newBuilder(URI.create("http://" + address + request.path()))
+                    .header("Authorization", team.authorization())
+                    .timeout(ANSWER_TIMEOUT);
+            if (request.trafficClass() == TrafficClass.BOOKING) {
+                message.header("Operation-Id", operationId)
+                        .POST(HttpRequest.BodyPublishers.ofString("number=" + request.number()));
+            }
+            return message.build();
+        }
+
+        private void ended(
+                String address, long sentNanos, @Nullable HttpResponse<byte[]> answer, @Nullable Throwable failure) {
+            try {
+                if (answer == null || failure != null) {
+                    broken(address, sentNanos, failure);
+                } else {
+                    answered(address, sentNanos, answer);
+                }
+            } catch (RuntimeException fault) {
+                // A request that never ended would hold up the end of the load.
+                result.completeExceptionally(fault);
+            }
+        }
+
+        private void broken(String address, long sentNanos, @Nullable Throwable failure) {
+            boolean unreached = failure != null && isUnreached(failure);
+            log.attempt(team, sentNanos, unreached ? AttemptResult.UNREACHED : AttemptResult.CUT, "", !mayHaveRun);
+            mayHaveRun = mayHaveRun || !unreached;
+            book.reject(address);
+            if (attempts.get() < MOST_ATTEMPTS) {
+                attempt();
+            } else {
+                finish(RequestResult.of(Ending.NO_ANSWER, waited));
+            }
+        }
+
+        private void answered(String address, long sentNanos, HttpResponse<byte[]> answer) {
+            String refusal = answer.headers().firstValue("Auburnhoist-Refusal").orElse("");
+            AttemptResult kind = refusal.isEmpty() ? AttemptResult.ANSWERED : AttemptResult.REFUSED;
+            log.attempt(team, sentNanos, kind, refusal, !mayHaveRun);
+            if (refusal.isEmpty()) {
+                finish(RequestResult.of(ending(answer), waited));
+            } else if (NEXT_ADDRESS.contains(refusal) && attempts.get() < MOST_ATTEMPTS) {
+                book.reject(address);
+                attempt();
+            } else if (!waited && answer.headers().firstValue("Retry-After").isPresent()) {
+                waited = true;
+                long seconds = answer.headers().firstValueAsLong("Retry-After").orElse(1);
+                timer.schedule(() -> attempt(), Math.min(seconds, LONGEST_WAIT_SECONDS), TimeUnit.SECONDS);
+            } else {
+                finish(new RequestResult(Ending.REFUSED, refusal, waited));
+            }
+        }
+
+        private Ending ending(HttpResponse<byte[]> answer) {
+            if (answer.statusCode() / 100 != 2) {
+                return Ending.UPSTREAM_ERROR;
+            }
+            String path = answer.headers().firstValue("Upstream-Path").orElse("");
+            return switch (checker.check(request, operationId, path, answer.body())) {
+                case WHOLE -> Ending.GOOD;
+                case INCOMPLETE -> Ending.INCOMPLETE;
+                case CROSSED -> Ending.CROSSED;
+            };
+        }
+    }
+}
--- a/src/main/java/org/auburnhoist/load/LocalFleet.java
+++ b/src/main/java/org/auburnhoist/load/LocalFleet.java
@@ -52,6 +52,7 @@
     private final Store operatorStore;
     private final List<EntryHost> hosts = new ArrayList<>();
     private final FleetConfiguration configuration;
+    private final List<ConfigurationFile> files;
     private final Options options;
 
     /**
@@ -71,9 +72,9 @@
         storeEmulator = closer.register(StoreEmulator.builder().start());
         upstreams = closer.register(startUpstreams(declared));
         operatorStore = openStore();
-        List<ConfigurationFile> local = withLocalAddresses(files, declared);
-        configuration = ConfigurationReader.read(1, local).get();
-        apply(local);
+        this.files = withLocalAddresses(files, declared);
+        configuration = ConfigurationReader.read(1, this.files).get();
+        apply(this.files);
         for (int index = 0; index < options.hostCount(); index++) {
             startHost(index);
         }
@@ -115,6 +116,11 @@
         return configuration;
     }
 
+    /** The files that were applied first, with the addresses of the emulated servers. */
+    public List<ConfigurationFile> files() {
+        return files;
+    }
+
     /** Replaces a host that has stopped or was closed by a new one in the same place. */
     public EntryHost replaceHost(int index) throws IOException {
         InetSocketAddress callers = hosts.get(index).callerAddress();
--- /dev/null
+++ b/src/main/java/org/auburnhoist/load/OperationIds.java
@@ -0,0 +1,82 @@
+package org.auburnhoist.load;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.concurrent.CompletableFuture;
+
+/** Operation ids that one caller has fetched in advance. An id is used for one booking and its repetitions. */
+final class OperationIds {
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+    private static final Duration TIMEOUT = Duration.ofSeconds(3);
+    private static final int ATTEMPTS = 3;
+
+    /** Ids of a host that is gone are useless, so a caller keeps few of them, and not for long. */
+    private static final int BATCH = 5;
+
+    private static final long KEPT_NANOS = Duration.ofSeconds(10).toNanos();
+
+    private final HttpClient client;
+    private final String authorization;
+    private final AddressBook book;
+    private final Deque<String> ids = new ArrayDeque<>();
+    private long fetchedNanos;
+
+    OperationIds(HttpClient client, String authorization, AddressBook book) {
+        this.client = client;
+        this.authorization = authorization;
+        this.book = book;
+    }
+
+    /** An id that was not used before. */
+    CompletableFuture<String> next(long nowNanos) {
+        synchronized (this) {
+            if (!ids.isEmpty() && nowNanos - fetchedNanos < KEPT_NANOS) {
+                return CompletableFuture.completedFuture(ids.removeFirst());
+            }
+            ids.clear();
+        }
+        return fetch(ATTEMPTS);
+    }
+
+    private CompletableFuture<String> fetch(int attemptsLeft) {
+        if (attemptsLeft == 0) {
+            return CompletableFuture.failedFuture(new IOException("no host issued operation ids"));
+        }
+        return book.best(System.nanoTime()).thenCompose(address -> fetch(address, attemptsLeft));
+    }
+
+    private CompletableFuture<String> fetch(String address, int attemptsLeft) {
+        URI uri = URI.create("http://" + address + "/.auburnhoist/operations?count=" + BATCH);
+        HttpRequest question = HttpRequest.newBuilder(uri)
+                .header("Authorization", authorization)
+                .POST(HttpRequest.BodyPublishers.noBody())
+                .timeout(TIMEOUT)
+                .build();
+        return client.sendAsync(question, HttpResponse.BodyHandlers.ofByteArray())
+                .handle((answer, failure) ->
+                        failure == null && answer.statusCode() == 201 ? accept(answer.body()) : reject(address))
+                .thenCompose(id -> id.isEmpty() ? fetch(attemptsLeft - 1) : CompletableFuture.completedFuture(id));
+    }
+
+    private String reject(String address) {
+        book.reject(address);
+        return "";
+    }
+
+    private synchronized String accept(byte[] body) {
+        try {
+            MAPPER.readTree(body).path("operationIds").forEach(id -> ids.addLast(id.asText()));
+        } catch (IOException malformed) {
+            return "";
+        }
+        fetchedNanos = System.nanoTime();
+        return ids.isEmpty() ? "" : ids.removeFirst();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/auburnhoist/load/Surge.java
@@ -0,0 +1,15 @@
+package org.auburnhoist.load;
+
+/**
+ * A time during which a team sends a multiple of its mean rate.
+ *
+ * @param team the team
+ * @param factor multiple of the rate
+ * @param beginNanos begin since the start of the load
+ * @param endNanos end since the start of the load
+ */
+public record Surge(String team, double factor, long beginNanos, long endNanos) {
+    boolean covers(String name, long offsetNanos) {
+        return team.equals(name) && offsetNanos >= beginNanos && offsetNanos < endNanos;
+    }
+}
