Resolve the merge of the test fleet

Cause: a second conflict in TestFleet was left unresolved by the merge before. Change: one way to open the store remains.

--- a/src/test/java/org/auburnhoist/host/TestFleet.java
+++ b/src/test/java/org/auburnhoist/host/TestFleet.java
@@ -145,14 +145,8 @@
         }
     }
 
-<<<<<<< HEAD
-    private Store newStore() {
-        return closer.register(openStore());
-=======
     Store newStore() {
-        return closer.register(
-                EtcdStore.builder().endpoint(storeEmulator.address()).build());
->>>>>>> scenarios
+        return closer.register(openStore());
     }
 
     @Override
