Read the host list, run emulators as processes, delete unused chunks

Cause: a host removed itself even if the others were no quorum afterwards; the platform's host list was not read; a fleet of separate processes had no store and no upstreams; chunks that no head names stayed in the store for ever.

Change: a leaving host stays in the roster if Roster.canRemove is false and says so in its last event.

Chunks of interrupted changes still stay in the store.

--- a/src/main/java/org/auburnhoist/cli/Commands.java
+++ b/src/main/java/org/auburnhoist/cli/Commands.java
@@ -19,6 +19,8 @@
                 new HostsLeaveCommand(),
                 new HostsRebuildCommand(),
                 new ServeCommand(),
+                new StoreEmulatorCommand(),
+                new UpstreamEmulatorCommand(),
                 new DemoCommand());
     }
 }
--- a/src/main/java/org/auburnhoist/cli/ConfigurationRepository.java
+++ b/src/main/java/org/auburnhoist/cli/ConfigurationRepository.java
@@ -14,6 +14,7 @@
 import org.auburnhoist.core.configuration.ConfigurationChunks;
 import org.auburnhoist.core.configuration.ConfigurationFile;
 import org.auburnhoist.core.configuration.ConfigurationHead;
+import org.auburnhoist.store.Entry;
 import org.auburnhoist.store.ReadResult;
 import org.auburnhoist.store.Store;
 import org.auburnhoist.store.StoreKeys;
@@ -27,6 +28,9 @@
     /** How often a write without an answer is sent again; the comparison makes the repetition harmless. */
     private static final int ATTEMPTS = 3;
 
+    /** Each writer of the same chunk causes at most one conflict between two attempts. */
+    private static final int CHUNK_ATTEMPTS = 6;
+
     private static final String NOTHING_CHANGED = "; nothing was changed";
 
     private final Store store;
@@ -93,7 +97,8 @@
     }
 
     /**
-     * Writes the chunks that the store lacks, then the head if it is still the expected one.
+     * Writes the chunks that the present head does not name, then the head if it is still the expected one, and deletes
+     * the chunks that the new head no longer names.
      *
      * @param before the head that the change was made from
      * @param next the new head
@@ -114,20 +119,61 @@
                 return Either.left(new Failure(ExitCode.UNAVAILABLE, message));
             }
         }
-        return writeHead(before, next, content);
+        List<Entry> dropped = droppedChunks(before.head(), next);
+        return writeHead(before, next, content).peek(version -> delete(dropped));
     }
 
-    /** Chunks never change, so a conflict says that the store has this one already. */
+    /**
+     * Writes a chunk, also if the store has it already: its new revision keeps a change that dropped the chunk earlier
+     * from deleting it.
+     */
     private boolean writeChunk(ConfigurationChunks.Chunk chunk) {
-        for (int attempt = 0; attempt < ATTEMPTS; attempt++) {
-            WriteResult result = write(StoreKeys.CHUNKS + chunk.digest(), 0, chunk.content());
-            if (result instanceof WriteResult.Done || result instanceof WriteResult.Conflict) {
+        long expectedRevision = 0;
+        for (int attempt = 0; attempt < CHUNK_ATTEMPTS; attempt++) {
+            WriteResult result = write(StoreKeys.CHUNKS + chunk.digest(), expectedRevision, chunk.content());
+            if (result instanceof WriteResult.Done) {
                 return true;
             }
+            if (result instanceof WriteResult.Conflict conflict) {
+                expectedRevision = conflict.currentRevision();
+            }
         }
         return false;
     }
 
+    /** The chunks that only the older head names, with their revisions; those that cannot be read are left out. */
+    private List<Entry> droppedChunks(ConfigurationHead before, ConfigurationHead next) {
+        Set<String> dropped = before.chunks();
+        dropped.removeAll(next.chunks());
+        List<Entry> entries = new ArrayList<>();
+        for (String digest : dropped) {
+            ReadResult result =
+                    await(store.get(StoreKeys.CHUNKS + digest), new ReadResult.Unavailable("no answer in time"));
+            if (!(result instanceof ReadResult.Found found)) {
+                return entries;
+            }
+            found.entries().forEach(entry -> entries.add(new Entry(entry.key(), new byte[0], entry.revision())));
+        }
+        return entries;
+    }
+
+    /**
+     * Deletes chunks that no head names any more. A failure leaves an unused chunk behind, which does no harm.
+     *
+     * @param dropped chunks with the revisions that they had before the new head was written. A later change that uses
+     *     such a chunk again read the new head, so it has written the chunk anew, under another revision.
+     */
+    private void delete(List<Entry> dropped) {
+        for (Entry entry : dropped) {
+            WriteResult result = await(
+                    store.compareAndDelete(entry.key(), entry.revision()),
+                    new WriteResult.OutcomeUnknown("no answer in time"));
+            if (result instanceof WriteResult.NotDone) {
+                return;
+            }
+        }
+    }
+
     /**
      * Writes the head. After a lost answer the head is read; if it is unchanged, the same conditional write is sent
      * again, because the first one may still be under way.
--- a/src/main/java/org/auburnhoist/cli/DemoCommand.java
+++ b/src/main/java/org/auburnhoist/cli/DemoCommand.java
@@ -6,12 +6,10 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
-import java.util.concurrent.CountDownLatch;
 import org.auburnhoist.core.configuration.ConfigurationFile;
 import org.auburnhoist.emulator.ServiceTime;
 import org.auburnhoist.host.EntryHost;
 import org.auburnhoist.load.LocalFleet;
-import org.auburnhoist.support.LogFormat;
 
 /** Runs a whole small fleet in this process, with emulated store and upstreams. */
 final class DemoCommand implements Command {
@@ -65,7 +63,7 @@
                 return ExitCode.UNAVAILABLE;
             }
             explain(example, fleet, context);
-            awaitSignal(fleet);
+            StopSignal.await(fleet::close);
             return ExitCode.DONE;
         } catch (IOException cause) {
             context.err().println("could not start: " + cause.getMessage());
@@ -113,18 +111,4 @@
         context.out().println("Stop it with Ctrl-C.");
         context.out().flush();
     }
-
-    private static void awaitSignal(LocalFleet fleet) throws InterruptedException {
-        CountDownLatch stopped = new CountDownLatch(1);
-        Runtime.getRuntime()
-                .addShutdownHook(new Thread(
-                        () -> {
-                            fleet.close();
-                            stopped.countDown();
-                            LogFormat.flush();
-                            Runtime.getRuntime().halt(ExitCode.DONE.status());
-                        },
-                        "demo-stop"));
-        stopped.await();
-    }
 }
--- a/src/main/java/org/auburnhoist/cli/ServeCommand.java
+++ b/src/main/java/org/auburnhoist/cli/ServeCommand.java
@@ -4,9 +4,12 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.URI;
+import java.net.URISyntaxException;
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import java.util.regex.Pattern;
+import org.auburnhoist.core.configuration.NetworkAddress;
 import org.auburnhoist.host.HostProcess;
 import org.auburnhoist.host.HostSettings;
 import org.auburnhoist.peer.PeerSettings;
@@ -52,6 +55,13 @@
                     "stop-limit", "longest wait of a planned stop for requests in progress")
             .withDefault(Duration.ofSeconds(60));
 
+    private static final Setting<URI> HOST_LIST = Setting.of(
+            "host-list",
+            "URL",
+            "the platform's list of live and leaving hosts",
+            "a URL with an IP address, such as http://127.0.0.1:8500/hosts",
+            ServeCommand::parseUrl);
+
     @Override
     public String name() {
         return "serve";
@@ -73,7 +83,8 @@
                 FLEET_SECRET,
                 THREADS,
                 ADDRESS_VALIDITY,
-                STOP_LIMIT);
+                STOP_LIMIT,
+                HOST_LIST);
     }
 
     @Override
@@ -122,6 +133,18 @@
                 .trafficThreads(Math.toIntExact(settings.get(THREADS)))
                 .addressValidity(settings.get(ADDRESS_VALIDITY))
                 .stopLimit(settings.get(STOP_LIMIT))
+                .hostList(settings.find(HOST_LIST).orElse(null))
                 .build();
     }
+
+    private static Optional<URI> parseUrl(String text) {
+        try {
+            URI url = new URI(text);
+            return "http".equals(url.getScheme()) && NetworkAddress.isValid(String.valueOf(url.getAuthority()))
+                    ? Optional.of(url)
+                    : Optional.empty();
+        } catch (URISyntaxException malformed) {
+            return Optional.empty();
+        }
+    }
 }
--- /dev/null
+++ b/src/main/java/org/auburnhoist/cli/StopSignal.java
@@ -0,0 +1,28 @@
+package org.auburnhoist.cli;
+
+import java.util.concurrent.CountDownLatch;
+import org.auburnhoist.support.LogFormat;
+
+/** Waits for SIGTERM or Ctrl-C. */
+final class StopSignal {
+    private StopSignal() {}
+
+    /**
+     * Waits for the signal, then closes what runs and ends the process with status 0; the default after SIGTERM is 143.
+     *
+     * @param close ends what runs
+     */
+    static void await(Runnable close) throws InterruptedException {
+        CountDownLatch stopped = new CountDownLatch(1);
+        Runtime.getRuntime()
+                .addShutdownHook(new Thread(
+                        () -> {
+                            close.run();
+                            stopped.countDown();
+                            LogFormat.flush();
+                            Runtime.getRuntime().halt(ExitCode.DONE.status());
+                        },
+                        "stop-signal"));
+        stopped.await();
+    }
+}
--- a/src/main/java/org/auburnhoist/host/EntryHost.java
+++ b/src/main/java/org/auburnhoist/host/EntryHost.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.URI;
 import java.nio.channels.AsynchronousChannelGroup;
 import java.security.SecureRandom;
 import java.time.Duration;
@@ -30,6 +31,8 @@
 import org.auburnhoist.proxy.ProxyServer;
 import org.auburnhoist.proxy.ProxySettings;
 import org.auburnhoist.proxy.RequestHead;
+import org.auburnhoist.store.HostList;
+import org.auburnhoist.store.HttpHostList;
 import org.auburnhoist.store.Store;
 import org.auburnhoist.support.Closer;
 import org.auburnhoist.support.Event;
@@ -49,6 +52,7 @@
     private static final Duration TIDY_INTERVAL = Duration.ofSeconds(5);
     private static final Duration RETURN_INTERVAL = Duration.ofMillis(250);
     private static final Duration OPERATION_TICK = Duration.ofSeconds(1);
+    private static final Duration HOST_LIST_LIMIT = Duration.ofSeconds(2);
     private static final int PEER_THREADS = 2;
 
     private final HostSettings settings;
@@ -173,9 +177,15 @@
                 new OperationController(board, peers, OperationSettings.DEFAULT, System.nanoTime()),
                 dispatchers,
                 new SlotClient(board, peers, dispatchers, random),
+                new HostListController(board, control, openHostList()),
                 new ServiceRetries());
     }
 
+    private @Nullable HostList openHostList() {
+        URI address = settings.hostList();
+        return address == null ? null : closer.register(new HttpHostList(address, HOST_LIST_LIMIT));
+    }
+
     private ProxySettings proxySettings() {
         return ProxySettings.builder()
                 .listenAddress(settings.callerAddress())
@@ -200,6 +210,8 @@
         control.every(SlotClient.TICK, controllers.slots()::tick);
         control.every(RETURN_INTERVAL, controllers.limits()::returnUnspent);
         control.every(OPERATION_TICK, controllers.operations()::tick);
+        control.every(
+                HostListController.READ_INTERVAL, now -> controllers.hostList().run());
         control.every(VIEW_REFRESH, this::refreshView);
         control.every(TIDY_INTERVAL, this::tidy);
         Event.named("host-started")
--- a/src/main/java/org/auburnhoist/host/HostControllers.java
+++ b/src/main/java/org/auburnhoist/host/HostControllers.java
@@ -14,6 +14,7 @@
  * @param operations claims
  * @param dispatchers slots granted by this host
  * @param slots slots for this host's requests
+ * @param hostList marks of the platform's list of hosts
  * @param retries budget of further attempts; may be used by traffic threads
  */
 record HostControllers(
@@ -26,4 +27,5 @@
         OperationController operations,
         DispatchController dispatchers,
         SlotClient slots,
+        HostListController hostList,
         ServiceRetries retries) {}
--- a/src/main/java/org/auburnhoist/host/LocalEndpoints.java
+++ b/src/main/java/org/auburnhoist/host/LocalEndpoints.java
@@ -110,7 +110,8 @@
         ObjectNode answer = MAPPER.createObjectNode();
         answer.put("validForSeconds", addressValidity.toSeconds());
         ArrayNode list = answer.putArray("addresses");
-        for (Member member : AddressRanking.rank(table, team, owners, LISTED_WITHIN, nowNanos)) {
+        List<Member> ranked = AddressRanking.rank(table, team, owners, LISTED_WITHIN, nowNanos);
+        for (Member member : controllers.hostList().withoutLeaving(ranked, nowNanos)) {
             list.addObject()
                     .put("address", member.callerAddress())
                     .put("dataCentre", member.dataCentre())
--- a/src/main/java/org/auburnhoist/host/PlannedStop.java
+++ b/src/main/java/org/auburnhoist/host/PlannedStop.java
@@ -1,8 +1,11 @@
 package org.auburnhoist.host;
 
 import java.time.Duration;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.LongConsumer;
+import org.auburnhoist.core.HostId;
+import org.auburnhoist.core.membership.Roster;
 import org.auburnhoist.proxy.ProxyServer;
 import org.auburnhoist.support.Event;
 
@@ -91,13 +94,27 @@
                 }));
     }
 
+    private void logStopped(boolean left) {
+        Event event = Event.named("host-stopped").with("left_roster", left);
+        if (!left) {
+            Roster roster = controllers.board().roster();
+            HostId self = controllers.board().self();
+            if (roster != null && roster.member(self).isPresent()) {
+                boolean quorum = roster.canRemove(Set.of(self));
+                event.with("reason", quorum ? "roster-not-written" : "others-are-no-quorum")
+                        .with("removal", "left-to-steward");
+            }
+        }
+        event.log();
+    }
+
     private void leave(int attemptsLeft) {
         controllers
                 .store()
                 .leave()
                 .thenAccept(left -> control.execute(now -> {
                     if (left || attemptsLeft <= 1) {
-                        Event.named("host-stopped").with("left_roster", left).log();
+                        logStopped(left);
                         finished.complete(null);
                     } else {
                         control.after(CHECK_INTERVAL, later -> leave(attemptsLeft - 1));
--- a/src/main/java/org/auburnhoist/host/StoreController.java
+++ b/src/main/java/org/auburnhoist/host/StoreController.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Function;
 import java.util.random.RandomGenerator;
+import org.auburnhoist.core.HostId;
 import org.auburnhoist.core.blackboard.Blackboard;
 import org.auburnhoist.core.configuration.ConfigurationHead;
 import org.auburnhoist.core.membership.FreshnessTable;
@@ -79,12 +80,21 @@
                 "leaving", current -> current.member(self.id()).isPresent() ? current.markLeaving(self.id()) : null);
     }
 
-    /** Takes this host out of the roster; completes with whether the store holds the change. */
+    /**
+     * Takes this host out of the roster if the other members still form a quorum; completes with whether the store
+     * holds the change.
+     */
     CompletableFuture<Boolean> leave() {
-        return change("left", current -> {
-            boolean isMember = current.member(self.id()).isPresent();
-            return isMember && current.members().size() > 1 ? current.remove(Set.of(self.id())) : null;
-        });
+        return change("left", current -> withoutSelf(current, self.id()));
+    }
+
+    /**
+     * The roster without a host that leaves, or null if it must not remove itself: without a quorum of the others, no
+     * later version could be settled.
+     */
+    static @Nullable Roster withoutSelf(Roster current, HostId self) {
+        boolean isMember = current.member(self).isPresent();
+        return isMember && current.canRemove(Set.of(self)) ? current.remove(Set.of(self)) : null;
     }
 
     private void read() {
--- a/src/test/java/org/auburnhoist/cli/ChangeCommandsTest.java
+++ b/src/test/java/org/auburnhoist/cli/ChangeCommandsTest.java
@@ -122,6 +122,38 @@
         assertTrue(run.err().contains("found 1 (replaced other.yaml, by karim"), run.err());
     }
 
+    @Test
+    void deletesTheChunksThatNoFileUsesAnyMore() {
+        run.file("same.yaml", "services: {}\n").file("other.yaml", "services: {}\n");
+        run.run("apply teams.yaml same.yaml other.yaml");
+        assertEquals(2, chunkCount());
+        run.run("remove same.yaml");
+        assertEquals(2, chunkCount());
+        run.file("teams.yaml", TEAMS.replace("10", "11"));
+        assertEquals(ExitCode.DONE, run.run("apply teams.yaml"), run.err());
+        run.run("remove other.yaml");
+        assertEquals(1, chunkCount());
+    }
+
+    @Test
+    void keepsAChunkThatAnotherOperatorUsesAgainBeforeItIsDeleted() {
+        run.run("apply teams.yaml");
+        ProgramRun other = new ProgramRun(directory.resolve("karim"), store, 2)
+                .with("AUBURNHOIST_STORE", "127.0.0.1:2379")
+                .file("teams.yaml", TEAMS);
+        run.file("teams.yaml", TEAMS.replace("10", "11"));
+        store.afterNextHeadWrite(() -> assertEquals(ExitCode.DONE, other.run("apply teams.yaml"), other.err()));
+        assertEquals(ExitCode.DONE, run.run("apply teams.yaml"), run.err());
+        assertEquals(ExitCode.DONE, run.run("show teams.yaml"), run.err());
+        assertEquals(TEAMS, run.out());
+    }
+
+    private long chunkCount() {
+        return store.entries().keySet().stream()
+                .filter(key -> key.startsWith(StoreKeys.CHUNKS))
+                .count();
+    }
+
     @Test
     void reportsAStoreThatIsAway() {
         store.setAway(true);
--- a/src/test/java/org/auburnhoist/cli/FakeStore.java
+++ b/src/test/java/org/auburnhoist/cli/FakeStore.java
@@ -123,7 +123,17 @@
 
     @Override
     public CompletableFuture<WriteResult> compareAndDelete(String key, long expectedRevision) {
-        throw new UnsupportedOperationException("deletion");
+        if (away) {
+            return CompletableFuture.completedFuture(new WriteResult.NotDone("away"));
+        }
+        Entry entry = entries.get(key);
+        long current = entry == null ? 0 : entry.revision();
+        if (current == 0 || current != expectedRevision) {
+            return CompletableFuture.completedFuture(new WriteResult.Conflict(current));
+        }
+        revision++;
+        entries.remove(key);
+        return CompletableFuture.completedFuture(new WriteResult.Done(revision));
     }
 
     @Override
--- a/src/test/java/org/auburnhoist/host/EntryHostTest.java
+++ b/src/test/java/org/auburnhoist/host/EntryHostTest.java
@@ -14,6 +14,8 @@
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.Executors;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.Stream;
+import org.auburnhoist.store.HostList;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -149,6 +151,31 @@
                         .statusCode());
     }
 
+    @Test
+    void aHostThatThePlatformsListMarksAsLeavingGetsNoNewCallersButServes() throws Exception {
+        fleet.hostList().publish(List.of(new HostList.ListedHost("host-3", "dc-2", HostList.HostState.LEAVING)));
+        for (EntryHost host : hosts()) {
+            TestFleet.await("host-3 is not listed", () -> addresses(host).equals(List.of("host-1", "host-2")));
+        }
+        assertEquals(
+                200,
+                fleet.get(third, "/telescopes/7", "Authorization", AUTHORIZATION)
+                        .statusCode());
+        fleet.hostList().publish(List.of(new HostList.ListedHost("host-3", "dc-2", HostList.HostState.LIVE)));
+        TestFleet.await("host-3 is listed again", () -> addresses(first).contains("host-3"));
+    }
+
+    private List<String> addresses(EntryHost host) {
+        try {
+            String body = fleet.get(host, "/.auburnhoist/addresses").body();
+            return Stream.of("host-1", "host-2", "host-3")
+                    .filter(name -> body.contains("\"" + name + "\""))
+                    .toList();
+        } catch (Exception failed) {
+            throw new AssertionError(failed);
+        }
+    }
+
     private HttpResponse<String> book(EntryHost host, String operation) throws Exception {
         return fleet.post(host, "/bookings", "telescope 7", "Authorization", AUTHORIZATION, "Operation-Id", operation);
     }
--- a/src/test/java/org/auburnhoist/host/TestFleet.java
+++ b/src/test/java/org/auburnhoist/host/TestFleet.java
@@ -14,6 +14,7 @@
 import org.auburnhoist.core.configuration.ConfigurationChunks;
 import org.auburnhoist.core.configuration.ConfigurationFile;
 import org.auburnhoist.core.configuration.ConfigurationHead;
+import org.auburnhoist.emulator.HostListEmulator;
 import org.auburnhoist.emulator.StoreEmulator;
 import org.auburnhoist.store.EtcdStore;
 import org.auburnhoist.store.ReadResult;
@@ -32,6 +33,7 @@
     private final Closer closer = new Closer();
     private final StoreEmulator storeEmulator;
     private final Store operatorStore;
+    private final HostListEmulator hostList;
     private final List<EntryHost> hosts = new ArrayList<>();
     private final HttpClient callers =
             HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
@@ -39,15 +41,21 @@
     TestFleet() throws Exception {
         storeEmulator = closer.register(StoreEmulator.builder().start());
         operatorStore = newStore();
+        hostList = closer.register(HostListEmulator.start(System::nanoTime));
     }
 
     StoreEmulator storeEmulator() {
         return storeEmulator;
     }
 
+    HostListEmulator hostList() {
+        return hostList;
+    }
+
     EntryHost startHost(String name) throws Exception {
         HostSettings settings = HostSettings.builder(name, "dc-" + hosts.size() % 3)
                 .storeEndpoints(List.of(storeEmulator.address()))
+                .hostList(hostList.address())
                 .fleetSecret("a secret of the test fleet")
                 .addressValidity(Duration.ofMillis(200))
                 .build();
