--- a/src/test/java/org/auburnhoist/host/TestFleet.java
+++ b/src/test/java/org/auburnhoist/host/TestFleet.java
@@ -15,6 +15,7 @@
 import org.auburnhoist.core.configuration.ConfigurationChunks;
 import org.auburnhoist.core.configuration.ConfigurationFile;
 import org.auburnhoist.core.configuration.ConfigurationHead;
+import org.auburnhoist.emulator.HostListEmulator;
 import org.auburnhoist.emulator.StoreEmulator;
 import org.auburnhoist.store.EtcdStore;
 import org.auburnhoist.store.ReadResult;
@@ -33,6 +34,7 @@
     private final Closer closer = new Closer();
     private final StoreEmulator storeEmulator;
     private final Store operatorStore;
+    private final HostListEmulator hostList;
     private final List<EntryHost> hosts = new ArrayList<>();
     private final HttpClient callers =
             HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
@@ -40,12 +42,17 @@
     TestFleet() throws Exception {
         storeEmulator = closer.register(StoreEmulator.builder().start());
         operatorStore = newStore();
+        hostList = closer.register(HostListEmulator.start(System::nanoTime));
     }
 
     StoreEmulator storeEmulator() {
         return storeEmulator;
     }
 
+    HostListEmulator hostList() {
+        return hostList;
+    }
+
     EntryHost startHost(String name) throws Exception {
         return startHost(name, newStore(), settings -> settings);
     }
@@ -60,6 +67,7 @@
     HostSettings settings(String name) {
         return HostSettings.builder(name, "dc-" + hosts.size() % 3)
                 .storeEndpoints(List.of(storeEmulator.address()))
+                .hostList(hostList.address())
                 .fleetSecret("a secret of the test fleet")
                 .addressValidity(Duration.ofMillis(200))
                 .build();
