--- a/src/main/java/org/auburnhoist/load/Experiment.java
+++ b/src/main/java/org/auburnhoist/load/Experiment.java
@@ -9,6 +9,8 @@
  * @param name name for the report
  * @param deployment {@code starglass} or {@code rosewood}
  * @param hosts number of entry hosts
+ * @param settle time between the start of the fleet and the load; hosts that join in a row lose the levels of the
+ *     buckets that move, and small teams are refused until these are regained
  * @param duration duration of the load
  * @param seed seed of arrivals and emulated servers
  * @param addressValidity how long callers keep an address answer
@@ -21,6 +23,7 @@
         String name,
         String deployment,
         int hosts,
+        Duration settle,
         Duration duration,
         long seed,
         Duration addressValidity,
--- a/src/main/java/org/auburnhoist/load/ExperimentFields.java
+++ b/src/main/java/org/auburnhoist/load/ExperimentFields.java
@@ -137,7 +137,7 @@
     }
 
     private MappingNode emptyMapping() {
-        return new MappingNode(node.getTag(), List.of(), FlowStyle.BLOCK);
+        return new MappingNode(node.getTag(), true, List.of(), FlowStyle.BLOCK, node.getStartMark(), node.getEndMark());
     }
 
     private <T> T parsed(String name, String expected, T substitute, Function<String, Optional<T>> parser) {
--- a/src/main/java/org/auburnhoist/load/ExperimentFile.java
+++ b/src/main/java/org/auburnhoist/load/ExperimentFile.java
@@ -83,6 +83,7 @@
         String name = root.text("name", "a name", List.of());
         String deployment = root.text("deployment", "one of " + String.join(", ", DEPLOYMENTS), DEPLOYMENTS);
         int hosts = root.integer("hosts", 1, MOST_HOSTS);
+        Duration settle = root.duration("settle", LONGEST);
         Duration duration = root.duration("duration", LONGEST);
         int seed = root.integer("seed", 0, Integer.MAX_VALUE);
         Duration validity = root.duration("address-validity", LONGEST);
@@ -101,7 +102,7 @@
         List<Expectation> expectations = expectations(root.mapping("expect"));
         root.reportUnknown();
         return new Experiment(
-                name, deployment, hosts, duration, seed, validity, rateShare, shares, faults, expectations);
+                name, deployment, hosts, settle, duration, seed, validity, rateShare, shares, faults, expectations);
     }
 
     private static ClassShares shares(ExperimentFields load) {
--- a/src/main/java/org/auburnhoist/load/ExperimentResult.java
+++ b/src/main/java/org/auburnhoist/load/ExperimentResult.java
@@ -48,7 +48,7 @@
      * @param storeCalls calls to the store by kind
      * @param controlBytesPerHostSecond bytes sent and received between hosts, with load
      * @param idleControlBytesPerHostSecond the same before the load
-     * @param membersAtEnd members of the roster at the end
+     * @param membersAtEnd most members that a fresh host knows at the end
      * @param restarted hosts that were restarted as planned
      * @param removals hosts that the others removed and that noticed it
      */
--- a/src/main/java/org/auburnhoist/load/ExperimentRunner.java
+++ b/src/main/java/org/auburnhoist/load/ExperimentRunner.java
@@ -92,6 +92,7 @@
     }
 
     private ExperimentResult run() throws InterruptedException {
+        Thread.sleep(experiment.settle().toMillis());
         double idleBytes = idleControlBytes();
         List<LoadRequest> requests = new Arrivals(
                         experiment.shares(), surges(), experiment.duration().toNanos())
@@ -197,6 +198,7 @@
     private int membersAtEnd() {
         return fleet.hosts().stream()
                 .map(EntryHost::view)
+                .filter(view -> view.isFresh(System.nanoTime()))
                 .mapToInt(view -> {
                     Roster roster = view.roster();
                     return roster == null ? 0 : roster.members().size();
--- a/src/main/java/org/auburnhoist/load/FleetCaller.java
+++ b/src/main/java/org/auburnhoist/load/FleetCaller.java
@@ -63,8 +63,10 @@
             return run.result;
         }
         ids.next(System.nanoTime()).whenComplete((id, failure) -> {
-            if (failure != null) {
+            if (failure != null && refusal(failure).isEmpty()) {
                 run.finish(RequestResult.of(Ending.NO_ANSWER, false));
+            } else if (failure != null) {
+                run.finish(new RequestResult(Ending.REFUSED, refusal(failure), false));
             } else {
                 run.operationId = id;
                 run.attempt();
@@ -73,6 +75,15 @@
         return run.result;
     }
 
+    private static String refusal(Throwable failure) {
+        for (Throwable cause = failure; cause != null; cause = cause.getCause()) {
+            if (cause instanceof OperationIds.RefusedException refused) {
+                return refused.code();
+            }
+        }
+        return "";
+    }
+
     private static boolean isUnreached(Throwable failure) {
         for (Throwable cause = failure; cause != null; cause = cause.getCause()) {
             if (cause instanceof ConnectException || cause instanceof HttpConnectTimeoutException) {
--- a/src/main/java/org/auburnhoist/load/LoadGenerator.java
+++ b/src/main/java/org/auburnhoist/load/LoadGenerator.java
@@ -109,11 +109,12 @@
         List<FleetCaller> ofTeam = callers.getOrDefault(request.team().team(), List.of());
         FleetCaller caller = ofTeam.get((int) (request.number() % ofTeam.size()));
         caller.send(request).whenComplete((result, failure) -> {
-            places.release();
             RequestResult end = result == null || failure != null
                     ? RequestResult.of(RequestResult.Ending.NO_ANSWER, false)
                     : result;
             log.ended(request, end, System.nanoTime() - scheduledNanos);
+            // Only now, because the run may end as soon as all places are free.
+            places.release();
         });
     }
 
--- a/src/main/java/org/auburnhoist/load/OperationIds.java
+++ b/src/main/java/org/auburnhoist/load/OperationIds.java
@@ -16,6 +16,8 @@
     private static final ObjectMapper MAPPER = new ObjectMapper();
     private static final Duration TIMEOUT = Duration.ofSeconds(3);
     private static final int ATTEMPTS = 3;
+    private static final int ISSUED = 201;
+    private static final int KEY_REFUSED = 401;
 
     /** Ids of a host that is gone are useless, so a caller keeps few of them, and not for long. */
     private static final int BATCH = 5;
@@ -60,9 +62,18 @@
                 .timeout(TIMEOUT)
                 .build();
         return client.sendAsync(question, HttpResponse.BodyHandlers.ofByteArray())
-                .handle((answer, failure) ->
-                        failure == null && answer.statusCode() == 201 ? accept(answer.body()) : reject(address))
-                .thenCompose(id -> id.isEmpty() ? fetch(attemptsLeft - 1) : CompletableFuture.completedFuture(id));
+                .handle((answer, failure) -> {
+                    if (failure == null && answer.statusCode() == KEY_REFUSED) {
+                        String code = answer.headers()
+                                .firstValue("Auburnhoist-Refusal")
+                                .orElse("");
+                        return CompletableFuture.<String>failedFuture(new RefusedException(code));
+                    }
+                    boolean issued = failure == null && answer.statusCode() == ISSUED;
+                    String id = issued ? accept(answer.body()) : reject(address);
+                    return id.isEmpty() ? fetch(attemptsLeft - 1) : CompletableFuture.completedFuture(id);
+                })
+                .thenCompose(id -> id);
     }
 
     private String reject(String address) {
@@ -79,4 +90,20 @@
         fetchedNanos = System.nanoTime();
         return ids.isEmpty() ? "" : ids.removeFirst();
     }
+
+    /** No id is issued for the caller's key, and repeating the question does not help. */
+    static final class RefusedException extends IOException {
+        private static final long serialVersionUID = 1;
+
+        private final String code;
+
+        RefusedException(String code) {
+            super("refused: " + code);
+            this.code = code;
+        }
+
+        String code() {
+            return code;
+        }
+    }
 }
