--- a/src/main/java/org/auburnhoist/load/LocalFleet.java
+++ b/src/main/java/org/auburnhoist/load/LocalFleet.java
@@ -142,6 +142,10 @@
 
     /** Replaces all files by compare-and-swap; for faults that change the configuration while traffic runs. */
     public void apply(List<ConfigurationFile> files) {
+        apply(operatorStore, files);
+    }
+
+    static void apply(Store operatorStore, List<ConfigurationFile> files) {
         for (ConfigurationFile file : files) {
             for (ConfigurationChunks.Chunk chunk : ConfigurationChunks.split(file.content())) {
                 operatorStore
