Record answers as complete when the caller closes at once

Cause: an answer counted as complete only after a later event had confirmed that nothing was left to write. A caller that closed with the last byte made the end of its connection visible first, and the record said complete=false. Change: before the host looks at an event that may be the end of a connection, it looks whether ended answers have gone to the socket. A body of announced length ends with its last byte instead of with the upstream's end of the exchange, and an answer without a body is not taken for unwritten while another thread still starts it. "Complete" still means that the answer went to the host's socket: what the network does with it afterwards is not known.

--- a/src/main/java/org/auburnhoist/proxy/BodyPipe.java
+++ b/src/main/java/org/auburnhoist/proxy/BodyPipe.java
@@ -20,6 +20,8 @@
     private final int window;
     private final Deque<ByteBuffer> chunks = new ArrayDeque<>();
     private int buffered;
+    private long writtenBytes;
+    private long announcedBytes = -1;
     private boolean ended;
     private boolean endWritten;
     private boolean discarding;
@@ -63,6 +65,11 @@
         source.position(part.limit());
     }
 
+    /** Lets the stream end with its last announced byte, which is the end for the receiver as well. */
+    synchronized void announce(long length) {
+        announcedBytes = length;
+    }
+
     void end() {
         DataStreamChannel wake;
         synchronized (this) {
@@ -141,7 +148,7 @@
         synchronized (this) {
             writer = channel;
             writeChunks(channel);
-            if (chunks.isEmpty() && ended && !endWritten) {
+            if (chunks.isEmpty() && (ended || writtenBytes == announcedBytes) && !endWritten) {
                 endWritten = true;
                 channel.endStream();
             }
@@ -164,6 +171,7 @@
             int before = chunk.remaining();
             channel.write(chunk);
             buffered -= before - chunk.remaining();
+            writtenBytes += before - chunk.remaining();
             if (chunk.hasRemaining()) {
                 return;
             }
--- a/src/main/java/org/auburnhoist/proxy/CallerConnection.java
+++ b/src/main/java/org/auburnhoist/proxy/CallerConnection.java
@@ -124,6 +124,23 @@
         countEnded();
     }
 
+    /**
+     * Looks whether ended answers have gone to the socket, before an event that may be the end of the connection.
+     *
+     * <p>A caller may close as soon as it has the last byte, which can be seen before the event that output is
+     * possible; without this look the answer would count as incomplete.
+     */
+    private void confirmWritten() throws IOException {
+        // The first pass may end the exchange, which asks for output once more and hides that nothing is left.
+        for (int pass = 0; pass < 2 && isFlushAwaited(); pass++) {
+            writeOutput();
+        }
+    }
+
+    private synchronized boolean isFlushAwaited() {
+        return !awaitingFlush.isEmpty();
+    }
+
     private synchronized List<CallerExchange> takeAwaitingFlush() {
         List<CallerExchange> taken = List.copyOf(awaitingFlush);
         awaitingFlush.clear();
@@ -213,6 +230,7 @@
 
     @Override
     public void inputReady(IOSession ignored, @Nullable ByteBuffer source) throws IOException {
+        confirmWritten();
         handler().inputReady(session, source);
     }
 
@@ -220,8 +238,13 @@
     public void outputReady(IOSession ignored) throws IOException {
         if (wake) {
             wake = false;
+            confirmWritten();
             handler().inputReady(session, null);
         }
+        writeOutput();
+    }
+
+    private void writeOutput() throws IOException {
         handler().outputReady(session);
         // HttpCore clears the event when nothing is left to write.
         if ((session.getEventMask() & SelectionKey.OP_WRITE) == 0) {
@@ -236,6 +259,14 @@
 
     @Override
     public void exception(IOSession ignored, Exception cause) {
+        CallerExchange running = exchange;
+        try {
+            if (running == null || running.isWritten()) {
+                confirmWritten();
+            }
+        } catch (IOException broken) {
+            // What was not written by now never will be.
+        }
         handler().exception(session, cause);
     }
 
--- a/src/main/java/org/auburnhoist/proxy/CallerExchange.java
+++ b/src/main/java/org/auburnhoist/proxy/CallerExchange.java
@@ -235,6 +235,11 @@
         connection.abort();
     }
 
+    /** Whether the end of the answer has been passed on; waits while another thread starts the answer. */
+    synchronized boolean isWritten() {
+        return written;
+    }
+
     private void written() {
         synchronized (this) {
             if (written) {
@@ -384,7 +389,7 @@
 
     @Override
     public void releaseResources() {
-        if (!written) {
+        if (!isWritten()) {
             callerLeft();
         }
         connection.exchangeEnded();
--- a/src/main/java/org/auburnhoist/proxy/ForwardedExchange.java
+++ b/src/main/java/org/auburnhoist/proxy/ForwardedExchange.java
@@ -202,6 +202,9 @@
             length = 0;
         }
         resumable = isRepeatableBody() ? ResumableAnswer.of(head, status, answerHeaders, length) : null;
+        if (length > 0) {
+            answerBody.announce(length);
+        }
         committed = !callerGone && caller.commit(status, headers, length, answerBody);
         if (!committed) {
             callerLeft();
