Do not search for the place of the call of a log line

Cause: the logger walks the stack for each line, and no line shows the result. Change: the place is given as unknown.

--- a/src/main/java/org/auburnhoist/support/Event.java
+++ b/src/main/java/org/auburnhoist/support/Event.java
@@ -1,6 +1,7 @@
 package org.auburnhoist.support;
 
 import com.google.common.flogger.FluentLogger;
+import com.google.common.flogger.LogSite;
 import java.util.logging.Level;
 
 /**
@@ -35,12 +36,17 @@
 
     /** Writes the line at level INFO. */
     public void log() {
-        LOGGER.at(Level.INFO).log("%s", line);
+        write(Level.INFO);
     }
 
     /** Writes the line at level WARNING. */
     public void warn() {
-        LOGGER.at(Level.WARNING).log("%s", line);
+        write(Level.WARNING);
+    }
+
+    /** The place of the call is not part of a line, and finding it walks the stack for each line. */
+    private void write(Level level) {
+        LOGGER.at(level).withInjectedLogSite(LogSite.INVALID).log("%s", line);
     }
 
     @Override
