Do not copy the set of dropped headers for each message

Cause: the set was copied although few messages name headers in Connection. Change: it is copied only for those.

--- a/src/main/java/org/auburnhoist/proxy/HeaderRules.java
+++ b/src/main/java/org/auburnhoist/proxy/HeaderRules.java
@@ -47,12 +47,10 @@
 
     /** Headers of an answer without those of one connection, of framing and of the fleet itself. */
     static List<Map.Entry<String, String>> endToEnd(List<Map.Entry<String, String>> headers) {
-        Set<String> dropped = new HashSet<>(HOP_BY_HOP);
+        Set<String> dropped = HOP_BY_HOP;
         for (Map.Entry<String, String> header : headers) {
             if (header.getKey().equalsIgnoreCase("connection")) {
-                for (String token : header.getValue().split(",", -1)) {
-                    dropped.add(token.strip().toLowerCase(Locale.ROOT));
-                }
+                dropped = withTokens(dropped, header.getValue());
             }
         }
         List<Map.Entry<String, String>> result = new ArrayList<>();
@@ -65,6 +63,14 @@
         return result;
     }
 
+    private static Set<String> withTokens(Set<String> names, String tokens) {
+        Set<String> result = new HashSet<>(names);
+        for (String token : tokens.split(",", -1)) {
+            result.add(token.strip().toLowerCase(Locale.ROOT));
+        }
+        return result;
+    }
+
     static List<Map.Entry<String, String>> entries(Header... headers) {
         List<Map.Entry<String, String>> result = new ArrayList<>(headers.length);
         for (Header header : headers) {
