Take control tasks from a plain queue

Cause: each request hands three tasks to the control thread, and the queue of the scheduled executor sorts and wraps each of them. Change: immediate tasks wait in a plain queue, of which one run of the executor takes up to 64; timers keep their turn between runs. The order is the same.

--- a/src/main/java/org/auburnhoist/host/ControlThread.java
+++ b/src/main/java/org/auburnhoist/host/ControlThread.java
@@ -1,10 +1,13 @@
 package org.auburnhoist.host;
 
 import java.time.Duration;
+import java.util.Queue;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.LongConsumer;
 import java.util.function.LongFunction;
@@ -18,9 +21,12 @@
  */
 final class ControlThread implements AutoCloseable {
     private static final int MAXIMUM_QUEUED = 50_000;
+    private static final int TASKS_PER_RUN = 64;
 
     private final ScheduledThreadPoolExecutor executor;
     private final AtomicInteger queued = new AtomicInteger();
+    private final Queue<Runnable> soon = new ConcurrentLinkedQueue<>();
+    private final AtomicBoolean draining = new AtomicBoolean();
 
     ControlThread(String name) {
         executor = new ScheduledThreadPoolExecutor(1, task -> {
@@ -36,7 +42,7 @@
     /** Runs a task soon. */
     void execute(LongConsumer task) {
         try {
-            executor.execute(() -> runLogged(task));
+            submit(() -> runLogged(task));
         } catch (RejectedExecutionException closed) {
             // The process is stopping; nobody waits for this task.
         }
@@ -70,7 +76,7 @@
             return result;
         }
         try {
-            executor.execute(() -> {
+            submit(() -> {
                 queued.decrementAndGet();
                 completeWith(result, task);
             });
@@ -81,6 +87,44 @@
         return result;
     }
 
+    /** Adds to the tasks that one run of the executor takes, because its own queue costs several times more. */
+    private void submit(Runnable task) {
+        if (executor.isShutdown()) {
+            throw new RejectedExecutionException("the control thread is closed");
+        }
+        soon.add(task);
+        if (draining.compareAndSet(false, true)) {
+            executor.execute(this::drain);
+        }
+    }
+
+    private void drain() {
+        try {
+            // After the close the executor takes no further run, so the last one takes all tasks.
+            for (int count = 0; count < TASKS_PER_RUN || executor.isShutdown(); count++) {
+                Runnable task = soon.poll();
+                if (task == null) {
+                    return;
+                }
+                task.run();
+            }
+        } finally {
+            draining.set(false);
+            if (!soon.isEmpty() && draining.compareAndSet(false, true)) {
+                drainAgain();
+            }
+        }
+    }
+
+    /** Goes to the end of the executor's queue, so that periodic tasks have their turn. */
+    private void drainAgain() {
+        try {
+            executor.execute(this::drain);
+        } catch (RejectedExecutionException closed) {
+            // The process is stopping; the tasks are dropped like those in the executor's queue.
+        }
+    }
+
     int queuedTasks() {
         return queued.get();
     }
