Look up metrics without building their names

Cause: five names were built and looked up for each request. Change: metrics are kept by class, team, status and outcome; the text that is read stays the same.

--- a/src/main/java/org/auburnhoist/host/HostForwarding.java
+++ b/src/main/java/org/auburnhoist/host/HostForwarding.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Locale;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import org.auburnhoist.core.Refusal;
@@ -96,7 +95,7 @@
         connectionsLost += outcome == AttemptOutcome.CONNECTION_LOST ? 1 : 0;
         failedServers.add(used.server());
         request.record().attempt(used.server(), outcome, sent, latencyMicros);
-        metrics.count("attempts_total", "outcome", outcome.name().toLowerCase(Locale.ROOT));
+        metrics.attemptEnded(outcome);
         control.execute(now -> controllers.slots().release(used, outcome, latencyMicros, now));
         boolean failed = outcome != AttemptOutcome.SUCCESS && outcome != AttemptOutcome.ABANDONED;
         // A booking of which nothing was sent may go to another server like any idempotent request.
--- a/src/main/java/org/auburnhoist/host/HostMetrics.java
+++ b/src/main/java/org/auburnhoist/host/HostMetrics.java
@@ -12,6 +12,7 @@
 import java.util.function.LongSupplier;
 import org.auburnhoist.core.Refusal;
 import org.auburnhoist.core.TrafficClass;
+import org.auburnhoist.core.message.AttemptOutcome;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -27,33 +28,52 @@
 
     private final MetricRegistry registry = new MetricRegistry();
     private final Set<String> teams = ConcurrentHashMap.newKeySet();
+    private final Map<TrafficClass, ClassMetrics> classes = new ConcurrentHashMap<>();
+    private final Map<String, Histogram> histogramsByTeam = new ConcurrentHashMap<>();
+    private final Map<String, Counter> answeredByTeam = new ConcurrentHashMap<>();
+    private final Map<AttemptOutcome, Counter> attempts = new ConcurrentHashMap<>();
+
+    /** Names of metrics are built once for each class, team, status and outcome, because building them is slow. */
+    private static final class ClassMetrics {
+        final String name;
+        final Histogram durations;
+        final Map<Integer, Counter> byStatus = new ConcurrentHashMap<>();
+
+        ClassMetrics(String name, Histogram durations) {
+            this.name = name;
+            this.durations = durations;
+        }
+    }
 
     /** Records a finished request. */
     public void requestFinished(
             TrafficClass trafficClass, String team, int status, @Nullable Refusal refusal, long durationMicros) {
-        String className = trafficClass.name().toLowerCase(Locale.ROOT);
-        histogram("request_micros{class=\"" + className + "\"").update(durationMicros);
-        String teamName = labelFor(team);
-        histogram("request_micros_by_team{team=\"" + teamName + "\"").update(durationMicros);
-        counter("requests_total{class=\"" + className + "\",status=\"" + status + "\"")
+        ClassMetrics ofClass = classes.computeIfAbsent(trafficClass, this::classMetrics);
+        ofClass.durations.update(durationMicros);
+        ofClass.byStatus
+                .computeIfAbsent(
+                        status,
+                        code -> counter("requests_total{class=\"" + ofClass.name + "\",status=\"" + code + "\""))
                 .inc();
+        String teamName = labelFor(team);
+        histogramsByTeam.computeIfAbsent(teamName, this::teamHistogram).update(durationMicros);
         if (refusal == null) {
-            counter("answered_total{team=\"" + teamName + "\"").inc();
+            answeredByTeam.computeIfAbsent(teamName, this::answeredCounter).inc();
         } else {
             refused(refusal, teamName);
         }
     }
 
+    /** Counts an attempt on a server. */
+    public void attemptEnded(AttemptOutcome outcome) {
+        attempts.computeIfAbsent(outcome, this::attemptCounter).inc();
+    }
+
     /** Counts a request that was refused before it had a route. */
     public void requestRefused(Refusal refusal, String team) {
         refused(refusal, labelFor(team));
     }
 
-    /** Counts an event, such as an attempt on a server. */
-    public void count(String name, String label, String value) {
-        counter(name + "{" + label + "=\"" + value + "\"").inc();
-    }
-
     /** Publishes a value that is read when the metrics are read. */
     public void gauge(String name, LongSupplier value) {
         registry.gauge(name + "{", () -> (Gauge<Long>) value::getAsLong);
@@ -83,6 +103,23 @@
                 .inc();
     }
 
+    private ClassMetrics classMetrics(TrafficClass trafficClass) {
+        String name = trafficClass.name().toLowerCase(Locale.ROOT);
+        return new ClassMetrics(name, histogram("request_micros{class=\"" + name + "\""));
+    }
+
+    private Histogram teamHistogram(String team) {
+        return histogram("request_micros_by_team{team=\"" + team + "\"");
+    }
+
+    private Counter answeredCounter(String team) {
+        return counter("answered_total{team=\"" + team + "\"");
+    }
+
+    private Counter attemptCounter(AttemptOutcome outcome) {
+        return counter("attempts_total{outcome=\"" + outcome.name().toLowerCase(Locale.ROOT) + "\"");
+    }
+
     private Histogram histogram(String name) {
         return registry.histogram(name);
     }
