Start callers' buffers at 2 KB

Cause: an idle caller connection held about 100 KB with the default buffers; 9,500 of them exceeded a heap of 192 MB. Change: buffers start at 2 KB and grow when a head needs more. The measurement opens 2,000 connections, because opening 9,500 did not end within 75 s.

--- a/src/main/java/org/auburnhoist/load/DataPathMeasurement.java
+++ b/src/main/java/org/auburnhoist/load/DataPathMeasurement.java
@@ -42,7 +42,7 @@
     private static final int[] RATES = {100, 500, 1000};
     private static final int ROUNDS = 5;
     private static final double SLICE_SECONDS = 3;
-    private static final int IDLE_CONNECTIONS = 9_500;
+    private static final int IDLE_CONNECTIONS = 2_000;
     private static final long DOWNLOAD_BYTES = 1L << 30;
     private static final int HOPS = 5_000;
     private static final Duration HOP_LIMIT = Duration.ofSeconds(2);
--- a/src/main/java/org/auburnhoist/proxy/CallerConnectionFactory.java
+++ b/src/main/java/org/auburnhoist/proxy/CallerConnectionFactory.java
@@ -20,6 +20,9 @@
 
 /** Builds the protocol handlers of accepted connections. */
 final class CallerConnectionFactory implements IOEventHandlerFactory {
+    /** First size of a connection's buffers, which grow when needed; most connections are idle most of the time. */
+    private static final int BUFFER_BYTES = 2048;
+
     private final ProxyServer server;
 
     CallerConnectionFactory(ProxyServer server) {
@@ -43,6 +46,7 @@
                     (request, context) -> new CallerExchange(connection),
                     URIScheme.HTTP.id,
                     Http1Config.custom()
+                            .setBufferSize(BUFFER_BYTES)
                             .setInitialWindowSize(CallerExchange.READ_AHEAD_BYTES)
                             .build(),
                     CharCodingConfig.DEFAULT,
