Work out the target size from measured slopes

Cause: whether the design carries 890 hosts, 81,000 teams, 3,900 routes, 13,000 servers and 120,000 requests a second was not written down.

--- a/src/main/java/org/auburnhoist/load/CapacityMeasurement.java
+++ b/src/main/java/org/auburnhoist/load/CapacityMeasurement.java
@@ -7,9 +7,9 @@
 /**
  * Measures how the costs of the core and of the peer protocol grow, and fits a straight line to each.
  *
- * <p>Arguments: the parts to run, of {@code hosts}, {@code teams}, {@code work} and {@code messages}; all without
- * arguments. Run it with the serial collector, which the hosts use too; figures of memory are the heap in use after a
- * full collection.
+ * <p>Arguments: the parts to run, of {@code hosts}, {@code teams}, {@code work}, {@code operations} and
+ * {@code messages}; all without arguments. Run it with the serial collector, which the hosts use too; figures of memory
+ * are the heap in use after a full collection.
  */
 public final class CapacityMeasurement {
     /** Headers of a recorded answer to a booking. */
@@ -23,7 +23,8 @@
 
     /** Runs the parts and prints tables. */
     public static void main(String[] arguments) {
-        Set<String> parts = arguments.length == 0 ? Set.of("hosts", "teams", "work", "messages") : Set.of(arguments);
+        Set<String> parts =
+                arguments.length == 0 ? Set.of("hosts", "teams", "work", "operations", "messages") : Set.of(arguments);
         if (parts.contains("messages")) {
             new MessageCosts().run();
         }
@@ -33,6 +34,9 @@
         if (parts.contains("work")) {
             new WorkCosts().run();
         }
+        if (parts.contains("operations")) {
+            new WorkCosts().runOperations();
+        }
         if (parts.contains("teams")) {
             new TeamCosts().run();
         }
--- a/src/main/java/org/auburnhoist/load/ConvergenceExperiment.java
+++ b/src/main/java/org/auburnhoist/load/ConvergenceExperiment.java
@@ -10,12 +10,16 @@
  * time to read a changed configuration in milliseconds, seed.
  */
 public final class ConvergenceExperiment {
-    private static final int WARM_UP_MILLIS = 20_000;
+    private static final int WARM_UP_MILLIS = 10_000;
+    private static final int CHANGE_WARM_UP_MILLIS = 4_000;
     private static final int CHANGE_MILLIS = 15_000;
     private static final int LOSS_MILLIS = 60_000;
     private static final int PARTED_MILLIS = 120_000;
     private static final int HEALED_MILLIS = 120_000;
 
+    /** Ends a phase early; nothing changes any more once the fleet has been calm for this long. */
+    private static final int CALM_MILLIS = 10_000;
+
     private ConvergenceExperiment() {}
 
     /** Runs one scenario and prints what happened. */
@@ -28,7 +32,7 @@
         ConvergenceFleet fleet = new ConvergenceFleet(hosts, interval, readMillis, seed);
         System.out.println("scenario " + scenario + ", hosts " + hosts + ", pull interval " + interval + " ms, read "
                 + readMillis + " ms, seed " + seed);
-        fleet.runUntil(WARM_UP_MILLIS);
+        fleet.runUntil(scenario.equals("change") ? CHANGE_WARM_UP_MILLIS : WARM_UP_MILLIS);
         fleet.resetCounts();
         switch (scenario) {
             case "change" -> change(fleet);
@@ -41,7 +45,11 @@
 
     private static void change(ConvergenceFleet fleet) {
         fleet.writeConfiguration();
-        fleet.runUntil(WARM_UP_MILLIS + CHANGE_MILLIS);
+        int end = CHANGE_WARM_UP_MILLIS;
+        while (Double.isNaN(fleet.lastSettledSeconds()) && end < CHANGE_WARM_UP_MILLIS + CHANGE_MILLIS) {
+            end += 250;
+            fleet.runUntil(end);
+        }
         double[] adopted = fleet.adoptionSeconds();
         System.out.printf(
                 Locale.ROOT,
@@ -62,16 +70,18 @@
 
     private static void partition(ConvergenceFleet fleet) {
         fleet.part(true);
-        report(fleet, WARM_UP_MILLIS, PARTED_MILLIS);
+        int healedAt = report(fleet, WARM_UP_MILLIS, PARTED_MILLIS);
         fleet.part(false);
         fleet.resetCounts();
-        report(fleet, WARM_UP_MILLIS + PARTED_MILLIS, HEALED_MILLIS);
+        report(fleet, healedAt, HEALED_MILLIS);
     }
 
-    private static void report(ConvergenceFleet fleet, int fromMillis, int millis) {
+    private static int report(ConvergenceFleet fleet, int fromMillis, int millis) {
         int calm = -1;
-        for (int at = 500; at <= millis; at += 500) {
-            fleet.runUntil(fromMillis + at);
+        int end = fromMillis;
+        for (int at = 500; at <= millis && (calm < 0 || at - calm <= CALM_MILLIS); at += 500) {
+            end = fromMillis + at;
+            fleet.runUntil(end);
             if (!fleet.isCalm()) {
                 calm = -1;
             } else if (calm < 0) {
@@ -88,5 +98,6 @@
                         ? "not within " + millis / 1000 + " s"
                         : String.format(Locale.ROOT, "after %.1f s", calm / 1e3));
         fleet.printCounts();
+        return end;
     }
 }
--- a/src/main/java/org/auburnhoist/load/ConvergenceFleet.java
+++ b/src/main/java/org/auburnhoist/load/ConvergenceFleet.java
@@ -271,12 +271,20 @@
         } else if (!table.isFresh(now) || watchers.isReader(table, now)) {
             read(host);
         }
-        Optional<RosterProposal> proposal = steward.propose(table, now);
+        Optional<RosterProposal> proposal = mayPropose(table) ? steward.propose(table, now) : Optional.empty();
         proposal.ifPresent(
                 change -> write(host, current -> current.version() == change.expectedVersion() ? change.next() : null));
         at(1_000, () -> storeTick(host));
     }
 
+    /** Whether a steward could find anything to do; asking each one would take most of the simulation's time. */
+    private boolean mayPropose(FreshnessTable table) {
+        Roster roster = table.roster();
+        return roster.hasChangesUpTo(roster.version())
+                || roster.members().stream()
+                        .anyMatch(member -> !table.isLive(member.id(), MembershipSettings.STANDARD.deadAfter(), now));
+    }
+
     private void read(Host host) {
         if (host.reading || !reachesStore(host)) {
             return;
@@ -392,10 +400,17 @@
                         .allMatch(host -> host.isMember()
                                 && host.table.isFresh(now)
                                 && host.table.roster().version() == storedRoster.version())
+                && storedRoster.members().size() == reachable()
                 && storedRoster.removed().isEmpty()
                 && !storedRoster.hasChangesUpTo(storedRoster.version());
     }
 
+    private long reachable() {
+        return hosts.stream()
+                .filter(host -> !host.stopped && reachesStore(host))
+                .count();
+    }
+
     String state() {
         long fresh = hosts.stream()
                 .filter(host -> !host.stopped && host.table.isFresh(now))
--- a/src/main/java/org/auburnhoist/load/CostMeter.java
+++ b/src/main/java/org/auburnhoist/load/CostMeter.java
@@ -16,6 +16,7 @@
     private static final int BATCHES = 21;
     private static final long WARM_UP_NANOS = 150_000_000L;
     private static final long BATCH_NANOS = 3_000_000L;
+    private static final long LONG_CALL_NANOS = 300_000_000L;
     private static final int HEAP_READINGS = 3;
 
     private static final ThreadMXBean THREADS = ManagementFactory.getThreadMXBean();
@@ -44,12 +45,15 @@
         return median(times);
     }
 
-    /** Median time of long calls in milliseconds: three calls to warm up, seven measured. */
+    /** Median time of long calls in milliseconds: a third to warm up, the rest measured. */
     static double millis(Runnable call) {
-        for (int index = 0; index < 3; index++) {
+        long start = System.nanoTime();
+        call.run();
+        int runs = System.nanoTime() - start > LONG_CALL_NANOS ? 3 : 9;
+        for (int index = 0; index < runs / 3; index++) {
             call.run();
         }
-        double[] times = new double[7];
+        double[] times = new double[runs];
         for (int index = 0; index < times.length; index++) {
             long before = THREADS.getCurrentThreadCpuTime();
             call.run();
--- a/src/main/java/org/auburnhoist/load/HostCosts.java
+++ b/src/main/java/org/auburnhoist/load/HostCosts.java
@@ -19,6 +19,7 @@
 final class HostCosts {
     private static final int[] HOSTS = {5, 20, 40, 160, 640, 890};
     private static final int[] UNSETTLED = {0, 4, 16, 64};
+    private static final int[] SHARDS = {64, 256, 1_024, 4_096};
     private static final long NOW = 1_000_000_000_000L;
     private static final Duration LIMIT = Duration.ofSeconds(6);
 
@@ -59,6 +60,7 @@
                 .forEach(CostSeries::print);
         List.of(rosterDecode, propose, join, rank, setMembers, order).forEach(CostSeries::print);
         measureUnsettled();
+        measureShards();
     }
 
     private void measurePulls(int hosts, Roster roster) {
@@ -132,4 +134,17 @@
         }
         List.of(merge, adopt, heap).forEach(CostSeries::print);
     }
+
+    private static void measureShards() {
+        CostSeries bytes = new CostSeries("roster document at 890 hosts", "shards", "bytes");
+        CostSeries join = new CostSeries("Roster.join at 890 hosts", "shards", "us");
+        List<Member> members = CapacityFleet.roster(890).members();
+        for (int shards : SHARDS) {
+            Roster roster = Roster.bootstrap(members.get(0), shards).rebuild(members);
+            bytes.add(shards, RosterCodec.encode(roster).length);
+            join.add(shards, CostMeter.micros(call -> roster.join(CapacityFleet.member(9_000, call))));
+        }
+        bytes.print();
+        join.print();
+    }
 }
--- a/src/main/java/org/auburnhoist/load/TeamCosts.java
+++ b/src/main/java/org/auburnhoist/load/TeamCosts.java
@@ -33,6 +33,7 @@
 /** Costs that depend on the number of teams. */
 final class TeamCosts {
     private static final int[] TEAMS = {100, 1_000, 10_000, 81_000};
+    private static final int WARM_UP_TEAMS = 1_000;
     private static final int TEAM_FILES = 16;
     private static final int EDITS = 20;
     private static final long NOW = 1_000_000_000_000L;
@@ -61,6 +62,9 @@
     void run() {
         for (int pass = 0; pass < 2; pass++) {
             for (int teams : TEAMS) {
+                if (pass == 0 && teams > WARM_UP_TEAMS) {
+                    continue;
+                }
                 List<ConfigurationFile> files = CapacityFleet.files(teams, 40, 6, 60, TEAM_FILES);
                 measureReading(teams, files);
                 measureChange(teams, files);
--- a/src/main/java/org/auburnhoist/load/WorkCosts.java
+++ b/src/main/java/org/auburnhoist/load/WorkCosts.java
@@ -28,19 +28,19 @@
 /** Costs that depend on routes, servers and remembered operations. */
 final class WorkCosts {
     private static final int[] ROUTES = {10, 100, 1_000, 3_900};
-    private static final int[] SERVERS = {3, 9, 27, 100, 400};
+    private static final int[] SERVERS = {3, 9, 27, 80, 200};
     private static final int[][] FLEETS = {{30, 3}, {1_000, 40}, {4_000, 150}, {13_000, 480}};
     private static final int[] OPERATIONS = {2_000, 10_000, 25_000, 50_000};
+    private static final int REQUESTS_PER_SERVER = 10;
     private static final int ANSWER_BYTES = 300;
     private static final long NOW = 1_000_000_000_000L;
     private static final HostId ASKING = new HostId("entry-0007", 7);
 
     void run() {
-        CostSeries.printHeading("Costs by routes, servers and operations");
+        CostSeries.printHeading("Costs by routes and servers");
         measureRoutes();
         measureDispatchers();
         measureFleets();
-        measureOperations();
     }
 
     private static void measureRoutes() {
@@ -81,7 +81,8 @@
     private static void measureDispatchers() {
         CostSeries time = new CostSeries("SlotDispatcher request and release, half of the slots used", "servers", "us");
         CostSeries tick = new CostSeries("SlotDispatcher.tick, half of the slots used", "servers", "us");
-        CostSeries heap = new CostSeries("SlotDispatcher after 50 requests a server", "servers", "bytes of heap");
+        CostSeries heap = new CostSeries(
+                "SlotDispatcher after " + REQUESTS_PER_SERVER + " requests a server", "servers", "bytes of heap");
         for (int pass = 0; pass < 2; pass++) {
             for (int servers : SERVERS) {
                 SlotDispatcher dispatcher = dispatcher("ledger", servers);
@@ -90,7 +91,7 @@
                 }
                 time.add(servers, CostMeter.micros(call -> exchange(dispatcher, "ledger", 1_000_000 + call)));
                 tick.add(servers, CostMeter.micros(call -> dispatcher.tick(NOW + call)));
-                heap.add(servers, CostMeter.bytesEach(5 + 400 / servers, copy -> usedDispatcher("ledger", servers)));
+                heap.add(servers, CostMeter.bytesEach(2 + 200 / servers, copy -> usedDispatcher("ledger", servers)));
             }
         }
         time.print();
@@ -100,7 +101,7 @@
 
     private static SlotDispatcher usedDispatcher(String name, int servers) {
         SlotDispatcher dispatcher = dispatcher(name, servers);
-        for (int call = 0; call < 50 * servers; call++) {
+        for (int call = 0; call < REQUESTS_PER_SERVER * servers; call++) {
             exchange(dispatcher, name, call);
         }
         return dispatcher;
@@ -135,7 +136,9 @@
         heap.print();
     }
 
-    private static void measureOperations() {
+    /** Measures the records of an operation's home. */
+    void runOperations() {
+        CostSeries.printHeading("Costs by remembered operations");
         CostSeries plain = new CostSeries("OperationHome, answers not kept", "operations", "bytes of heap");
         CostSeries kept =
                 new CostSeries("OperationHome, answers of " + ANSWER_BYTES + " bytes", "operations", "bytes of heap");
