Repeat bookings on one connection and after the roster is settled

Cause: in a run of the checks on a busy machine two scenarios about bookings failed. One killed the first host before the first roster was settled, so no quorum was left to remove it. The other opened a connection for each repeated request, more than a thousand, and got a reset. Change: the scenarios wait for the settled roster; repeats use one connection and pause 20 ms. Conclusion: the checks have not passed yet as a whole with this change.

--- a/src/test/java/org/auburnhoist/host/FleetBookingSteps.java
+++ b/src/test/java/org/auburnhoist/host/FleetBookingSteps.java
@@ -18,11 +18,13 @@
     private final ScenarioFleet fleet;
     private final List<Future<Answer>> running = new ArrayList<>();
     private final List<String> operations = new ArrayList<>();
+    private final ScenarioCaller again;
     private Answer last;
 
     /** Shares the scenario's fleet. */
     public FleetBookingSteps(ScenarioFleet fleet) {
         this.fleet = fleet;
+        again = fleet.newCaller(ScenarioFleet.KEY);
     }
 
     /** Sends bookings and waits until servers run them. */
@@ -56,7 +58,7 @@
     }
 
     private Answer resend(int host) throws Exception {
-        return fleet.newCaller(ScenarioFleet.KEY).call(fleet.host(host), "POST", PATH, operations.get(0));
+        return again.call(fleet.host(host), "POST", PATH, operations.get(0));
     }
 
     /** Checks the last answer. */
@@ -69,6 +71,7 @@
     @Then("sent again through host {int} until it no longer runs, it is refused as {string}")
     public void settlesAs(int host, String code) throws Exception {
         do {
+            Thread.sleep(20);
             last = resend(host);
         } while (last.refusal().equals("operation-running") || last.refusal().equals("host-isolated"));
         assertEquals(code, last.refusal(), last.head());
--- a/src/test/resources/org/auburnhoist/host/bookings-under-failure.feature
+++ b/src/test/resources/org/auburnhoist/host/bookings-under-failure.feature
@@ -3,6 +3,7 @@
 
   Background:
     Given 3 entry hosts in front of 3 servers
+    And the roster of 3 members is settled
 
   Scenario: the caller repeats the booking while it runs
     Given 1 booking issued by host 1 runs through host 2
