Keep the log during a planned stop, and send flags of pulls as bits

Change: a log manager that keeps the handlers; one bit for each flag; no check without a candidate. Conclusion: a pull answer takes 1.25 bytes for each member.

--- a/src/main/java/org/auburnhoist/cli/Main.java
+++ b/src/main/java/org/auburnhoist/cli/Main.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import org.auburnhoist.store.EtcdStore;
 import org.auburnhoist.support.LogFormat;
+import org.auburnhoist.support.ProcessLogManager;
 
 /** Entry point of the executable. */
 public final class Main {
@@ -20,6 +21,7 @@
      * @param arguments the command line
      */
     public static void main(String[] arguments) {
+        System.setProperty(ProcessLogManager.PROPERTY, ProcessLogManager.class.getName());
         LogFormat.install();
         CommandContext context = new CommandContext(
                 System.out, System.err, Path.of(""), Clock.systemUTC(), new SecureRandom(), stores());
--- a/src/main/java/org/auburnhoist/core/membership/Steward.java
+++ b/src/main/java/org/auburnhoist/core/membership/Steward.java
@@ -72,6 +72,6 @@
                         table.memberAge(id, nowNanos).map(age -> -age.toNanos()).orElse(Long.MIN_VALUE)))
                 .limit(minority)
                 .collect(Collectors.toSet());
-        return roster.canRemove(dead) ? dead : Set.of();
+        return !dead.isEmpty() && roster.canRemove(dead) ? dead : Set.of();
     }
 }
--- a/src/main/java/org/auburnhoist/peer/MessageCodec.java
+++ b/src/main/java/org/auburnhoist/peer/MessageCodec.java
@@ -72,6 +72,31 @@
         return unpacker.readPayload(length);
     }
 
+    /** Writes one bit for each flag; a pull answer has two flags for each member of the fleet. */
+    static void writeFlags(MessagePacker packer, byte[] flags) throws IOException {
+        byte[] bits = new byte[(flags.length + Byte.SIZE - 1) / Byte.SIZE];
+        for (int index = 0; index < flags.length; index++) {
+            if (flags[index] != 0) {
+                bits[index / Byte.SIZE] |= (byte) (1 << (index % Byte.SIZE));
+            }
+        }
+        packer.packInt(flags.length);
+        writeBytes(packer, bits);
+    }
+
+    static byte[] readFlags(MessageUnpacker unpacker) throws IOException {
+        int length = unpacker.unpackInt();
+        byte[] bits = readBytes(unpacker);
+        if (length < 0 || bits.length != (length + Byte.SIZE - 1) / Byte.SIZE) {
+            throw new IllegalArgumentException("flags: expected the bits of " + length + ", got " + bits.length + " bytes");
+        }
+        byte[] flags = new byte[length];
+        for (int index = 0; index < length; index++) {
+            flags[index] = (byte) ((bits[index / Byte.SIZE] >> (index % Byte.SIZE)) & 1);
+        }
+        return flags;
+    }
+
     static void writeStrings(MessagePacker packer, List<String> strings) throws IOException {
         packer.packArrayHeader(strings.size());
         for (String string : strings) {
--- a/src/main/java/org/auburnhoist/peer/MessageFormat.java
+++ b/src/main/java/org/auburnhoist/peer/MessageFormat.java
@@ -211,13 +211,13 @@
         packer.packLong(message.rosterVersion()).packLong(message.configurationVersion());
         packer.packInt(message.storeAge());
         writeBytes(packer, message.memberAges());
-        writeBytes(packer, message.acknowledgedRosters());
-        writeBytes(packer, message.acknowledgedConfigurations());
+        writeFlags(packer, message.acknowledgedRosters());
+        writeFlags(packer, message.acknowledgedConfigurations());
     }
 
     private static PullAnswer readPullAnswer(MessageUnpacker in) throws IOException {
         return new PullAnswer(
-                in.unpackLong(), in.unpackLong(), in.unpackInt(), readBytes(in), readBytes(in), readBytes(in));
+                in.unpackLong(), in.unpackLong(), in.unpackInt(), readBytes(in), readFlags(in), readFlags(in));
     }
 
     private static void writeSlotRequest(SlotRequest message, MessagePacker packer) throws IOException {
--- a/src/main/java/org/auburnhoist/support/LogFormat.java
+++ b/src/main/java/org/auburnhoist/support/LogFormat.java
@@ -4,7 +4,6 @@
 import java.io.StringWriter;
 import java.util.logging.Formatter;
 import java.util.logging.Handler;
-import java.util.logging.LogManager;
 import java.util.logging.LogRecord;
 import java.util.logging.Logger;
 
@@ -12,8 +11,10 @@
 public final class LogFormat extends Formatter {
     /** Makes the process log in this format. */
     public static void install() {
-        LogManager.getLogManager().reset();
         Logger root = Logger.getLogger("");
+        for (Handler standard : root.getHandlers()) {
+            root.removeHandler(standard);
+        }
         Handler handler = new BufferedErrorHandler();
         handler.setFormatter(new LogFormat());
         root.addHandler(handler);
