Let operations survive the planned stop of their home

Cause: a rolling restart of 12 hosts refused 19 of 10,912 requests with operation-unknown: a home that had handed its records over answered NOT_HOME while the roster still named it, a home without records handed nothing over so that its unused ids were lost, and a report that came after the handover was acknowledged and dropped. Requests for operation ids got key-missing for every reason. Change: after the home its successors are asked; the handover is sent also without records; a report is repeated until a home accepts it; the reason of a refusal is told.

--- a/src/main/java/org/auburnhoist/host/LocalEndpoints.java
+++ b/src/main/java/org/auburnhoist/host/LocalEndpoints.java
@@ -9,6 +9,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.function.LongFunction;
@@ -80,7 +81,9 @@
         }
         if (key.equals("POST " + OPERATIONS)) {
             int count = requestedCount(head.query());
-            return authenticated(head, nowNanos) ? compute(now -> operations(count, now)) : unauthenticated();
+            return refusalOfIds(head, nowNanos)
+                    .map(refusal -> refused(refusal, "operation ids need a valid key at a host in contact", -1))
+                    .orElseGet(() -> compute(now -> operations(count, now)));
         }
         return refused(Refusal.ROUTE_UNKNOWN, "no such endpoint", -1);
     }
@@ -134,12 +137,18 @@
         return json(201, answer);
     }
 
-    private boolean authenticated(RequestHead head, long nowNanos) {
-        return view.get().isFresh(nowNanos) && keyOf(head) instanceof KeyCheck.Accepted;
-    }
-
-    private static CompletionStage<Admission> unauthenticated() {
-        return refused(Refusal.KEY_MISSING, "operation ids need a valid key", -1);
+    private Optional<Refusal> refusalOfIds(RequestHead head, long nowNanos) {
+        if (!view.get().isFresh(nowNanos)) {
+            return Optional.of(Refusal.HOST_ISOLATED);
+        }
+        KeyCheck check = keyOf(head);
+        if (check instanceof KeyCheck.Accepted) {
+            return Optional.empty();
+        }
+        if (check instanceof KeyCheck.Withdrawn) {
+            return Optional.of(Refusal.KEY_WITHDRAWN);
+        }
+        return Optional.of(check instanceof KeyCheck.Missing ? Refusal.KEY_MISSING : Refusal.KEY_UNKNOWN);
     }
 
     private String teamOf(RequestHead head) {
--- a/src/main/java/org/auburnhoist/host/OperationController.java
+++ b/src/main/java/org/auburnhoist/host/OperationController.java
@@ -2,6 +2,7 @@
 
 import java.security.SecureRandom;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
@@ -77,7 +78,7 @@
         if (home.isHomeOf(id.home())) {
             home.outcome(outcome, board.self(), nowNanos);
         } else {
-            homesOf(id).forEach(target -> reportTo(target, outcome, REPORT_ATTEMPTS));
+            reportTo(homesOf(id), 0, outcome, REPORT_ATTEMPTS);
         }
     }
 
@@ -88,8 +89,10 @@
 
     /** Takes in another host's report. */
     Acknowledgement answer(HostId from, ClaimOutcome outcome, long nowNanos) {
+        OperationId id = OperationId.parse(outcome.operationId()).getOrNull();
+        boolean accepted = id != null && home.isHomeOf(id.home());
         home.outcome(outcome, from, nowNanos);
-        return new Acknowledgement(true);
+        return new Acknowledgement(accepted);
     }
 
     /** Takes over records of a stopping host. */
@@ -131,9 +134,10 @@
                 .filter(member -> !member.equals(board.self()))
                 .findFirst()
                 .orElse(null);
-        if (successor == null || home.recordCount() == 0) {
+        if (successor == null) {
             return CompletableFuture.completedFuture(home.recordCount() == 0);
         }
+        // Without any record the successor still has to learn that it may grant the ids that callers hold unused.
         CompletableFuture<Boolean> done = new CompletableFuture<>();
         sendPart(successor, home.export(successor, nowNanos), 0, REPORT_ATTEMPTS, done);
         return done;
@@ -158,12 +162,16 @@
 
     private List<HostId> homesOf(OperationId id) {
         Roster roster = board.roster();
-        boolean present = roster != null && roster.member(id.home()).isPresent();
-        return present
-                ? List.of(id.home())
-                : successors.order(id.home().toString()).stream()
-                        .limit(SUCCESSORS_ASKED)
-                        .toList();
+        List<HostId> homes = new ArrayList<>();
+        if (roster != null && roster.member(id.home()).isPresent()) {
+            homes.add(id.home());
+        }
+        // A home that is about to leave has handed its records over before it is out of the roster.
+        successors.order(id.home().toString()).stream()
+                .filter(candidate -> !candidate.equals(id.home()))
+                .limit(SUCCESSORS_ASKED)
+                .forEach(homes::add);
+        return homes;
     }
 
     private void claimAt(
@@ -207,10 +215,23 @@
         }
     }
 
-    private void reportTo(HostId target, ClaimOutcome outcome, int attemptsLeft) {
+    /** Asks one possible home after the other until one has accepted the report, then starts again after a pause. */
+    private void reportTo(List<HostId> targets, int index, ClaimOutcome outcome, int attemptsLeft) {
+        if (index == targets.size()) {
+            if (attemptsLeft > 1) {
+                peers.later(REPORT_TIMEOUT.dividedBy(4), () -> reportTo(targets, 0, outcome, attemptsLeft - 1));
+            }
+            return;
+        }
+        HostId target = targets.get(index);
+        if (target.equals(board.self())) {
+            home.outcome(outcome, target, System.nanoTime());
+            reportTo(targets, index + 1, outcome, attemptsLeft);
+            return;
+        }
         peers.call(target, outcome, REPORT_TIMEOUT, (result, now) -> {
-            if (!isAccepted(result) && attemptsLeft > 1) {
-                peers.later(REPORT_TIMEOUT.dividedBy(4), () -> reportTo(target, outcome, attemptsLeft - 1));
+            if (!isAccepted(result)) {
+                reportTo(targets, index + 1, outcome, attemptsLeft);
             }
         });
     }
--- a/src/main/java/org/auburnhoist/peer/MessageCodec.java
+++ b/src/main/java/org/auburnhoist/peer/MessageCodec.java
@@ -88,7 +88,8 @@
         int length = unpacker.unpackInt();
         byte[] bits = readBytes(unpacker);
         if (length < 0 || bits.length != (length + Byte.SIZE - 1) / Byte.SIZE) {
-            throw new IllegalArgumentException("flags: expected the bits of " + length + ", got " + bits.length + " bytes");
+            throw new IllegalArgumentException(
+                    "flags: expected the bits of " + length + ", got " + bits.length + " bytes");
         }
         byte[] flags = new byte[length];
         for (int index = 0; index < length; index++) {
--- a/src/main/java/org/auburnhoist/peer/MessageFormat.java
+++ b/src/main/java/org/auburnhoist/peer/MessageFormat.java
@@ -2,9 +2,11 @@
 
 import static org.auburnhoist.peer.MessageCodec.readBytes;
 import static org.auburnhoist.peer.MessageCodec.readEnum;
+import static org.auburnhoist.peer.MessageCodec.readFlags;
 import static org.auburnhoist.peer.MessageCodec.readRecorded;
 import static org.auburnhoist.peer.MessageCodec.readStrings;
 import static org.auburnhoist.peer.MessageCodec.writeBytes;
+import static org.auburnhoist.peer.MessageCodec.writeFlags;
 import static org.auburnhoist.peer.MessageCodec.writeRecorded;
 import static org.auburnhoist.peer.MessageCodec.writeStrings;
 
