Wait for the upstream connection in tests of its reuse

Cause: two tests of the proxy failed in a few runs on a busy machine, because an answer reaches the caller before its upstream connection is back in the pool, so the next request opened a second one. Change: the tests wait until the connection is idle; what they assert is as strict as before.

--- a/src/main/java/org/auburnhoist/proxy/UpstreamPool.java
+++ b/src/main/java/org/auburnhoist/proxy/UpstreamPool.java
@@ -181,6 +181,12 @@
         return server == null ? 0 : server.open;
     }
 
+    /** Open connections to a server that wait for their next request. */
+    synchronized int idleConnections(String address) {
+        ServerConnections server = servers.get(address);
+        return server == null ? 0 : server.idle.size();
+    }
+
     @Override
     public void close() {
         reactor.close(CloseMode.IMMEDIATE);
--- a/src/test/java/org/auburnhoist/proxy/ProxyServerTest.java
+++ b/src/test/java/org/auburnhoist/proxy/ProxyServerTest.java
@@ -49,6 +49,13 @@
         return RawConnection.to(proxy.address());
     }
 
+    /** An answer may reach the caller before its upstream connection is back in the pool. */
+    private void awaitIdleConnection() {
+        while (proxy.pool().idleConnections(upstream.address()) == 0) {
+            Thread.onSpinWait();
+        }
+    }
+
     private static RequestPolicy forwarding(Forwarding forwarding) {
         return (head, now) -> CompletableFuture.completedFuture(new Admission.Forwarded(forwarding));
     }
@@ -207,6 +214,7 @@
                 new Admission.Forwarded(head.path().equals("/deadly") ? second : first));
         try (RawConnection caller = start(policy)) {
             assertTrue(caller.send(GET).readMessage().endsWith("ok"));
+            awaitIdleConnection();
             String answer =
                     caller.send("GET /deadly HTTP/1.1\r\nHost: fleet\r\n\r\n").readMessage();
             assertRefused(answer, Refusal.UPSTREAM_FAILED);
@@ -435,6 +443,7 @@
                 String head =
                         caller.send("HEAD /a HTTP/1.1\r\nHost: fleet\r\n\r\n").readHead();
                 assertEquals("7", RawConnection.header(head, "Content-Length"));
+                awaitIdleConnection();
             }
             assertEquals(1, upstream.connections.get());
         }
