Give commands with files their operands in one place

Cause: four commands repeated the same three methods about their operands. Change: an interface with these defaults; a test's upstream reads on before it closes, because closing with unread bytes resets the connection and may destroy the early answer on its way (seen once in three runs on a busy machine).

--- a/src/main/java/org/auburnhoist/cli/ApplyCommand.java
+++ b/src/main/java/org/auburnhoist/cli/ApplyCommand.java
@@ -2,10 +2,9 @@
 
 import java.util.List;
 import java.util.Set;
-import org.auburnhoist.core.configuration.ConfigurationReader;
 
 /** Replaces files of the configuration as a whole. */
-final class ApplyCommand implements Command {
+final class ApplyCommand implements FilesCommand {
     @Override
     public String name() {
         return "apply";
@@ -16,21 +15,6 @@
         return "Replaces each named file as a whole, all in one change, if nobody else changed the configuration.";
     }
 
-    @Override
-    public String operands() {
-        return "FILE...";
-    }
-
-    @Override
-    public int minimumOperands() {
-        return 1;
-    }
-
-    @Override
-    public int maximumOperands() {
-        return ConfigurationReader.MAXIMUM_FILES;
-    }
-
     @Override
     public List<Setting<?>> settings() {
         return List.of(
--- a/src/main/java/org/auburnhoist/cli/CheckCommand.java
+++ b/src/main/java/org/auburnhoist/cli/CheckCommand.java
@@ -7,7 +7,7 @@
 import org.auburnhoist.core.configuration.FleetConfiguration;
 
 /** Checks files without the store. */
-final class CheckCommand implements Command {
+final class CheckCommand implements FilesCommand {
     @Override
     public String name() {
         return "check";
@@ -18,21 +18,6 @@
         return "Checks a whole configuration offline and reports all findings with their places.";
     }
 
-    @Override
-    public String operands() {
-        return "FILE...";
-    }
-
-    @Override
-    public int minimumOperands() {
-        return 1;
-    }
-
-    @Override
-    public int maximumOperands() {
-        return ConfigurationReader.MAXIMUM_FILES;
-    }
-
     @Override
     public List<Setting<?>> settings() {
         return List.of();
--- a/src/main/java/org/auburnhoist/cli/DiffCommand.java
+++ b/src/main/java/org/auburnhoist/cli/DiffCommand.java
@@ -5,10 +5,9 @@
 import java.util.List;
 import org.auburnhoist.core.configuration.ConfigurationFile;
 import org.auburnhoist.core.configuration.ConfigurationHead;
-import org.auburnhoist.core.configuration.ConfigurationReader;
 
 /** Compares files on disk with the applied ones. */
-final class DiffCommand implements Command {
+final class DiffCommand implements FilesCommand {
     @Override
     public String name() {
         return "diff";
@@ -19,21 +18,6 @@
         return "Shows which lines of the applied files apply would remove (-) and add (+).";
     }
 
-    @Override
-    public String operands() {
-        return "FILE...";
-    }
-
-    @Override
-    public int minimumOperands() {
-        return 1;
-    }
-
-    @Override
-    public int maximumOperands() {
-        return ConfigurationReader.MAXIMUM_FILES;
-    }
-
     @Override
     public List<Setting<?>> settings() {
         return List.of(CommonSettings.STORE.asRequired(), CommonSettings.STORE_TIMEOUT);
--- /dev/null
+++ b/src/main/java/org/auburnhoist/cli/FilesCommand.java
@@ -0,0 +1,21 @@
+package org.auburnhoist.cli;
+
+import org.auburnhoist.core.configuration.ConfigurationReader;
+
+/** A command whose operands are configuration files. */
+interface FilesCommand extends Command {
+    @Override
+    default String operands() {
+        return "FILE...";
+    }
+
+    @Override
+    default int minimumOperands() {
+        return 1;
+    }
+
+    @Override
+    default int maximumOperands() {
+        return ConfigurationReader.MAXIMUM_FILES;
+    }
+}
--- a/src/main/java/org/auburnhoist/cli/UpstreamEmulatorCommand.java
+++ b/src/main/java/org/auburnhoist/cli/UpstreamEmulatorCommand.java
@@ -15,7 +15,7 @@
 import org.auburnhoist.emulator.UpstreamSpec;
 
 /** Runs an emulated server for each declared one in a process of its own, for trials on one machine. */
-final class UpstreamEmulatorCommand implements Command {
+final class UpstreamEmulatorCommand implements FilesCommand {
     private static final double SERVICE_TIME_SPREAD = 0.3;
 
     private static final Setting<Duration> SERVICE_TIME = Setting.duration(
@@ -32,21 +32,6 @@
         return "Runs an emulated server for each server of a configuration, on its declared loopback address.";
     }
 
-    @Override
-    public String operands() {
-        return "FILE...";
-    }
-
-    @Override
-    public int minimumOperands() {
-        return 1;
-    }
-
-    @Override
-    public int maximumOperands() {
-        return ConfigurationReader.MAXIMUM_FILES;
-    }
-
     @Override
     public List<Setting<?>> settings() {
         return List.of(SERVICE_TIME);
--- a/src/test/java/org/auburnhoist/proxy/ProxyServerTest.java
+++ b/src/test/java/org/auburnhoist/proxy/ProxyServerTest.java
@@ -423,7 +423,10 @@
         upstream = new RawUpstream((connection, number) -> {
             upstream.readHead(connection);
             connection.send("HTTP/1.1 403 No\r\nContent-Length: 2\r\n\r\nno");
-            connection.read();
+            // Closing with unread bytes would reset the connection, which may destroy the answer on its way.
+            while (connection.read() >= 0) {
+                continue;
+            }
         });
         try (RawConnection caller = start(lookups(upstream.address()))) {
             caller.send("POST /a HTTP/1.1\r\nHost: fleet\r\nContent-Length: 10000000\r\n\r\n");
