--- a/src/main/java/org/auburnhoist/host/EntryHost.java
+++ b/src/main/java/org/auburnhoist/host/EntryHost.java
@@ -63,7 +63,7 @@
     private final HostMetrics metrics = new HostMetrics();
     private final TrafficCounter peerTraffic = new TrafficCounter();
     private final CompletableFuture<Boolean> removed = new CompletableFuture<>();
-    private final CompletableFuture<Boolean> leavingWished = new CompletableFuture<>();
+    private final CompletableFuture<Boolean> leavingRequested = new CompletableFuture<>();
     private final ProxyServer proxy;
     private final PeerServer peerServer;
     private final HostControllers controllers;
@@ -149,8 +149,8 @@
     }
 
     /** Completes when an operator has marked this host as leaving. */
-    public CompletableFuture<Boolean> leavingWished() {
-        return leavingWished.copy();
+    public CompletableFuture<Boolean> leavingRequested() {
+        return leavingRequested.copy();
     }
 
     /** Lets tests cut this host's links to others. */
@@ -253,7 +253,7 @@
         controllers.pulls().announce();
         refreshView(now);
         if (controllers.board().isMarkedLeaving()) {
-            leavingWished.complete(true);
+            leavingRequested.complete(true);
         }
         if (controllers.board().isRemoved() && !controllers.board().isStopping()) {
             Event.named("host-removed").with("host", self).warn();
--- a/src/main/java/org/auburnhoist/host/HostProcess.java
+++ b/src/main/java/org/auburnhoist/host/HostProcess.java
@@ -56,7 +56,7 @@
         return stopped;
     }
 
-    /** Waits until the process has been stopped by {@link #stop} or by an operator's wish. */
+    /** Waits until the process has been stopped by {@link #stop} or at an operator's request. */
     public void awaitStop() throws InterruptedException {
         try {
             stopped.get();
@@ -67,7 +67,7 @@
 
     private void follow(EntryHost host) {
         host.removed().thenAccept(removed -> restart(host));
-        host.leavingWished().thenRun(this::stop);
+        host.leavingRequested().thenRun(this::stop);
     }
 
     private void restart(EntryHost removed) {
--- a/src/main/java/org/auburnhoist/host/SlotClient.java
+++ b/src/main/java/org/auburnhoist/host/SlotClient.java
@@ -130,7 +130,7 @@
         send(slot.dispatcher(), release, nowNanos);
     }
 
-    /** Probes quiet dispatchers and lets time pass in the local choices. */
+    /** Probes dispatchers that have not been heard from and lets time pass in the local choices. */
     void tick(long nowNanos) {
         refreshMembers(nowNanos);
         suspectUntil.values().removeIf(until -> until - nowNanos <= 0);
