Ask again while an operation's home hands its records over

Change: if the home itself says that it no longer grants, the claim is repeated every 100 ms for about a second; two linter warnings of the measurements are gone. Conclusion: a home that is gone is still answered at once.

--- a/src/main/java/org/auburnhoist/host/OperationController.java
+++ b/src/main/java/org/auburnhoist/host/OperationController.java
@@ -32,6 +32,11 @@
     private static final Duration CLAIM_TIMEOUT = Duration.ofSeconds(1);
     private static final Duration REPORT_TIMEOUT = Duration.ofSeconds(2);
     private static final int CLAIM_ATTEMPTS = 2;
+
+    /** With the pause between rounds, bounds the wait for a handover to about a second. */
+    private static final int HANDOVER_ROUNDS = 10;
+
+    private static final Duration HANDOVER_PAUSE = Duration.ofMillis(100);
     private static final int REPORT_ATTEMPTS = 5;
 
     /** Members, in the order of {@link DispatcherPlacement}, that may hold the records of a host that has left. */
@@ -70,7 +75,7 @@
             handler.accept(home.claim(request, board.self(), nowNanos), nowNanos);
             return;
         }
-        claimAt(homesOf(id), 0, CLAIM_ATTEMPTS, request, nowNanos, handler);
+        ask(new HomeSearch(id.home(), homesOf(id), request, handler), nowNanos);
     }
 
     /** Reports how a claim ended, repeatedly until the home has acknowledged it. */
@@ -174,44 +179,71 @@
         return homes;
     }
 
-    private void claimAt(
-            List<HostId> targets,
-            int index,
-            int attemptsLeft,
-            ClaimRequest request,
-            long nowNanos,
-            ClaimHandler handler) {
-        if (index == targets.size()) {
-            handler.accept(null, nowNanos);
+    private void ask(HomeSearch search, long nowNanos) {
+        if (search.index == search.targets.size()) {
+            askAgainOrGiveUp(search, nowNanos);
             return;
         }
-        HostId target = targets.get(index);
+        HostId target = search.targets.get(search.index);
         if (target.equals(board.self())) {
-            handle(home.claim(request, target, nowNanos), targets, index, request, nowNanos, handler);
+            answered(search, target, home.claim(search.request, target, nowNanos), nowNanos);
             return;
         }
-        peers.call(target, request, CLAIM_TIMEOUT, (result, now) -> {
+        peers.call(target, search.request, CLAIM_TIMEOUT, (result, now) -> {
             if (result instanceof CallResult.Answered reply && reply.message() instanceof ClaimAnswer answer) {
-                handle(answer, targets, index, request, now, handler);
-            } else if (attemptsLeft > 1) {
-                claimAt(targets, index, attemptsLeft - 1, request, now, handler);
+                answered(search, target, answer, now);
+            } else if (search.attempt < CLAIM_ATTEMPTS) {
+                search.attempt++;
+                ask(search, now);
             } else {
-                claimAt(targets, index + 1, CLAIM_ATTEMPTS, request, now, handler);
+                askNext(search, now);
             }
         });
     }
 
-    private void handle(
-            ClaimAnswer answer,
-            List<HostId> targets,
-            int index,
-            ClaimRequest request,
-            long nowNanos,
-            ClaimHandler handler) {
-        if (answer.verdict() == ClaimVerdict.NOT_HOME) {
-            claimAt(targets, index + 1, CLAIM_ATTEMPTS, request, nowNanos, handler);
-        } else {
-            handler.accept(answer, nowNanos);
+    private void answered(HomeSearch search, HostId target, ClaimAnswer answer, long nowNanos) {
+        if (answer.verdict() != ClaimVerdict.NOT_HOME) {
+            search.handler.accept(answer, nowNanos);
+            return;
+        }
+        search.isHandingOver |= target.equals(search.home);
+        askNext(search, nowNanos);
+    }
+
+    private void askNext(HomeSearch search, long nowNanos) {
+        search.index++;
+        search.attempt = 1;
+        ask(search, nowNanos);
+    }
+
+    /** While a home hands its records over, neither it nor its successor grants; that takes a moment. */
+    private void askAgainOrGiveUp(HomeSearch search, long nowNanos) {
+        if (!search.isHandingOver || search.round == HANDOVER_ROUNDS) {
+            search.handler.accept(null, nowNanos);
+            return;
+        }
+        search.round++;
+        search.index = 0;
+        search.attempt = 1;
+        peers.later(HANDOVER_PAUSE, () -> ask(search, System.nanoTime()));
+    }
+
+    /** A claim on its way through the hosts that may hold the operation's records. */
+    private static final class HomeSearch {
+        private final HostId home;
+        private final List<HostId> targets;
+        private final ClaimRequest request;
+        private final ClaimHandler handler;
+        private int index;
+        private int attempt = 1;
+        private int round = 1;
+        private boolean isHandingOver;
+
+        HomeSearch(HostId home, List<HostId> targets, ClaimRequest request, ClaimHandler handler) {
+            this.home = home;
+            this.targets = targets;
+            this.request = request;
+            this.handler = handler;
         }
     }
 
--- a/src/main/java/org/auburnhoist/load/CostMeter.java
+++ b/src/main/java/org/auburnhoist/load/CostMeter.java
@@ -75,13 +75,15 @@
 
     private static double oneReading(int copies, IntFunction<Object> create) {
         Object[] kept = new Object[copies];
-        long before = usedHeap();
-        for (int index = 0; index < copies; index++) {
-            kept[index] = create.apply(index);
+        try {
+            long before = usedHeap();
+            for (int index = 0; index < copies; index++) {
+                kept[index] = create.apply(index);
+            }
+            return (usedHeap() - before) / (double) copies;
+        } finally {
+            Reference.reachabilityFence(kept);
         }
-        long after = usedHeap();
-        Reference.reachabilityFence(kept);
-        return (after - before) / (double) copies;
     }
 
     /** Bytes that one large object keeps in use. */
--- a/src/main/java/org/auburnhoist/load/TeamCosts.java
+++ b/src/main/java/org/auburnhoist/load/TeamCosts.java
@@ -85,7 +85,7 @@
 
     private void measureReading(int teams, List<ConfigurationFile> files) {
         fileBytes.add(
-                teams, files.stream().mapToLong(file -> file.content().length).sum());
+                teams, files.stream().mapToDouble(file -> file.content().length).sum());
         readWhole.add(teams, CostMeter.millis(() -> read(files)));
         ConfigurationReader reader = new ConfigurationReader();
         reader.readChanged(1, files);
