--- a/src/main/java/org/auburnhoist/cli/Commands.java
+++ b/src/main/java/org/auburnhoist/cli/Commands.java
@@ -19,6 +19,7 @@
                 new HostsLeaveCommand(),
                 new HostsRebuildCommand(),
                 new ServeCommand(),
+                new ServePlatformCommand(),
                 new StoreEmulatorCommand(),
                 new UpstreamEmulatorCommand(),
                 new DemoCommand(),
--- /dev/null
+++ b/src/main/java/org/auburnhoist/cli/ServePlatformCommand.java
@@ -0,0 +1,80 @@
+package org.auburnhoist.cli;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import org.auburnhoist.platform.BootFile;
+import org.auburnhoist.platform.PlatformHost;
+import org.auburnhoist.support.Event;
+import org.auburnhoist.support.LogFormat;
+import sun.misc.Signal;
+
+/** Runs an entry host on the users' platform until it is told to stop. */
+final class ServePlatformCommand implements Command {
+    private static final Setting<Path> NODE_FILE = Setting.path(
+                    "node-file", "settings file that the platform gives this process")
+            .asRequired();
+
+    @Override
+    public String name() {
+        return "serve-platform";
+    }
+
+    @Override
+    public String summary() {
+        return "Runs an entry host on a platform that gives it a settings file; SIGTERM begins a planned stop.";
+    }
+
+    @Override
+    public List<Setting<?>> settings() {
+        return List.of(NODE_FILE);
+    }
+
+    @Override
+    public ExitCode run(Settings settings, CommandContext context) {
+        Path file = settings.get(NODE_FILE);
+        try {
+            BootFile boot = BootFile.read(file);
+            PlatformHost host = PlatformHost.start(boot);
+            Signal.handle(new Signal("HUP"), signal -> checkAgain(file, boot));
+            Runtime.getRuntime().addShutdownHook(new Thread(() -> stopAndExit(host), "planned-stop"));
+            new CountDownLatch(1).await();
+            return ExitCode.DONE;
+        } catch (BootFile.InvalidBootFileException invalid) {
+            invalid.findings().forEach(finding -> context.err().println(finding.describe()));
+            return ExitCode.USAGE;
+        } catch (IOException cause) {
+            context.err().println("could not start: " + cause.getMessage());
+            return ExitCode.REFUSED;
+        } catch (InterruptedException cause) {
+            Thread.currentThread().interrupt();
+            return ExitCode.DONE;
+        }
+    }
+
+    /** A changed file takes effect with the next start; until then its faults are reported. */
+    private static void checkAgain(Path file, BootFile inForce) {
+        try {
+            BootFile read = BootFile.read(file);
+            Event.named("settings-checked")
+                    .with("changed", !read.equals(inForce))
+                    .with("in_force", "at-next-start")
+                    .log();
+        } catch (BootFile.InvalidBootFileException invalid) {
+            invalid.findings()
+                    .forEach(finding -> Event.named("settings-invalid")
+                            .with("finding", finding.describe())
+                            .warn());
+        } catch (IOException cause) {
+            Event.named("settings-unreadable").with("cause", cause).warn();
+        }
+    }
+
+    /** Ends the process with status 0, because a planned stop is not a failure; the default after SIGTERM is 143. */
+    private static void stopAndExit(PlatformHost host) {
+        host.stop().join();
+        LogFormat.flush();
+        Runtime.getRuntime().halt(ExitCode.DONE.status());
+    }
+}
--- /dev/null
+++ b/src/main/java/org/auburnhoist/core/dispatch/PriorityDispatcher.java
@@ -0,0 +1,426 @@
+package org.auburnhoist.core.dispatch;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+import org.auburnhoist.core.HostId;
+import org.auburnhoist.core.message.AttemptOutcome;
+import org.auburnhoist.core.message.SlotAnswer;
+import org.auburnhoist.core.message.SlotRelease;
+import org.auburnhoist.core.message.SlotRequest;
+import org.auburnhoist.core.message.SlotVerdict;
+import org.auburnhoist.core.routing.UpstreamServer;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Grants the slots of one service's registered servers to requests in order of rank.
+ *
+ * <p>Requests go first to servers that have just proved to work, so that servers in a spell of failures are met seldom.
+ * When more requests fail than usual, they are spread over more servers, so that the floor of servers in use holds.
+ * Further attempts draw on one budget of the service. Not thread-safe.
+ */
+public final class PriorityDispatcher {
+    private static final long MILLI = 1_000_000L;
+    private static final long LEAST_RETRY_AFTER_MILLIS = 100;
+    private static final long LONGEST_RETRY_AFTER_MILLIS = 10_000;
+    /** A grant that was never released ends this long after its request's deadline. */
+    private static final long GRANT_MARGIN_NANOS = 1_000 * MILLI;
+    /** A server that has announced itself gets its first request after this time, before the others. */
+    private static final long INTRODUCTION_NANOS = 1_500 * MILLI;
+    /** Servers count as in use for this long after a request; the floor is judged over 2 s. */
+    private static final long IN_USE_NANOS = 1_200 * MILLI;
+    /** Unserved share from which requests are spread; the floor is judged from a tenth on. */
+    private static final double SPREAD_SHARE = 0.07;
+    /** Share of servers kept in use beyond the floor while requests are spread. */
+    private static final double FLOOR_MARGIN = 0.15;
+    /** A server that failed by itself counts as sound again after this time. */
+    private static final long SOUND_AGAIN_NANOS = 1_800 * MILLI;
+    /** Times the usual time after which a request in flight is taken as stuck. */
+    private static final double OVERDUE_FACTOR = 4;
+
+    /** A connection that a host used on a server this short a time ago is taken as still open. */
+    private static final long WARM_CONNECTION_NANOS = 4_000 * MILLI;
+
+    private final PriorityDispatcherSettings settings;
+    private final RankedQueue queue = new RankedQueue();
+    private final SpellJudge judge = new SpellJudge();
+    private final Quarantine quarantine = new Quarantine();
+    private final GrantTable grants;
+    private final ServiceRate rate;
+    private final RetryBudget budget;
+    private final ServedShare served = new ServedShare();
+    private final Map<String, ServerUse> servers = new LinkedHashMap<>();
+    private final Map<ConnectionUse, Long> connectionUses = new HashMap<>();
+    private final RandomGenerator random;
+
+    private static final class ServerUse {
+        UpstreamServer server;
+        final long firstSeenNanos;
+        final long coldUntilNanos;
+        long lastGrantNanos;
+        boolean everGranted;
+
+        ServerUse(UpstreamServer server, long nowNanos) {
+            this.server = server;
+            this.firstSeenNanos = nowNanos;
+            this.coldUntilNanos = nowNanos + server.warmUpMillis() * MILLI;
+        }
+    }
+
+    private record ConnectionUse(HostId host, String server) {}
+
+    private record Candidate(ServerUse use, int rank, int used, long provenNanos, int tie) {}
+
+    /** Creates a dispatcher without servers. */
+    public PriorityDispatcher(PriorityDispatcherSettings settings, RandomGenerator random) {
+        this.settings = settings;
+        this.random = random;
+        this.grants = new GrantTable(random.nextLong());
+        this.rate = new ServiceRate(settings.firstHoldTime());
+        this.budget = new RetryBudget(settings.retryShare(), settings.leastRetries());
+    }
+
+    /** Takes over the registered servers of the service. */
+    public List<SlotDecision> servers(List<UpstreamServer> registered, long nowNanos) {
+        Map<String, ServerUse> next = new LinkedHashMap<>();
+        for (UpstreamServer server : registered) {
+            ServerUse known = servers.get(server.id());
+            if (known == null || known.server.bornMillis() != server.bornMillis()) {
+                known = new ServerUse(server, nowNanos);
+            }
+            known.server = server;
+            next.put(server.id(), known);
+        }
+        servers.clear();
+        servers.putAll(next);
+        judge.retain(servers.keySet());
+        List<SlotDecision> decisions = new ArrayList<>();
+        grantWaiting(decisions, nowNanos);
+        return decisions;
+    }
+
+    /**
+     * Asks for a slot.
+     *
+     * @param request the request
+     * @param asking the host that sent it
+     * @param replyToken identifies the request in its decision; unique among the waiting ones
+     * @param nowNanos the present time
+     */
+    public List<SlotDecision> request(SlotRequest request, HostId asking, long replyToken, long nowNanos) {
+        List<SlotDecision> decisions = new ArrayList<>();
+        long deadline = nowNanos + Math.max(0, request.deadlineMillis()) * MILLI;
+        WaitingRequest waiting = new WaitingRequest(request, asking, replyToken, deadline);
+        long quarantined = quarantine.remainingNanos(request.fingerprint(), nowNanos);
+        if (quarantined > 0) {
+            decisions.add(refuse(replyToken, SlotVerdict.QUARANTINED, quarantined / MILLI + 1));
+            return decisions;
+        }
+        if (request.terms().attempt() <= 1) {
+            budget.requestStarted(nowNanos);
+        } else if (!budget.tryFurtherAttempt(nowNanos)) {
+            decisions.add(refuse(replyToken, SlotVerdict.OVERLOADED, LEAST_RETRY_AFTER_MILLIS));
+            return decisions;
+        }
+        double excess = secondsBeyondDeadline(waiting, nowNanos);
+        if (excess > 0 && chooseServer(waiting, nowNanos) == null) {
+            refuseOverloaded(waiting, excess, decisions, nowNanos);
+            return decisions;
+        }
+        long target = request.terms().targetMillis();
+        queue.add(new RankedQueue.Waiting(waiting, target > 0 ? nowNanos + target * MILLI : deadline));
+        grantWaiting(decisions, nowNanos);
+        return decisions;
+    }
+
+    /** Returns a slot; ignored unless {@code asking} holds the grant. */
+    public List<SlotDecision> release(SlotRelease release, HostId asking, long nowNanos) {
+        List<SlotDecision> decisions = new ArrayList<>();
+        Grant grant = grants.release(release.grantId(), asking);
+        if (grant == null) {
+            return decisions;
+        }
+        observe(grant, release, nowNanos);
+        grantWaiting(decisions, nowNanos);
+        return decisions;
+    }
+
+    private void observe(Grant grant, SlotRelease release, long nowNanos) {
+        AttemptOutcome outcome = release.outcome();
+        if (outcome == AttemptOutcome.CONNECTION_LOST) {
+            quarantine.connectionLost(grant, grants.onServer(grant.server()), nowNanos);
+        } else if (outcome == AttemptOutcome.SUCCESS || outcome == AttemptOutcome.SERVER_ERROR) {
+            quarantine.survived(grant.fingerprint(), nowNanos);
+        }
+        Observation observation = new Observation(
+                grant.server(),
+                grant.trafficClass(),
+                grant.host(),
+                grant.fingerprint(),
+                outcome,
+                release.latencyMicros());
+        judge.observe(observation, rate.latencySeconds(grant.trafficClass()), nowNanos);
+        boolean success = outcome == AttemptOutcome.SUCCESS;
+        if (success) {
+            rate.released(grant, release.latencyMicros(), nowNanos);
+            connectionUses.put(new ConnectionUse(grant.host(), grant.server()), nowNanos);
+        } else {
+            connectionUses.remove(new ConnectionUse(grant.host(), grant.server()));
+        }
+        if (outcome != AttemptOutcome.ABANDONED) {
+            served.ended(success, nowNanos);
+        }
+    }
+
+    /** Frees the grants and drops the waiting requests of a host that is gone. */
+    public List<SlotDecision> memberGone(HostId member, long nowNanos) {
+        List<SlotDecision> decisions = new ArrayList<>();
+        grants.removeIf(grant -> grant.host().equals(member));
+        queue.removeIf(waiting -> waiting.request().asking().equals(member));
+        grantWaiting(decisions, nowNanos);
+        return decisions;
+    }
+
+    /** Lets time pass; to be called about every 50 ms. */
+    public List<SlotDecision> tick(long nowNanos) {
+        List<SlotDecision> decisions = new ArrayList<>();
+        quarantine.forget(nowNanos);
+        grants.removeIf(grant -> nowNanos - grant.expiresNanos() >= 0);
+        connectionUses.values().removeIf(used -> nowNanos - used > WARM_CONNECTION_NANOS);
+        queue.removeIf(waiting -> cannotBeAnswered(waiting.request(), nowNanos))
+                .forEach(waiting -> refuseOverloaded(waiting.request(), 0, decisions, nowNanos));
+        grantWaiting(decisions, nowNanos);
+        return decisions;
+    }
+
+    /** Requests that wait for a slot. */
+    public boolean hasWaiting() {
+        return !queue.isEmpty();
+    }
+
+    /** Names of servers that get no requests at present because they failed. */
+    public Set<String> avoided(long nowNanos) {
+        Set<String> result = new HashSet<>();
+        for (ServerUse use : servers.values()) {
+            if (judge.standing(use.server.id(), Long.MAX_VALUE, nowNanos) == SpellJudge.Standing.AVOIDED) {
+                result.add(use.server.id());
+            }
+        }
+        return result;
+    }
+
+    private void grantWaiting(List<SlotDecision> decisions, long nowNanos) {
+        while (!queue.isEmpty()) {
+            ServerChoice choice = new ServerChoice();
+            RankedQueue.Waiting next = queue.poll(rate.holdSeconds(), nowNanos, waiting -> {
+                choice.server = chooseServer(waiting.request(), nowNanos);
+                return choice.server != null;
+            });
+            ServerUse server = choice.server;
+            if (next == null || server == null) {
+                return;
+            }
+            decisions.add(grant(next.request(), server, nowNanos));
+        }
+    }
+
+    /** The server found while the queue looks for a request that can be granted. */
+    private static final class ServerChoice {
+        @Nullable
+        ServerUse server;
+    }
+
+    private SlotDecision grant(WaitingRequest waiting, ServerUse use, long nowNanos) {
+        use.lastGrantNanos = nowNanos;
+        use.everGranted = true;
+        UpstreamServer server = use.server;
+        Grant grant = grants.add(waiting, server.id(), nowNanos, waiting.deadlineNanos() + GRANT_MARGIN_NANOS);
+        return new SlotDecision(
+                waiting.replyToken(),
+                new SlotAnswer(SlotVerdict.GRANTED, server.id(), server.address(), grant.id(), 0));
+    }
+
+    private @Nullable ServerUse chooseServer(WaitingRequest waiting, long nowNanos) {
+        SlotRequest request = waiting.request();
+        Set<String> suspectedOn = quarantine.diedWith(request.fingerprint());
+        if (!suspectedOn.isEmpty() && grants.usedBy(request.fingerprint()) > 0) {
+            return null;
+        }
+        boolean spread = isSpreading(nowNanos);
+        long longestAvoidance = spread ? SOUND_AGAIN_NANOS : Long.MAX_VALUE;
+        boolean pressed = grants.size() + (queue.isEmpty() ? 0 : 1) >= usableSlots(longestAvoidance, nowNanos);
+        ServerUse best = null;
+        Candidate bestCandidate = null;
+        for (ServerUse use : servers.values()) {
+            UpstreamServer server = use.server;
+            int used = grants.used(server.id());
+            if (server.leaving()
+                    || used >= server.slots()
+                    || request.excludedServers().contains(server.id())
+                    || suspectedOn.contains(server.id())) {
+                continue;
+            }
+            Candidate candidate = candidate(waiting, use, used, spread, longestAvoidance, pressed, nowNanos);
+            if (candidate != null && (bestCandidate == null || isBetter(candidate, bestCandidate))) {
+                best = use;
+                bestCandidate = candidate;
+            }
+        }
+        return best;
+    }
+
+    /** Rank of a server for a request, or null if waiting is better than using it. */
+    private @Nullable Candidate candidate(
+            WaitingRequest waiting,
+            ServerUse use,
+            int used,
+            boolean spread,
+            long longestAvoidance,
+            boolean pressed,
+            long nowNanos) {
+        String id = use.server.id();
+        SpellJudge.Standing standing = judge.standing(id, longestAvoidance, nowNanos);
+        boolean idempotent = waiting.request().trafficClass().isIdempotent();
+        boolean pathDoubtful = judge.avoidsPath(waiting.asking(), id, nowNanos);
+        int rank;
+        if (isIntroductionDue(use, nowNanos)) {
+            rank = 0;
+        } else if (standing == SpellJudge.Standing.ON_TRIAL) {
+            if (used > 0) {
+                return null;
+            }
+            // A repeatable request loses little on a server that still fails.
+            rank = idempotent && waiting.request().terms().attempt() == 1 ? 0 : 4;
+        } else if (standing == SpellJudge.Standing.AVOIDED) {
+            if (!pressed || used > 0) {
+                return null;
+            }
+            rank = 7;
+        } else if (standing == SpellJudge.Standing.SLOW || isOverdue(id, nowNanos)) {
+            rank = 5;
+        } else {
+            rank = standing == SpellJudge.Standing.PROVEN ? 1 : 2;
+            if (use.coldUntilNanos - nowNanos > 0) {
+                rank = 3;
+            }
+        }
+        if (spread && rank < 5 && nowNanos - use.lastGrantNanos > IN_USE_NANOS) {
+            rank = 0;
+        }
+        if (pathDoubtful) {
+            if (!pressed) {
+                return null;
+            }
+            rank = 6;
+        }
+        Long proven = judge.lastSuccess(id);
+        int tie = sameDataCentre(waiting, use) ? 0 : 1;
+        if (connectionUses.containsKey(new ConnectionUse(waiting.asking(), id))) {
+            tie -= 2;
+        }
+        return new Candidate(use, rank, used, proven == null ? Long.MIN_VALUE : proven, tie);
+    }
+
+    private boolean isBetter(Candidate candidate, Candidate best) {
+        if (candidate.rank() != best.rank()) {
+            return candidate.rank() < best.rank();
+        }
+        double load = load(candidate);
+        double bestLoad = load(best);
+        if (load != bestLoad) {
+            return load < bestLoad;
+        }
+        if (candidate.tie() != best.tie()) {
+            return candidate.tie() < best.tie();
+        }
+        if (candidate.rank() == 7) {
+            return candidate.provenNanos() - best.provenNanos() > 0;
+        }
+        return candidate.provenNanos() > best.provenNanos()
+                || (candidate.provenNanos() == best.provenNanos() && random.nextBoolean());
+    }
+
+    private static double load(Candidate candidate) {
+        return (double) candidate.used() / candidate.use().server.slots();
+    }
+
+    private static boolean sameDataCentre(WaitingRequest waiting, ServerUse use) {
+        return use.server.dataCentre().equals(waiting.request().terms().dataCentre());
+    }
+
+    private static boolean isIntroductionDue(ServerUse use, long nowNanos) {
+        return !use.everGranted && nowNanos - use.firstSeenNanos > INTRODUCTION_NANOS;
+    }
+
+    private boolean isOverdue(String server, long nowNanos) {
+        if (grants.used(server) == 0) {
+            return false;
+        }
+        for (Grant grant : grants.onServer(server)) {
+            double usual = rate.holdSeconds(grant.trafficClass());
+            if ((nowNanos - grant.grantedNanos()) / 1e9 > OVERDUE_FACTOR * usual) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private boolean isSpreading(long nowNanos) {
+        if (served.unservedShare(nowNanos) < SPREAD_SHARE) {
+            return false;
+        }
+        int present = 0;
+        int inUse = 0;
+        for (ServerUse use : servers.values()) {
+            if (!use.server.leaving()) {
+                present++;
+                inUse += use.everGranted && nowNanos - use.lastGrantNanos <= IN_USE_NANOS ? 1 : 0;
+            }
+        }
+        return inUse < Math.ceil(present * Math.min(1, settings.floorShare() + FLOOR_MARGIN));
+    }
+
+    private int usableSlots(long longestAvoidance, long nowNanos) {
+        int slots = 0;
+        for (ServerUse use : servers.values()) {
+            if (!use.server.leaving()
+                    && judge.standing(use.server.id(), longestAvoidance, nowNanos) != SpellJudge.Standing.AVOIDED) {
+                slots += use.server.slots();
+            }
+        }
+        return slots;
+    }
+
+    /** By how many seconds the answer would come after the deadline at the present rate; not positive if in time. */
+    private double secondsBeyondDeadline(WaitingRequest waiting, long nowNanos) {
+        double slots = Math.max(1, usableSlots(Long.MAX_VALUE, nowNanos));
+        double hold = rate.holdSeconds(waiting.request().trafficClass());
+        int ahead = queue.ahead(waiting.request().terms().priority());
+        double wait = ahead * hold / slots;
+        return wait + hold - (waiting.deadlineNanos() - nowNanos) / 1e9;
+    }
+
+    private boolean cannotBeAnswered(WaitingRequest waiting, long nowNanos) {
+        double hold = rate.holdSeconds(waiting.request().trafficClass());
+        return servers.isEmpty() || (waiting.deadlineNanos() - nowNanos) / 1e9 < hold;
+    }
+
+    private void refuseOverloaded(WaitingRequest waiting, double excess, List<SlotDecision> decisions, long nowNanos) {
+        served.ended(false, nowNanos);
+        double seconds = Math.max(excess, rate.holdSeconds(waiting.request().trafficClass()));
+        long millis = (long) Math.ceil(seconds * 1000);
+        decisions.add(refuse(
+                waiting.replyToken(),
+                SlotVerdict.OVERLOADED,
+                Math.min(LONGEST_RETRY_AFTER_MILLIS, Math.max(LEAST_RETRY_AFTER_MILLIS, millis))));
+    }
+
+    private static SlotDecision refuse(long replyToken, SlotVerdict verdict, long retryAfterMillis) {
+        return new SlotDecision(replyToken, new SlotAnswer(verdict, "", 0, retryAfterMillis));
+    }
+}
--- a/src/main/java/org/auburnhoist/core/dispatch/RetryBudget.java
+++ b/src/main/java/org/auburnhoist/core/dispatch/RetryBudget.java
@@ -14,10 +14,28 @@
     private static final int SECONDS = 10;
     private static final long SECOND_NANOS = 1_000_000_000L;
 
+    private final double share;
+    private final double leastPerWindow;
     private final long[] second = new long[SECONDS];
     private final int[] requests = new int[SECONDS];
     private final int[] retries = new int[SECONDS];
 
+    /** A budget of a tenth of the requests. */
+    public RetryBudget() {
+        this(SHARE, LEAST_PER_WINDOW);
+    }
+
+    /**
+     * A budget.
+     *
+     * @param share further attempts for each request of the last 10 s
+     * @param leastPerWindow further attempts allowed in 10 s whatever the traffic
+     */
+    public RetryBudget(double share, double leastPerWindow) {
+        this.share = share;
+        this.leastPerWindow = leastPerWindow;
+    }
+
     /** Counts a request's first attempt. */
     public void requestStarted(long nowNanos) {
         requests[slot(nowNanos)]++;
@@ -37,6 +55,11 @@
         if (!trafficClass.isIdempotent() || attempts > limit) {
             return false;
         }
+        return tryFurtherAttempt(nowNanos);
+    }
+
+    /** Decides about a further attempt by the recent traffic alone, and counts it if allowed. */
+    public boolean tryFurtherAttempt(long nowNanos) {
         int slot = slot(nowNanos);
         int recentRequests = 0;
         int recentRetries = 0;
@@ -47,7 +70,7 @@
                 recentRetries += retries[index];
             }
         }
-        if (recentRetries + 1 > Math.max(LEAST_PER_WINDOW, SHARE * recentRequests)) {
+        if (recentRetries + 1 > Math.max(leastPerWindow, share * recentRequests)) {
             return false;
         }
         retries[slot]++;
--- a/src/main/java/org/auburnhoist/core/dispatch/ServiceRate.java
+++ b/src/main/java/org/auburnhoist/core/dispatch/ServiceRate.java
@@ -27,6 +27,16 @@
         return Math.max(1e-4, holdSeconds.getOrDefault(trafficClass, firstHoldSeconds));
     }
 
+    /** The shortest of the classes' usual times; the first guess before any request has ended. */
+    double holdSeconds() {
+        return Math.max(
+                1e-4,
+                holdSeconds.values().stream()
+                        .mapToDouble(Double::doubleValue)
+                        .min()
+                        .orElse(firstHoldSeconds));
+    }
+
     double latencySeconds(TrafficClass trafficClass) {
         return latencySeconds.getOrDefault(trafficClass, 0.0);
     }
--- /dev/null
+++ b/src/main/java/org/auburnhoist/core/membership/FleetDocuments.java
@@ -0,0 +1,175 @@
+package org.auburnhoist.core.membership;
+
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.zip.DeflaterOutputStream;
+import java.util.zip.InflaterInputStream;
+import org.auburnhoist.core.HostId;
+import org.auburnhoist.core.routing.UpstreamServer;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessageUnpacker;
+
+/** Compact forms of the lists that hosts send each other and keep in the store. */
+public final class FleetDocuments {
+    /** Largest document after decompression, in bytes; 13,000 servers take about 2 MB. */
+    private static final int MOST_BYTES = 8 << 20;
+
+    private FleetDocuments() {}
+
+    /** Writes one member. */
+    public static byte[] member(FleetMember member) {
+        return write(packer -> writeMember(packer, member));
+    }
+
+    /**
+     * Reads one member.
+     *
+     * @throws IOException if the bytes are not a member
+     */
+    public static FleetMember member(byte[] bytes) throws IOException {
+        return read(bytes, FleetDocuments::readMember);
+    }
+
+    /** Writes members, compressed. */
+    public static byte[] members(List<FleetMember> members) {
+        return deflate(write(packer -> {
+            packer.packArrayHeader(members.size());
+            for (FleetMember member : members) {
+                writeMember(packer, member);
+            }
+        }));
+    }
+
+    /**
+     * Reads compressed members.
+     *
+     * @throws IOException if the bytes are not a list of members
+     */
+    public static List<FleetMember> members(byte[] bytes) throws IOException {
+        return read(inflate(bytes), in -> {
+            int count = in.unpackArrayHeader();
+            List<FleetMember> members = new ArrayList<>();
+            for (int index = 0; index < count; index++) {
+                members.add(readMember(in));
+            }
+            return members;
+        });
+    }
+
+    /** Writes servers, compressed. */
+    public static byte[] servers(List<UpstreamServer> servers) {
+        return deflate(write(packer -> {
+            packer.packArrayHeader(servers.size());
+            for (UpstreamServer server : servers) {
+                packer.packString(server.id())
+                        .packLong(server.bornMillis())
+                        .packString(server.service())
+                        .packString(server.address())
+                        .packString(server.dataCentre())
+                        .packInt(server.slots())
+                        .packBoolean(server.leaving())
+                        .packLong(server.warmUpMillis());
+            }
+        }));
+    }
+
+    /**
+     * Reads compressed servers.
+     *
+     * @throws IOException if the bytes are not a list of servers
+     */
+    public static List<UpstreamServer> servers(byte[] bytes) throws IOException {
+        return read(inflate(bytes), in -> {
+            int count = in.unpackArrayHeader();
+            List<UpstreamServer> servers = new ArrayList<>();
+            for (int index = 0; index < count; index++) {
+                servers.add(new UpstreamServer(
+                        in.unpackString(),
+                        in.unpackLong(),
+                        in.unpackString(),
+                        in.unpackString(),
+                        in.unpackString(),
+                        in.unpackInt(),
+                        in.unpackBoolean(),
+                        in.unpackLong()));
+            }
+            return servers;
+        });
+    }
+
+    /** Compresses a document. */
+    public static byte[] deflate(byte[] content) {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        try (DeflaterOutputStream out = new DeflaterOutputStream(bytes)) {
+            out.write(content);
+        } catch (IOException impossible) {
+            throw new UncheckedIOException("writing to memory failed", impossible);
+        }
+        return bytes.toByteArray();
+    }
+
+    /**
+     * Restores a compressed document.
+     *
+     * @throws IOException if the bytes are not a compressed document or it is too large
+     */
+    public static byte[] inflate(byte[] bytes) throws IOException {
+        try (InflaterInputStream in = new InflaterInputStream(new ByteArrayInputStream(bytes))) {
+            byte[] content = in.readNBytes(MOST_BYTES + 1);
+            if (content.length > MOST_BYTES) {
+                throw new IOException("document: expected at most " + MOST_BYTES + " bytes");
+            }
+            return content;
+        }
+    }
+
+    private static void writeMember(MessageBufferPacker packer, FleetMember member) throws IOException {
+        packer.packString(member.id().name())
+                .packLong(member.id().incarnation())
+                .packString(member.peerAddress())
+                .packString(member.callerAddress())
+                .packString(member.dataCentre())
+                .packBoolean(member.leaving())
+                .packDouble(member.capacity());
+    }
+
+    private static FleetMember readMember(MessageUnpacker in) throws IOException {
+        return new FleetMember(
+                new HostId(in.unpackString(), in.unpackLong()),
+                in.unpackString(),
+                in.unpackString(),
+                in.unpackString(),
+                in.unpackBoolean(),
+                in.unpackDouble());
+    }
+
+    private interface Writing {
+        void write(MessageBufferPacker packer) throws IOException;
+    }
+
+    private interface Reading<T> {
+        T read(MessageUnpacker in) throws IOException;
+    }
+
+    private static byte[] write(Writing writing) {
+        try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
+            writing.write(packer);
+            return packer.toByteArray();
+        } catch (IOException impossible) {
+            throw new UncheckedIOException("writing to memory failed", impossible);
+        }
+    }
+
+    private static <T> T read(byte[] bytes, Reading<T> reading) throws IOException {
+        try (MessageUnpacker in = MessagePack.newDefaultUnpacker(bytes)) {
+            return reading.read(in);
+        } catch (RuntimeException malformed) {
+            throw new IOException("document: expected MessagePack of the expected form", malformed);
+        }
+    }
+}
--- a/src/main/java/org/auburnhoist/core/message/AttemptOutcome.java
+++ b/src/main/java/org/auburnhoist/core/message/AttemptOutcome.java
@@ -17,5 +17,9 @@
     /** The answer ended before its framing said so. */
     TRUNCATED,
     /** The caller left, or the grant was not used; says nothing about the server. */
-    ABANDONED
+    ABANDONED,
+    /** The server stated that it did not run the request. */
+    REJECTED,
+    /** Another server has taken over the address; it did not run the request. */
+    MISDIRECTED
 }
--- a/src/main/java/org/auburnhoist/core/message/Message.java
+++ b/src/main/java/org/auburnhoist/core/message/Message.java
@@ -18,4 +18,6 @@
                 SlotAnswer,
                 SlotRelease,
                 HandoverRequest,
-                Acknowledgement {}
+                Acknowledgement,
+                StatusReport,
+                StatusDigest {}
--- a/src/main/java/org/auburnhoist/core/message/SlotRequest.java
+++ b/src/main/java/org/auburnhoist/core/message/SlotRequest.java
@@ -13,6 +13,7 @@
  * @param deadlineMillis time from now within which the grant is of use
  * @param fingerprint hash of the request
  * @param excludedServers servers that this request has already failed on
+ * @param terms what decides between this request and others
  */
 public record SlotRequest(
         String service,
@@ -21,11 +22,24 @@
         TrafficClass trafficClass,
         long deadlineMillis,
         long fingerprint,
-        List<String> excludedServers)
+        List<String> excludedServers,
+        SlotTerms terms)
         implements Message {
 
     /** Copies the list. */
     public SlotRequest {
         excludedServers = List.copyOf(excludedServers);
     }
+
+    /** A first attempt on the standard terms. */
+    public SlotRequest(
+            String service,
+            String route,
+            String team,
+            TrafficClass trafficClass,
+            long deadlineMillis,
+            long fingerprint,
+            List<String> excludedServers) {
+        this(service, route, team, trafficClass, deadlineMillis, fingerprint, excludedServers, SlotTerms.STANDARD);
+    }
 }
--- /dev/null
+++ b/src/main/java/org/auburnhoist/core/message/SlotTerms.java
@@ -0,0 +1,14 @@
+package org.auburnhoist.core.message;
+
+/**
+ * What decides between requests that wait for the same service.
+ *
+ * @param priority rank, 0 is the highest
+ * @param targetMillis time from now within which the answer has its full use, 0 if not stated
+ * @param attempt 1 for the request's first attempt
+ * @param dataCentre where the asking host runs, empty if that does not matter
+ */
+public record SlotTerms(int priority, long targetMillis, int attempt, String dataCentre) {
+    /** Terms of a first attempt without a rank of its own. */
+    public static final SlotTerms STANDARD = new SlotTerms(0, 0, 1, "");
+}
--- /dev/null
+++ b/src/main/java/org/auburnhoist/core/routing/TrafficRouter.java
@@ -0,0 +1,83 @@
+package org.auburnhoist.core.routing;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import org.auburnhoist.core.configuration.Sha256;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Finds a request's route and team in one configuration; immutable.
+ *
+ * <pre>{@code
+ * TrafficRouter router = TrafficRouter.of(configuration);
+ * TrafficRoute route = router.route("lookups.example", "/stars/12");
+ * }</pre>
+ */
+public final class TrafficRouter {
+    private final TrafficConfiguration configuration;
+    private final Map<String, Map<String, TrafficRoute>> routesByHostAndPrefix = new HashMap<>();
+
+    private TrafficRouter(TrafficConfiguration configuration) {
+        this.configuration = configuration;
+        for (TrafficRoute route : configuration.routes()) {
+            routesByHostAndPrefix
+                    .computeIfAbsent(route.hostName(), name -> new HashMap<>())
+                    .put(route.pathPrefix(), route);
+        }
+    }
+
+    /** Builds the index of a configuration's routes. */
+    public static TrafficRouter of(TrafficConfiguration configuration) {
+        return new TrafficRouter(configuration);
+    }
+
+    /** The configuration that this router decides by. */
+    public TrafficConfiguration configuration() {
+        return configuration;
+    }
+
+    /**
+     * Finds the route with the longest prefix that begins the path.
+     *
+     * @param hostHeader value of the {@code Host} header, with or without a port
+     * @param path path without the query
+     * @return null if no route matches
+     */
+    public @Nullable TrafficRoute route(String hostHeader, String path) {
+        Map<String, TrafficRoute> byPrefix = routesByHostAndPrefix.get(hostName(hostHeader));
+        if (byPrefix == null) {
+            return null;
+        }
+        for (int slash = path.lastIndexOf('/'); slash >= 0; slash = path.lastIndexOf('/', slash - 1)) {
+            TrafficRoute route = byPrefix.get(path.substring(0, slash + 1));
+            if (route != null) {
+                return route;
+            }
+        }
+        return null;
+    }
+
+    /** Name of the team that holds a key, or null if nobody does. */
+    public @Nullable String teamOfKey(String key) {
+        return configuration.teamsByKeyDigest().get(Sha256.hex(key));
+    }
+
+    /** The terms of a team, or null if the team is not known. */
+    public @Nullable TeamTerms team(String name) {
+        return configuration.teams().get(name);
+    }
+
+    /** All host names that have routes. */
+    public List<String> hostNames() {
+        return new ArrayList<>(routesByHostAndPrefix.keySet());
+    }
+
+    private static String hostName(String hostHeader) {
+        int colon = hostHeader.lastIndexOf(':');
+        String name = colon < 0 ? hostHeader : hostHeader.substring(0, colon);
+        return name.toLowerCase(Locale.ROOT);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/auburnhoist/gateway/FleetSync.java
@@ -0,0 +1,133 @@
+package org.auburnhoist.gateway;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.function.BooleanSupplier;
+import java.util.random.RandomGenerator;
+import org.auburnhoist.core.HostId;
+import org.auburnhoist.core.membership.FleetMember;
+import org.auburnhoist.core.membership.FleetView;
+import org.auburnhoist.core.message.StatusDigest;
+import org.auburnhoist.core.message.StatusReport;
+import org.auburnhoist.host.PeerCalls;
+import org.auburnhoist.host.Peers;
+import org.auburnhoist.peer.CallResult;
+
+/**
+ * Reports to the coordinator and learns from it what is new; or acts as the coordinator. Belongs to the control thread.
+ *
+ * <p>The coordinator is the first host in the order of that duty that is believed alive. It needs no agreement: a host
+ * to which others report reads the store for them, and all that it passes on carries versions.
+ */
+final class FleetSync {
+    /** The duty's name in the placement of duties. */
+    private static final String DUTY = "coordinator";
+
+    /** Three reports fit into the time within which a change must be in force. */
+    private static final long REPORT_NANOS = Duration.ofMillis(500).toNanos();
+
+    private static final Duration REPORT_TIMEOUT = Duration.ofMillis(400);
+    private static final long SUSPECT_NANOS = Duration.ofSeconds(2).toNanos();
+    /** A host to which nobody has reported for this long coordinates no more. */
+    private static final long COORDINATES_NANOS = Duration.ofMillis(1_500).toNanos();
+    /** A coordinator that has not reached the store for this long is left for the next one. */
+    private static final long STORE_TOO_OLD_MILLIS = 1_500;
+
+    private final FleetView fleet;
+    private final Knowledge knowledge;
+    private final PeerCalls peers;
+    private final String selfName;
+    private final BooleanSupplier ready;
+    private final RandomGenerator random;
+    private long nextReport;
+    private boolean reporting;
+    private long reportedToAt;
+    private boolean everReportedTo;
+    private String staleCoordinator = "";
+    private long staleUntil;
+
+    FleetSync(
+            FleetView fleet,
+            Knowledge knowledge,
+            PeerCalls peers,
+            String selfName,
+            BooleanSupplier ready,
+            RandomGenerator random,
+            long nowNanos) {
+        this.fleet = fleet;
+        this.knowledge = knowledge;
+        this.peers = peers;
+        this.selfName = selfName;
+        this.ready = ready;
+        this.random = random;
+        this.nextReport = nowNanos;
+    }
+
+    /** Whether this host reads the store for others. */
+    boolean isCoordinator(long nowNanos) {
+        boolean reportedTo = everReportedTo && nowNanos - reportedToAt <= COORDINATES_NANOS;
+        return reportedTo || coordinator(nowNanos).id().name().equals(selfName);
+    }
+
+    /** Answers another host's report. */
+    StatusDigest answer(HostId from, StatusReport report, long nowNanos) {
+        everReportedTo = true;
+        reportedToAt = nowNanos;
+        fleet.heard(from.name(), report.ready(), nowNanos);
+        return knowledge.digestFor(report, ready.getAsBoolean(), selfName, nowNanos);
+    }
+
+    /** Sends the next report when it is due; to be called about every 50 ms. */
+    void tick(long nowNanos) {
+        if (reporting || nextReport - nowNanos > 0) {
+            return;
+        }
+        FleetMember coordinator = coordinator(nowNanos);
+        nextReport = nowNanos + (long) (REPORT_NANOS * (0.9 + 0.2 * random.nextDouble()));
+        if (!coordinator.id().name().equals(selfName)) {
+            report(coordinator, nowNanos);
+        }
+    }
+
+    private FleetMember coordinator(long nowNanos) {
+        List<FleetMember> order = fleet.order(DUTY);
+        FleetMember first = null;
+        for (FleetMember member : order) {
+            String name = member.id().name();
+            if (!fleet.isAlive(name, nowNanos)) {
+                continue;
+            }
+            if (first == null) {
+                first = member;
+            }
+            if (!name.equals(staleCoordinator) || staleUntil - nowNanos <= 0) {
+                return member;
+            }
+        }
+        return first == null ? fleet.firstAlive(DUTY, nowNanos) : first;
+    }
+
+    private void report(FleetMember coordinator, long nowNanos) {
+        reporting = true;
+        String name = coordinator.id().name();
+        peers.call(
+                Peers.addressOf(coordinator.peerAddress()),
+                knowledge.report(ready.getAsBoolean()),
+                REPORT_TIMEOUT,
+                (result, now) -> {
+                    reporting = false;
+                    if (result instanceof CallResult.Answered answered
+                            && answered.message() instanceof StatusDigest digest) {
+                        fleet.heard(name, fleet.isReady(name), now);
+                        knowledge.digestReceived(digest, name, nowNanos, now);
+                        if (digest.storeAgeMillis() < 0 || digest.storeAgeMillis() > STORE_TOO_OLD_MILLIS) {
+                            staleCoordinator = name;
+                            staleUntil = now + SUSPECT_NANOS;
+                        }
+                    } else {
+                        fleet.suspect(name, now + SUSPECT_NANOS);
+                        nextReport = now;
+                    }
+                });
+    }
+}
--- /dev/null
+++ b/src/main/java/org/auburnhoist/gateway/GatewayForwarding.java
@@ -0,0 +1,193 @@
+package org.auburnhoist.gateway;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import org.auburnhoist.core.Refusal;
+import org.auburnhoist.core.TrafficClass;
+import org.auburnhoist.core.message.AttemptOutcome;
+import org.auburnhoist.core.message.RecordedAnswer;
+import org.auburnhoist.core.message.SlotRequest;
+import org.auburnhoist.core.message.SlotTerms;
+import org.auburnhoist.core.message.SlotVerdict;
+import org.auburnhoist.core.routing.TrafficRoute;
+import org.auburnhoist.host.Fingerprint;
+import org.auburnhoist.proxy.Forwarding;
+import org.auburnhoist.proxy.RequestHead;
+import org.jspecify.annotations.Nullable;
+
+/** One admitted request: gets a slot for each attempt, reports each outcome, and writes the record at the end. */
+final class GatewayForwarding implements Forwarding {
+    private static final long MILLI = 1_000_000L;
+    /** An attempt that can't get an answer in less time than this is not made. */
+    private static final long LEAST_ATTEMPT_NANOS = 20 * MILLI;
+    /** Attempts of which nothing was sent do not count as attempts; this bounds them. */
+    private static final int MOST_UNSENT = 3;
+    /** A body that is on its way when the time is up gets this much longer. */
+    private static final long ANSWER_GRACE_NANOS = 300 * MILLI;
+
+    private static final long RETRY_MILLIS = 300;
+
+    private final Request request;
+    private final GatewayParts parts;
+    private final List<String> failedServers = new ArrayList<>();
+    private volatile long fingerprint;
+    private SlotBroker.@Nullable Slot slot;
+    private int attempts;
+    private int unsent;
+    private boolean maybeRun;
+
+    /**
+     * An admitted request.
+     *
+     * @param head the request
+     * @param route its route
+     * @param service the service chosen among the route's services
+     * @param team the team for which it runs, empty if none
+     * @param priority its rank
+     * @param deadlineNanos when the final answer is due
+     * @param record its line in the record
+     * @param startNanos when it was read
+     */
+    record Request(
+            RequestHead head,
+            TrafficRoute route,
+            String service,
+            String team,
+            int priority,
+            long deadlineNanos,
+            GatewayRecord record,
+            long startNanos) {}
+
+    GatewayForwarding(Request request, GatewayParts parts) {
+        this.request = request;
+        this.parts = parts;
+        this.fingerprint = Fingerprint.of(request.head(), request.head().path(), request.team());
+    }
+
+    @Override
+    public TrafficClass trafficClass() {
+        return request.route().trafficClass();
+    }
+
+    @Override
+    public String team() {
+        return request.team();
+    }
+
+    @Override
+    public void bodyRead(byte[] body) {
+        fingerprint = Fingerprint.withBody(fingerprint, body);
+    }
+
+    @Override
+    public long deadlineNanos() {
+        return request.deadlineNanos();
+    }
+
+    @Override
+    public long answerLimitNanos() {
+        return request.deadlineNanos() + ANSWER_GRACE_NANOS;
+    }
+
+    @Override
+    public boolean repeatsOnNewConnection(boolean sent) {
+        return !sent;
+    }
+
+    @Override
+    public CompletionStage<Target> nextTarget(long nowNanos) {
+        CompletableFuture<Target> result = new CompletableFuture<>();
+        CompletableFuture<Boolean> accepted = parts.control().compute(now -> {
+            acquireSlot(now, result);
+            return true;
+        });
+        accepted.whenComplete((done, failure) -> {
+            if (failure != null) {
+                result.complete(
+                        new Target.NoTarget(Refusal.SERVICE_OVERLOADED, "this host is overloaded", RETRY_MILLIS));
+            }
+        });
+        return result;
+    }
+
+    private void acquireSlot(long nowNanos, CompletableFuture<Target> result) {
+        long millisLeft = (request.deadlineNanos() - nowNanos) / MILLI;
+        if (millisLeft <= 0) {
+            result.complete(new Target.NoTarget(Refusal.SERVICE_OVERLOADED, "no server in time", RETRY_MILLIS));
+            return;
+        }
+        long elapsedMillis = (nowNanos - request.startNanos()) / MILLI;
+        long target = request.route().targetLatencyMillis();
+        SlotTerms terms = new SlotTerms(
+                request.priority(),
+                target == 0 ? 0 : Math.max(1, target - elapsedMillis),
+                attempts + 1,
+                parts.settings().dataCentre());
+        SlotRequest wanted = new SlotRequest(
+                request.service(),
+                request.route().name(),
+                request.team(),
+                trafficClass(),
+                millisLeft,
+                fingerprint,
+                failedServers,
+                terms);
+        parts.slots().acquire(wanted, nowNanos, (slotResult, now) -> decided(slotResult, now, result));
+    }
+
+    private void decided(SlotBroker.SlotResult slotResult, long nowNanos, CompletableFuture<Target> result) {
+        SlotBroker.Slot granted = slotResult.slot();
+        if (granted == null) {
+            boolean quarantined = slotResult.answer().verdict() == SlotVerdict.QUARANTINED;
+            result.complete(new Target.NoTarget(
+                    quarantined ? Refusal.REQUEST_QUARANTINED : Refusal.SERVICE_OVERLOADED,
+                    quarantined ? "this request made servers fail" : "no server can answer in time",
+                    slotResult.answer().retryAfterMillis()));
+        } else if (!parts.slots().isUsable(granted.server())) {
+            parts.slots().release(granted, AttemptOutcome.ABANDONED, 0, nowNanos);
+            result.complete(new Target.NoTarget(Refusal.SERVICE_OVERLOADED, "the server is leaving", RETRY_MILLIS));
+        } else {
+            slot = granted;
+            result.complete(new Target.ServerTarget(granted.server(), granted.address(), MOST_CONNECTIONS));
+        }
+    }
+
+    /** Slots limit the connections in use; this bounds a host's own share of a server's connections. */
+    private static final int MOST_CONNECTIONS = 16;
+
+    @Override
+    public boolean attemptEnded(AttemptOutcome outcome, boolean sent, long latencyMicros, long nowNanos) {
+        SlotBroker.Slot used = slot;
+        if (used == null) {
+            return false;
+        }
+        slot = null;
+        boolean notRun = !sent || outcome == AttemptOutcome.REJECTED || outcome == AttemptOutcome.MISDIRECTED;
+        if (sent) {
+            attempts++;
+        } else {
+            unsent++;
+        }
+        maybeRun |= !notRun;
+        failedServers.add(used.server());
+        request.record().attempt(used.server(), outcome, sent, latencyMicros);
+        parts.metrics().attemptEnded(outcome);
+        parts.control().execute(now -> parts.slots().release(used, outcome, latencyMicros, now));
+        boolean failed = outcome != AttemptOutcome.SUCCESS && outcome != AttemptOutcome.ABANDONED;
+        return failed
+                && attempts < request.route().maximumAttempts()
+                && unsent <= MOST_UNSENT
+                && (!maybeRun || trafficClass().isIdempotent())
+                && request.deadlineNanos() - nowNanos > LEAST_ATTEMPT_NANOS;
+    }
+
+    @Override
+    public void finished(
+            int status, @Nullable Refusal refusal, @Nullable RecordedAnswer recorded, boolean complete, long nowNanos) {
+        long micros = (nowNanos - request.startNanos()) / 1_000;
+        request.record().finished(status, refusal, complete, micros);
+        parts.metrics().requestFinished(trafficClass(), request.team(), status, refusal, micros);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/auburnhoist/gateway/GatewayHost.java
@@ -0,0 +1,295 @@
+package org.auburnhoist.gateway;
+
+import java.io.IOException;
+import java.nio.channels.AsynchronousChannelGroup;
+import java.security.SecureRandom;
+import java.time.Duration;
+import java.util.Random;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ThreadFactory;
+import java.util.random.RandomGenerator;
+import org.auburnhoist.core.HostId;
+import org.auburnhoist.core.Refusal;
+import org.auburnhoist.core.membership.FleetMember;
+import org.auburnhoist.core.membership.FleetView;
+import org.auburnhoist.core.message.Acknowledgement;
+import org.auburnhoist.core.message.Message;
+import org.auburnhoist.core.message.PullRequest;
+import org.auburnhoist.core.message.SlotRelease;
+import org.auburnhoist.core.message.SlotRequest;
+import org.auburnhoist.core.message.StatusReport;
+import org.auburnhoist.core.message.TokenRequest;
+import org.auburnhoist.host.ControlThread;
+import org.auburnhoist.host.HostMetrics;
+import org.auburnhoist.host.PeerCalls;
+import org.auburnhoist.host.Peers;
+import org.auburnhoist.peer.PeerClient;
+import org.auburnhoist.peer.PeerServer;
+import org.auburnhoist.peer.PeerSettings;
+import org.auburnhoist.peer.TrafficCounter;
+import org.auburnhoist.proxy.Admission;
+import org.auburnhoist.proxy.ProxyServer;
+import org.auburnhoist.proxy.ProxySettings;
+import org.auburnhoist.proxy.RequestHead;
+import org.auburnhoist.proxy.RequestPolicy;
+import org.auburnhoist.store.Store;
+import org.auburnhoist.support.Closer;
+import org.auburnhoist.support.Event;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * An entry host of a fleet on a platform.
+ *
+ * <pre>{@code
+ * GatewayHost host = GatewayHost.start(settings, binding, store);
+ * ...
+ * host.stop().join();   // planned stop: cuts no request
+ * }</pre>
+ */
+public final class GatewayHost implements AutoCloseable {
+    private static final Duration TICK = Duration.ofMillis(50);
+    private static final Duration TIDY_INTERVAL = Duration.ofSeconds(5);
+    /** A server that accepts no connection for this long is left for another; a round trip takes milliseconds. */
+    private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(300);
+    /** Less than servers usually keep idle connections. */
+    private static final Duration UPSTREAM_IDLE = Duration.ofSeconds(4);
+    /** More than callers reuse connections after. */
+    private static final Duration CALLER_IDLE = Duration.ofSeconds(60);
+
+    private final GatewaySettings settings;
+    private final PlatformBinding binding;
+    private final Store store;
+    private final Closer closer;
+    private final HostId self;
+    private final ControlThread control;
+    private final HostMetrics metrics = new HostMetrics();
+    private final RandomGenerator random;
+    private final FleetView fleet;
+    private final Knowledge knowledge;
+    private final StoreFeed feed;
+    private final MembershipLease lease;
+    private final ProxyServer proxy;
+    private volatile @Nullable Started started;
+    private volatile boolean joined;
+    private volatile boolean stopping;
+
+    /** The parts that need the fleet's secret. */
+    private record Started(
+            FleetSync sync, SlotBroker slots, QuotaBroker quotas, PeerCalls peers, RequestPolicy policy) {}
+
+    private GatewayHost(GatewaySettings settings, PlatformBinding binding, Store store, Closer closer)
+            throws IOException {
+        this.settings = settings;
+        this.binding = binding;
+        this.store = store;
+        this.closer = closer;
+        SecureRandom secure = new SecureRandom();
+        this.self = new HostId(settings.name(), secure.nextLong());
+        this.random = new SplittableRandom(secure.nextLong());
+        this.control = closer.register(new ControlThread("control"));
+        FleetMember member = new FleetMember(
+                self,
+                Peers.textOf(settings.peerAddress()),
+                Peers.textOf(settings.callerAddress()),
+                settings.dataCentre(),
+                false,
+                settings.capacity());
+        long now = System.nanoTime();
+        this.fleet = new FleetView(member);
+        this.knowledge = new Knowledge(binding, fleet, this::serversChanged, this::membersChanged);
+        this.lease = new MembershipLease(store, control, member, random, now);
+        this.feed = new StoreFeed(
+                store, control, binding, knowledge, fleet, settings.name(), this::ownEntryMissing, random, now);
+        this.proxy = closer.register(ProxyServer.start(proxySettings(secure.nextLong()), this::admit));
+    }
+
+    /**
+     * Starts a host that joins the fleet as soon as it reaches the store.
+     *
+     * @param settings the host's settings
+     * @param binding how the platform names and encodes things
+     * @param store the platform's store; the caller closes it
+     * @throws IOException if an address is not available
+     */
+    public static GatewayHost start(GatewaySettings settings, PlatformBinding binding, Store store) throws IOException {
+        Closer closer = new Closer();
+        try {
+            GatewayHost host = new GatewayHost(settings, binding, store, closer);
+            host.begin();
+            return host;
+        } catch (IOException | RuntimeException cause) {
+            closer.close();
+            throw cause;
+        }
+    }
+
+    /** Begins a planned stop; completes when the last request has finished. */
+    public CompletableFuture<Void> stop() {
+        stopping = true;
+        return new GatewayStop(settings, control, lease, proxy).begin();
+    }
+
+    /** Stops at once, as a failure does. */
+    @Override
+    public void close() {
+        feed.close();
+        closer.close();
+    }
+
+    /** Whether this host takes callers. */
+    boolean isReady() {
+        return joined && !stopping && knowledge.hasConfiguration();
+    }
+
+    private ProxySettings proxySettings(long seed) {
+        PlatformQueries queries =
+                new PlatformQueries(binding, settings, control, fleet, this::isReady, metrics, new Random(seed));
+        ProxySettings.Builder builder = ProxySettings.builder()
+                .listenAddress(settings.callerAddress())
+                .hostName(settings.name())
+                .requestIdPrefix(settings.name() + "-" + Long.toHexString(self.incarnation()))
+                .ioThreads(1, 1)
+                .connectTimeout(CONNECT_TIMEOUT)
+                .upstreamIdleExpiry(UPSTREAM_IDLE)
+                .callerIdleTimeout(CALLER_IDLE)
+                .wireRules(binding.wireRules());
+        if (settings.readinessAddress() != null) {
+            builder.listener(settings.readinessAddress(), queries);
+        }
+        if (settings.directoryAddress() != null) {
+            builder.listener(settings.directoryAddress(), queries);
+        }
+        return builder.build();
+    }
+
+    private void begin() {
+        metrics.gauge("requests_in_progress", proxy::requestsInProgress);
+        metrics.gauge(
+                "configuration_version",
+                () -> knowledge.router().configuration().version());
+        Event.named("host-started")
+                .with("host", self)
+                .with("data_centre", settings.dataCentre())
+                .with("callers", Peers.textOf(settings.callerAddress()))
+                .with("peers", Peers.textOf(settings.peerAddress()))
+                .log();
+        control.every(TICK, this::tick);
+        control.every(TIDY_INTERVAL, this::tidy);
+        new FleetSecret(store, control, random).find().thenAccept(this::secretFound);
+    }
+
+    private void secretFound(String secret) {
+        ThreadFactory threads = task -> {
+            Thread thread = new Thread(task, "peer");
+            thread.setDaemon(true);
+            return thread;
+        };
+        try {
+            AsynchronousChannelGroup group = AsynchronousChannelGroup.withFixedThreadPool(1, threads);
+            closer.register(group::shutdownNow);
+            ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor(threads);
+            closer.register(timer::shutdownNow);
+            PeerSettings peerSettings = PeerSettings.of(self, secret);
+            TrafficCounter traffic = new TrafficCounter();
+            metrics.gauge("peer_sent_bytes", traffic::sentBytes);
+            closer.register(PeerServer.start(peerSettings, settings.peerAddress(), group, this::answerPeer, traffic));
+            PeerClient client = closer.register(new PeerClient(peerSettings, group, timer, traffic));
+            join(new PeerCalls(client, control));
+        } catch (IOException cause) {
+            Event.named("peers-not-started").with("cause", cause).warn();
+        }
+    }
+
+    private void join(PeerCalls peers) {
+        long now = System.nanoTime();
+        SlotBroker slots = new SlotBroker(fleet, knowledge, peers, self, settings, random);
+        QuotaBroker quotas = new QuotaBroker(
+                fleet, knowledge, peers, settings.name(), lease::isHeld, settings.quotaTolerance(), random, now);
+        GatewayParts parts = new GatewayParts(settings, control, knowledge, slots, quotas, metrics);
+        FleetSync sync = new FleetSync(fleet, knowledge, peers, settings.name(), this::isReady, random, now);
+        started = new Started(sync, slots, quotas, peers, new GatewayPolicy(binding, parts, random.nextLong()));
+        joined = true;
+    }
+
+    private void tick(long nowNanos) {
+        Started present = started;
+        if (present == null) {
+            return;
+        }
+        lease.tick(nowNanos);
+        present.sync().tick(nowNanos);
+        feed.tick(present.sync().isCoordinator(nowNanos), nowNanos);
+        present.slots().tick(nowNanos);
+    }
+
+    private void tidy(long nowNanos) {
+        Started present = started;
+        if (present != null) {
+            present.peers().tidy(id -> fleet.member(id.name()) == null, nowNanos);
+        }
+    }
+
+    private void serversChanged() {
+        Started present = started;
+        if (present != null) {
+            present.slots().serversChanged(System.nanoTime());
+        }
+    }
+
+    private void membersChanged() {
+        Started present = started;
+        if (present != null) {
+            present.quotas().membersChanged(System.nanoTime());
+        }
+    }
+
+    private void ownEntryMissing() {
+        lease.entryMissing(System.nanoTime());
+    }
+
+    private CompletionStage<Admission> admit(RequestHead head, long nowNanos) {
+        Started present = started;
+        if (present == null) {
+            return CompletableFuture.completedFuture(
+                    new Admission.Refused(Refusal.HOST_ISOLATED, "this host is starting", 500, java.util.List.of()));
+        }
+        return present.policy().admit(head, nowNanos);
+    }
+
+    private CompletionStage<Message> answerPeer(HostId from, Message request) {
+        CompletableFuture<Message> answer = new CompletableFuture<>();
+        control.compute(now -> {
+                    answer(from, request, now, answer);
+                    return true;
+                })
+                .whenComplete((done, failure) -> {
+                    if (failure != null) {
+                        answer.completeExceptionally(failure);
+                    }
+                });
+        return answer;
+    }
+
+    private void answer(HostId from, Message request, long nowNanos, CompletableFuture<Message> answer) {
+        Started present = started;
+        if (present == null) {
+            answer.completeExceptionally(new IllegalStateException("the host is starting"));
+        } else if (request instanceof SlotRequest slot) {
+            present.slots().requested(slot, from, nowNanos).thenAccept(answer::complete);
+        } else if (request instanceof SlotRelease release) {
+            present.slots().released(release, from, nowNanos);
+            answer.complete(new Acknowledgement(true));
+        } else if (request instanceof TokenRequest token) {
+            answer.complete(present.quotas().answer(token, nowNanos));
+        } else if (request instanceof StatusReport report) {
+            answer.complete(present.sync().answer(from, report, nowNanos));
+        } else {
+            // A probe needs no more than an answer.
+            answer.complete(new Acknowledgement(request instanceof PullRequest));
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/auburnhoist/gateway/GatewayParts.java
@@ -0,0 +1,22 @@
+package org.auburnhoist.gateway;
+
+import org.auburnhoist.host.ControlThread;
+import org.auburnhoist.host.HostMetrics;
+
+/**
+ * The parts of a host that decide about requests.
+ *
+ * @param settings the host's settings
+ * @param control the only thread that uses slots and quotas
+ * @param knowledge configuration, servers and members
+ * @param slots slots of the services' servers
+ * @param quotas tokens of the teams
+ * @param metrics counters and histograms
+ */
+record GatewayParts(
+        GatewaySettings settings,
+        ControlThread control,
+        Knowledge knowledge,
+        SlotBroker slots,
+        QuotaBroker quotas,
+        HostMetrics metrics) {}
--- /dev/null
+++ b/src/main/java/org/auburnhoist/gateway/GatewayPolicy.java
@@ -0,0 +1,142 @@
+package org.auburnhoist.gateway;
+
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import org.auburnhoist.core.Refusal;
+import org.auburnhoist.core.routing.ServiceSplit;
+import org.auburnhoist.core.routing.TeamTerms;
+import org.auburnhoist.core.routing.TrafficRoute;
+import org.auburnhoist.core.routing.TrafficRouter;
+import org.auburnhoist.proxy.Admission;
+import org.auburnhoist.proxy.RequestHead;
+import org.auburnhoist.proxy.RequestPolicy;
+import org.jspecify.annotations.Nullable;
+
+/** Decides about callers' requests: route and key on the traffic thread, the team's token on the control thread. */
+final class GatewayPolicy implements RequestPolicy {
+    private static final long MILLI = 1_000_000L;
+    private static final long NO_ADVICE = -1;
+    /** A host that has just started reads its configuration within this time. */
+    private static final long STARTING_RETRY_MILLIS = 500;
+    /** Used when neither the caller nor the route limits the time. */
+    private static final long DEFAULT_MILLIS = 30_000;
+
+    private final PlatformBinding binding;
+    private final GatewayParts parts;
+    private final ServiceSplit split;
+
+    GatewayPolicy(PlatformBinding binding, GatewayParts parts, long seed) {
+        this.binding = binding;
+        this.parts = parts;
+        this.split = new ServiceSplit(new SplittableRandom(seed));
+    }
+
+    @Override
+    public CompletionStage<Admission> admit(RequestHead head, long nowNanos) {
+        PlatformBinding.CallerTerms terms = binding.callerTerms(head);
+        GatewayRecord record = new GatewayRecord(head.requestId(), terms.attemptId(), head.path());
+        TrafficRouter router = parts.knowledge().router();
+        if (!parts.knowledge().hasConfiguration()) {
+            return refused(record, Refusal.HOST_ISOLATED, "this host has no configuration yet", STARTING_RETRY_MILLIS);
+        }
+        if (terms.ambiguous()) {
+            return refused(record, Refusal.MALFORMED_REQUEST, "a deciding header came more than once", NO_ADVICE);
+        }
+        TrafficRoute route = router.route(terms.hostName(), head.path());
+        if (route == null) {
+            return refused(record, Refusal.ROUTE_UNKNOWN, "no route matches", NO_ADVICE);
+        }
+        TeamTerms team = null;
+        if (!route.open() && router.configuration().hasTeams()) {
+            String key = terms.key();
+            if (key == null) {
+                return refused(record, Refusal.KEY_MISSING, "the route needs a key", NO_ADVICE);
+            }
+            String name = router.teamOfKey(key);
+            team = name == null ? null : router.team(name);
+            if (team == null) {
+                return refused(record, Refusal.KEY_UNKNOWN, "no team holds this key", NO_ADVICE);
+            }
+        }
+        return proceed(head, terms, route, team, record, nowNanos);
+    }
+
+    private CompletionStage<Admission> proceed(
+            RequestHead head,
+            PlatformBinding.CallerTerms terms,
+            TrafficRoute route,
+            @Nullable TeamTerms team,
+            GatewayRecord record,
+            long nowNanos) {
+        long limit = route.timeoutMillis() > 0 ? route.timeoutMillis() : DEFAULT_MILLIS;
+        long millis = terms.remainingMillis() >= 0 ? Math.min(limit, terms.remainingMillis()) : limit;
+        long deadline = nowNanos + millis * MILLI;
+        CompletableFuture<Admission> result = new CompletableFuture<>();
+        CompletableFuture<Boolean> accepted = parts.control().compute(now -> {
+            if (team == null || !team.isLimited()) {
+                result.complete(forward(head, route, team, deadline, record, nowNanos));
+            } else {
+                parts.quotas().acquire(team, now, (quota, later) -> {
+                    if (quota.granted()) {
+                        result.complete(forward(head, route, team, deadline, record, nowNanos));
+                    } else {
+                        result.complete(overQuota(quota, record));
+                    }
+                });
+            }
+            return true;
+        });
+        accepted.whenComplete((done, failure) -> {
+            if (failure != null) {
+                result.complete(
+                        refusal(record, Refusal.SERVICE_OVERLOADED, "this host is overloaded", STARTING_RETRY_MILLIS));
+            }
+        });
+        return result;
+    }
+
+    private Admission overQuota(QuotaBroker.QuotaResult quota, GatewayRecord record) {
+        return quota.overLimit()
+                ? refusal(record, Refusal.RATE_EXCEEDED, "the team's rate is used up", quota.retryAfterMillis())
+                : refusal(
+                        record,
+                        Refusal.SERVICE_OVERLOADED,
+                        "the team's rate cannot be looked up",
+                        quota.retryAfterMillis());
+    }
+
+    /** Called on the control thread, which alone uses the split. */
+    private Admission forward(
+            RequestHead head,
+            TrafficRoute route,
+            @Nullable TeamTerms team,
+            long deadlineNanos,
+            GatewayRecord record,
+            long startNanos) {
+        String service = split.next(route);
+        String teamName = team == null ? "" : team.name();
+        int priority = team != null && team.priority() >= 0 ? team.priority() : route.priority();
+        record.routed(
+                teamName,
+                route.name(),
+                service,
+                parts.knowledge().router().configuration().version());
+        return new Admission.Forwarded(new GatewayForwarding(
+                new GatewayForwarding.Request(
+                        head, route, service, teamName, priority, deadlineNanos, record, startNanos),
+                parts));
+    }
+
+    private CompletionStage<Admission> refused(
+            GatewayRecord record, Refusal refusal, String detail, long retryAfterMillis) {
+        return CompletableFuture.completedFuture(refusal(record, refusal, detail, retryAfterMillis));
+    }
+
+    private Admission refusal(GatewayRecord record, Refusal refusal, String detail, long retryAfterMillis) {
+        record.refused(refusal, detail, retryAfterMillis);
+        parts.metrics().requestRefused(refusal, "");
+        return new Admission.Refused(refusal, detail, retryAfterMillis, List.of());
+    }
+}
--- /dev/null
+++ b/src/main/java/org/auburnhoist/gateway/GatewayRecord.java
@@ -0,0 +1,71 @@
+package org.auburnhoist.gateway;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.auburnhoist.core.Refusal;
+import org.auburnhoist.core.message.AttemptOutcome;
+import org.auburnhoist.support.Event;
+import org.jspecify.annotations.Nullable;
+
+/** What the record says about one request; a line for each request that did not end well. */
+final class GatewayRecord {
+    private final String requestId;
+    private final String attemptId;
+    private final String path;
+    private final List<String> attempts = new ArrayList<>();
+    private String team = "";
+    private String route = "";
+    private String service = "";
+    private long configurationVersion;
+
+    GatewayRecord(String requestId, String attemptId, String path) {
+        this.requestId = requestId;
+        this.attemptId = attemptId;
+        this.path = path;
+    }
+
+    void routed(String teamName, String routeName, String serviceName, long version) {
+        team = teamName;
+        route = routeName;
+        service = serviceName;
+        configurationVersion = version;
+    }
+
+    synchronized void attempt(String server, AttemptOutcome outcome, boolean sent, long latencyMicros) {
+        attempts.add(server + ":" + outcome + ":" + (sent ? "sent" : "not-sent") + ":" + latencyMicros + "us");
+    }
+
+    /** The request was refused before any server was chosen. */
+    void refused(Refusal refusal, String reason, long retryAfterMillis) {
+        start().with("status", refusal.status())
+                .with("refusal", refusal.code())
+                .with("outcome", refusal.outcome().headerValue())
+                .with("reason", reason)
+                .with("retry_after_millis", retryAfterMillis)
+                .log();
+    }
+
+    /** The request was forwarded and has ended. */
+    synchronized void finished(int status, @Nullable Refusal refusal, boolean complete, long durationMicros) {
+        if (status >= 200 && status < 300 && complete && attempts.size() <= 1) {
+            return;
+        }
+        Event event = start().with("attempts", String.join(",", attempts)).with("status", status);
+        if (refusal != null) {
+            event.with("refusal", refusal.code())
+                    .with("outcome", refusal.outcome().headerValue());
+        }
+        event.with("complete", complete).with("micros", durationMicros).log();
+    }
+
+    private Event start() {
+        return Event.named("request")
+                .with("attempt", attemptId)
+                .with("id", requestId)
+                .with("path", path)
+                .with("team", team)
+                .with("route", route)
+                .with("service", service)
+                .with("configuration", configurationVersion);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/auburnhoist/gateway/GatewaySettings.java
@@ -0,0 +1,38 @@
+package org.auburnhoist.gateway;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import org.auburnhoist.core.limit.IsolatedAllowance;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Settings of a host in a fleet on a platform.
+ *
+ * @param name the host's name, unique in the fleet and the same after a restart
+ * @param dataCentre the host's data centre
+ * @param capacity processor share, for dividing duties
+ * @param callerAddress where callers connect
+ * @param readinessAddress where the platform asks whether the host takes callers, or null
+ * @param directoryAddress where callers ask for addresses, or null
+ * @param peerAddress where other hosts connect
+ * @param addressValidity how long callers may keep an address answer
+ * @param stopLimit time that a planned stop may take
+ * @param quotaTolerance excess over teams' limits that the deployment tolerates
+ * @param retryShare further attempts for each request that a service may get
+ * @param retrySlack further attempts in a window that a service may get besides
+ * @param floorShare share of the sound servers that must stay in use
+ */
+public record GatewaySettings(
+        String name,
+        String dataCentre,
+        double capacity,
+        InetSocketAddress callerAddress,
+        @Nullable InetSocketAddress readinessAddress,
+        @Nullable InetSocketAddress directoryAddress,
+        InetSocketAddress peerAddress,
+        Duration addressValidity,
+        Duration stopLimit,
+        IsolatedAllowance.Tolerance quotaTolerance,
+        double retryShare,
+        double retrySlack,
+        double floorShare) {}
--- /dev/null
+++ b/src/main/java/org/auburnhoist/gateway/Knowledge.java
@@ -0,0 +1,258 @@
+package org.auburnhoist.gateway;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Objects;
+import org.auburnhoist.core.membership.FleetDocuments;
+import org.auburnhoist.core.membership.FleetMember;
+import org.auburnhoist.core.membership.FleetView;
+import org.auburnhoist.core.message.StatusDigest;
+import org.auburnhoist.core.message.StatusReport;
+import org.auburnhoist.core.routing.TrafficConfiguration;
+import org.auburnhoist.core.routing.TrafficRouter;
+import org.auburnhoist.core.routing.UpstreamServer;
+import org.auburnhoist.support.Event;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * What this host has learned from the store or from other hosts. Each document carries a version that only grows here,
+ * so that nothing older ever replaces it. Belongs to the control thread, but for the router.
+ */
+final class Knowledge {
+    private static final byte[] NOTHING = new byte[0];
+    private static final long SILENCE_UNIT_NANOS = 50_000_000L;
+    private static final int MOST_SILENCE = 255;
+
+    private final PlatformBinding binding;
+    private final FleetView fleet;
+    private final Runnable serversChanged;
+    private final Runnable membersChanged;
+    private volatile TrafficRouter router = TrafficRouter.of(TrafficConfiguration.NONE);
+    private byte[] configuration = NOTHING;
+    private List<UpstreamServer> servers = List.of();
+    private byte[] serversDocument = NOTHING;
+    private long serversRevision;
+    private long serversReadRevision;
+    private byte[] membersDocument = NOTHING;
+    private long membersRevision;
+    private long membersReadRevision;
+    private boolean everRead;
+    private long readAtNanos;
+
+    Knowledge(PlatformBinding binding, FleetView fleet, Runnable serversChanged, Runnable membersChanged) {
+        this.binding = binding;
+        this.fleet = fleet;
+        this.serversChanged = serversChanged;
+        this.membersChanged = membersChanged;
+    }
+
+    /** The newest configuration; may be read by any thread. */
+    TrafficRouter router() {
+        return router;
+    }
+
+    boolean hasConfiguration() {
+        return router.configuration().version() > 0;
+    }
+
+    List<UpstreamServer> servers() {
+        return servers;
+    }
+
+    /** Nanoseconds since the servers were last read from the store, by this host or by one that told it. */
+    long storeAgeNanos(long nowNanos) {
+        return everRead ? nowNanos - readAtNanos : Long.MAX_VALUE;
+    }
+
+    /** Takes over a configuration if it is newer than the present one. */
+    void configurationRead(byte[] stored, String source) {
+        TrafficConfiguration read;
+        try {
+            read = binding.configuration(stored);
+        } catch (IOException cause) {
+            Event.named("configuration-unreadable")
+                    .with("source", source)
+                    .with("cause", cause)
+                    .warn();
+            return;
+        }
+        if (read.version() > router.configuration().version()) {
+            Event.named("configuration-adopted")
+                    .with("version", read.version())
+                    .with("earlier", router.configuration().version())
+                    .with("source", source)
+                    .log();
+            router = TrafficRouter.of(read);
+            configuration = FleetDocuments.deflate(stored);
+        }
+    }
+
+    /** Takes over the servers that the store held at a revision, read at or after {@code readNanos}. */
+    void serversRead(List<UpstreamServer> read, long revision, long readNanos, String source) {
+        storeRead(readNanos);
+        if (revision < serversReadRevision) {
+            return;
+        }
+        serversReadRevision = revision;
+        List<UpstreamServer> sorted = new ArrayList<>(read);
+        sorted.sort(Comparator.comparing(UpstreamServer::id));
+        if (!isSameForUse(sorted, servers)) {
+            adoptServers(sorted, FleetDocuments.servers(sorted), revision, source);
+        }
+    }
+
+    private void adoptServers(List<UpstreamServer> next, byte[] document, long revision, String source) {
+        logServers(next, revision, source);
+        servers = List.copyOf(next);
+        serversDocument = document;
+        serversRevision = revision;
+        serversReadRevision = Math.max(serversReadRevision, revision);
+        serversChanged.run();
+    }
+
+    private void logServers(List<UpstreamServer> next, long revision, String source) {
+        long leaving = next.stream().filter(UpstreamServer::leaving).count();
+        Event.named("servers-adopted")
+                .with("count", next.size())
+                .with("leaving", leaving)
+                .with("revision", revision)
+                .with("source", source)
+                .log();
+    }
+
+    /** Takes over the members that the store held at a revision. */
+    void membersRead(List<FleetMember> read, long revision, String source, long nowNanos) {
+        if (revision < membersReadRevision) {
+            return;
+        }
+        membersReadRevision = revision;
+        List<FleetMember> sorted = new ArrayList<>(read);
+        sorted.sort(Comparator.comparing(member -> member.id().name()));
+        byte[] document = FleetDocuments.members(sorted);
+        if (!java.util.Arrays.equals(document, membersDocument)) {
+            adoptMembers(sorted, document, revision, source, nowNanos);
+        }
+    }
+
+    private void adoptMembers(List<FleetMember> next, byte[] document, long revision, String source, long nowNanos) {
+        Event.named("members-adopted")
+                .with("count", next.size())
+                .with("revision", revision)
+                .with("source", source)
+                .log();
+        membersDocument = document;
+        membersRevision = revision;
+        membersReadRevision = Math.max(membersReadRevision, revision);
+        fleet.members(next, nowNanos);
+        membersChanged.run();
+    }
+
+    /** What this host tells a coordinator. */
+    StatusReport report(boolean ready) {
+        return new StatusReport(ready, router.configuration().version(), serversRevision, membersRevision);
+    }
+
+    /** What a reporting host does not know yet. */
+    StatusDigest digestFor(StatusReport report, boolean selfReady, String selfName, long nowNanos) {
+        long version = router.configuration().version();
+        List<FleetMember> members = fleet.members();
+        byte[] silences = new byte[members.size()];
+        for (int index = 0; index < silences.length; index++) {
+            String name = members.get(index).id().name();
+            boolean ready = name.equals(selfName) ? selfReady : fleet.isReady(name);
+            silences[index] = (byte) encodeSilence(ready, fleet.silence(name, nowNanos));
+        }
+        return new StatusDigest(
+                everRead ? Math.max(0, (nowNanos - readAtNanos) / 1_000_000L) : -1,
+                version,
+                report.configurationVersion() < version ? configuration : NOTHING,
+                serversRevision,
+                report.serversRevision() < serversRevision ? serversDocument : NOTHING,
+                membersRevision,
+                report.membersRevision() < membersRevision ? membersDocument : NOTHING,
+                silences);
+    }
+
+    private static int encodeSilence(boolean ready, @Nullable Long silenceNanos) {
+        if (!ready || silenceNanos == null) {
+            return 0;
+        }
+        return (int) Math.min(MOST_SILENCE, 1 + Math.max(0, silenceNanos) / SILENCE_UNIT_NANOS);
+    }
+
+    /** Takes over what a coordinator knew when it was asked at {@code askedNanos}. */
+    void digestReceived(StatusDigest digest, String from, long askedNanos, long nowNanos) {
+        try {
+            if (digest.configuration().length > 0) {
+                configurationRead(FleetDocuments.inflate(digest.configuration()), from);
+            }
+            if (digest.members().length > 0 && digest.membersRevision() > membersRevision) {
+                adoptMembers(
+                        FleetDocuments.members(digest.members()),
+                        digest.members(),
+                        digest.membersRevision(),
+                        from,
+                        nowNanos);
+            }
+            if (digest.servers().length > 0 && digest.serversRevision() > serversRevision) {
+                adoptServers(
+                        FleetDocuments.servers(digest.servers()), digest.servers(), digest.serversRevision(), from);
+            }
+        } catch (IOException cause) {
+            Event.named("digest-unreadable")
+                    .with("from", from)
+                    .with("cause", cause)
+                    .warn();
+            return;
+        }
+        if (digest.storeAgeMillis() >= 0) {
+            storeRead(askedNanos - digest.storeAgeMillis() * 1_000_000L);
+        }
+        if (digest.membersRevision() == membersRevision) {
+            adoptSilences(digest.silences(), askedNanos);
+        }
+    }
+
+    private void adoptSilences(byte[] silences, long askedNanos) {
+        List<FleetMember> members = fleet.members();
+        if (silences.length != members.size()) {
+            return;
+        }
+        for (int index = 0; index < silences.length; index++) {
+            int code = silences[index] & 0xff;
+            if (code > 0) {
+                fleet.heard(members.get(index).id().name(), true, askedNanos - (code - 1) * SILENCE_UNIT_NANOS);
+            }
+        }
+    }
+
+    private void storeRead(long readNanos) {
+        if (!everRead || readNanos - readAtNanos > 0) {
+            everRead = true;
+            readAtNanos = readNanos;
+        }
+    }
+
+    /** The rest of a server's warm-up changes all the time and is of interest only when the server is new. */
+    private static boolean isSameForUse(List<UpstreamServer> left, List<UpstreamServer> right) {
+        if (left.size() != right.size()) {
+            return false;
+        }
+        for (int index = 0; index < left.size(); index++) {
+            UpstreamServer one = left.get(index);
+            UpstreamServer other = right.get(index);
+            if (!one.id().equals(other.id())
+                    || one.bornMillis() != other.bornMillis()
+                    || !one.address().equals(other.address())
+                    || !one.service().equals(other.service())
+                    || one.slots() != other.slots()
+                    || one.leaving() != other.leaving()
+                    || !Objects.equals(one.dataCentre(), other.dataCentre())) {
+                return false;
+            }
+        }
+        return true;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/auburnhoist/gateway/PlatformQueries.java
@@ -0,0 +1,98 @@
+package org.auburnhoist.gateway;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.function.BooleanSupplier;
+import org.auburnhoist.core.Refusal;
+import org.auburnhoist.core.membership.FleetMember;
+import org.auburnhoist.core.membership.FleetView;
+import org.auburnhoist.core.message.RecordedAnswer;
+import org.auburnhoist.host.ControlThread;
+import org.auburnhoist.host.HostMetrics;
+import org.auburnhoist.proxy.Admission;
+import org.auburnhoist.proxy.RequestHead;
+import org.auburnhoist.proxy.RequestPolicy;
+
+/** Answers which hosts take callers, whether this one does, and what it counts. */
+final class PlatformQueries implements RequestPolicy {
+    /** Most addresses that a caller uses of one answer. */
+    private static final int MOST_ADDRESSES = 64;
+
+    private static final String METRICS_PATH = "/metrics";
+
+    private final PlatformBinding binding;
+    private final GatewaySettings settings;
+    private final ControlThread control;
+    private final FleetView fleet;
+    private final BooleanSupplier ready;
+    private final HostMetrics metrics;
+    private final Random random;
+
+    PlatformQueries(
+            PlatformBinding binding,
+            GatewaySettings settings,
+            ControlThread control,
+            FleetView fleet,
+            BooleanSupplier ready,
+            HostMetrics metrics,
+            Random random) {
+        this.binding = binding;
+        this.settings = settings;
+        this.control = control;
+        this.fleet = fleet;
+        this.ready = ready;
+        this.metrics = metrics;
+        this.random = random;
+    }
+
+    @Override
+    public CompletionStage<Admission> admit(RequestHead head, long nowNanos) {
+        if (binding.isReadinessQuery(head)) {
+            int status = ready.getAsBoolean() ? 200 : 503;
+            return completed(new RecordedAnswer(status, List.of(), new byte[0], true));
+        }
+        if (binding.isAddressQuery(head)) {
+            return control.compute(now -> addresses(head, now));
+        }
+        if (head.path().equals(METRICS_PATH)) {
+            byte[] text = metrics.text().getBytes(StandardCharsets.UTF_8);
+            return completed(new RecordedAnswer(200, List.of(), text, true));
+        }
+        return CompletableFuture.completedFuture(
+                new Admission.Refused(Refusal.ROUTE_UNKNOWN, "no such endpoint", -1, List.of()));
+    }
+
+    private Admission addresses(RequestHead head, long nowNanos) {
+        String dataCentre = binding.dataCentreOfQuery(head);
+        List<FleetMember> hosts = new ArrayList<>(fleet.callerHosts(ready.getAsBoolean(), Integer.MAX_VALUE, nowNanos));
+        if (hosts.isEmpty()) {
+            return new Admission.Refused(Refusal.HOST_ISOLATED, "no host takes callers at present", 500, List.of());
+        }
+        Collections.shuffle(hosts, random);
+        List<FleetMember> near = hosts.stream()
+                .filter(host -> host.dataCentre().equals(dataCentre))
+                .toList();
+        // Callers choose at random, so near hosts are named alone as long as they can carry their share.
+        List<FleetMember> chosen =
+                near.size() * MOST_DATA_CENTRES >= hosts.size() && near.size() >= LEAST_NEAR ? near : hosts;
+        List<String> addresses = chosen.stream()
+                .limit(MOST_ADDRESSES)
+                .map(FleetMember::callerAddress)
+                .toList();
+        return new Admission.Answered(binding.addressAnswer(addresses, settings.addressValidity()));
+    }
+
+    /** A data centre with less than its share among so many is helped out by the others. */
+    private static final int MOST_DATA_CENTRES = 5;
+    /** With fewer near hosts the loss of one would be felt. */
+    private static final int LEAST_NEAR = 4;
+
+    private static CompletionStage<Admission> completed(RecordedAnswer answer) {
+        return CompletableFuture.completedFuture(new Admission.Answered(answer));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/auburnhoist/gateway/SlotBroker.java
@@ -0,0 +1,331 @@
+package org.auburnhoist.gateway;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.BiConsumer;
+import java.util.random.RandomGenerator;
+import org.auburnhoist.core.HostId;
+import org.auburnhoist.core.dispatch.PriorityDispatcher;
+import org.auburnhoist.core.dispatch.PriorityDispatcherSettings;
+import org.auburnhoist.core.dispatch.SlotDecision;
+import org.auburnhoist.core.membership.FleetMember;
+import org.auburnhoist.core.membership.FleetView;
+import org.auburnhoist.core.message.AttemptOutcome;
+import org.auburnhoist.core.message.PullRequest;
+import org.auburnhoist.core.message.SlotAnswer;
+import org.auburnhoist.core.message.SlotRelease;
+import org.auburnhoist.core.message.SlotRequest;
+import org.auburnhoist.core.message.SlotVerdict;
+import org.auburnhoist.core.routing.UpstreamServer;
+import org.auburnhoist.host.PeerCalls;
+import org.auburnhoist.host.Peers;
+import org.auburnhoist.peer.CallResult;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Gets slots from the hosts that dispatch the services, and dispatches the services that fall to this host. Belongs to
+ * the control thread.
+ *
+ * <p>A dispatcher may hold a request in its queue, so a late answer does not mean that it is gone. A dispatcher that
+ * has been quiet for a while is probed; while it does not answer, the next one in the order is asked. When none
+ * answers, this host chooses a server by what it has seen itself.
+ */
+final class SlotBroker {
+    private static final long QUIET_NANOS = Duration.ofMillis(150).toNanos();
+    private static final Duration PROBE_TIMEOUT = Duration.ofMillis(250);
+    private static final long SUSPECT_NANOS = Duration.ofSeconds(2).toNanos();
+    private static final Duration RELEASE_TIMEOUT = Duration.ofSeconds(2);
+    private static final int MOST_DISPATCHERS_ASKED = 2;
+    private static final long REFUSED_RETRY_MILLIS = 300;
+    /** Work times of the users' services are a few tenths of a second. */
+    private static final Duration FIRST_HOLD_TIME = Duration.ofMillis(300);
+    /** Parts of the tolerated further attempts; the rest is left for a change of the dispatcher. */
+    private static final double SHARE_OF_RETRIES = 0.8;
+
+    private static final double SHARE_OF_SLACK = 0.4;
+
+    private final FleetView fleet;
+    private final Knowledge knowledge;
+    private final PeerCalls peers;
+    private final HostId self;
+    private final GatewaySettings settings;
+    private final RandomGenerator random;
+    private final Map<String, Dispatch> dispatches = new HashMap<>();
+    private final Map<String, Dispatch> localChoices = new HashMap<>();
+    private final Map<Long, Pending> pending = new HashMap<>();
+    private final Map<HostId, Long> probedAt = new HashMap<>();
+    private long nextToken;
+
+    /** A dispatcher with the requests that wait for its decisions. */
+    private static final class Dispatch {
+        final PriorityDispatcher dispatcher;
+        final Map<Long, CompletableFuture<SlotAnswer>> replies = new HashMap<>();
+
+        Dispatch(PriorityDispatcher dispatcher) {
+            this.dispatcher = dispatcher;
+        }
+
+        void complete(List<SlotDecision> decisions) {
+            for (SlotDecision decision : decisions) {
+                CompletableFuture<SlotAnswer> reply = replies.remove(decision.replyToken());
+                if (reply != null) {
+                    reply.complete(decision.answer());
+                }
+            }
+        }
+    }
+
+    /**
+     * A slot for one attempt.
+     *
+     * @param server the server's id
+     * @param address its IP address and port
+     * @param dispatcher the host that granted it, null if this host chose the server itself
+     * @param grantId the grant
+     * @param service the service
+     */
+    record Slot(String server, String address, @Nullable FleetMember dispatcher, long grantId, String service) {}
+
+    /**
+     * Result of a request for a slot.
+     *
+     * @param slot the slot, or null if refused
+     * @param answer the dispatcher's answer
+     */
+    record SlotResult(@Nullable Slot slot, SlotAnswer answer) {}
+
+    private static final class Pending {
+        final SlotRequest request;
+        final long deadlineNanos;
+        final BiConsumer<SlotResult, Long> handler;
+        int asked;
+        int generation;
+        long sentAtNanos;
+
+        @Nullable
+        FleetMember dispatcher;
+
+        Pending(SlotRequest request, long deadlineNanos, BiConsumer<SlotResult, Long> handler) {
+            this.request = request;
+            this.deadlineNanos = deadlineNanos;
+            this.handler = handler;
+        }
+    }
+
+    SlotBroker(
+            FleetView fleet,
+            Knowledge knowledge,
+            PeerCalls peers,
+            HostId self,
+            GatewaySettings settings,
+            RandomGenerator random) {
+        this.fleet = fleet;
+        this.knowledge = knowledge;
+        this.peers = peers;
+        this.self = self;
+        this.settings = settings;
+        this.random = random;
+    }
+
+    /** Asks for a slot. */
+    void acquire(SlotRequest request, long nowNanos, BiConsumer<SlotResult, Long> handler) {
+        long deadline = nowNanos + Duration.ofMillis(request.deadlineMillis()).toNanos();
+        long id = nextToken++;
+        Pending wanted = new Pending(request, deadline, handler);
+        pending.put(id, wanted);
+        askNext(id, wanted, nowNanos);
+    }
+
+    /** Returns a slot with what happened. */
+    void release(Slot slot, AttemptOutcome outcome, long latencyMicros, long nowNanos) {
+        SlotRelease release = new SlotRelease(slot.service(), slot.grantId(), outcome, latencyMicros);
+        FleetMember dispatcher = slot.dispatcher();
+        if (dispatcher == null) {
+            Dispatch local = localChoices.get(slot.service());
+            if (local != null) {
+                local.complete(local.dispatcher.release(release, self, nowNanos));
+            }
+        } else if (dispatcher.id().equals(self)) {
+            released(release, self, nowNanos);
+        } else {
+            peers.call(Peers.addressOf(dispatcher.peerAddress()), release, RELEASE_TIMEOUT, (result, now) -> {});
+        }
+    }
+
+    /** A request of another host or of this one for a service that this host dispatches. */
+    CompletableFuture<SlotAnswer> requested(SlotRequest request, HostId asking, long nowNanos) {
+        return ask(dispatch(request.service(), nowNanos), request, asking, nowNanos);
+    }
+
+    /** A slot comes back to this host. */
+    void released(SlotRelease release, HostId asking, long nowNanos) {
+        Dispatch dispatch = dispatches.get(release.service());
+        if (dispatch != null) {
+            dispatch.complete(dispatch.dispatcher.release(release, asking, nowNanos));
+        }
+    }
+
+    void serversChanged(long nowNanos) {
+        for (Map<String, Dispatch> kind : List.of(dispatches, localChoices)) {
+            Map.copyOf(kind)
+                    .forEach((service, dispatch) ->
+                            dispatch.complete(dispatch.dispatcher.servers(serversOf(service), nowNanos)));
+        }
+    }
+
+    /** Lets time pass; to be called about every 50 ms. */
+    void tick(long nowNanos) {
+        for (Map<String, Dispatch> kind : List.of(dispatches, localChoices)) {
+            List.copyOf(kind.values()).forEach(dispatch -> dispatch.complete(dispatch.dispatcher.tick(nowNanos)));
+        }
+        for (Pending waiting : List.copyOf(pending.values())) {
+            FleetMember dispatcher = waiting.dispatcher;
+            if (dispatcher != null && isQuiet(dispatcher, waiting.sentAtNanos, nowNanos)) {
+                probe(dispatcher, nowNanos);
+            }
+        }
+    }
+
+    /** Whether a registered server may still get work; the request may have waited since it was chosen. */
+    boolean isUsable(String server) {
+        for (UpstreamServer known : knowledge.servers()) {
+            if (known.id().equals(server)) {
+                return !known.leaving();
+            }
+        }
+        // The dispatcher may know of a server before this host does.
+        return true;
+    }
+
+    private CompletableFuture<SlotAnswer> ask(Dispatch dispatch, SlotRequest request, HostId asking, long nowNanos) {
+        long token = nextToken++;
+        CompletableFuture<SlotAnswer> reply = new CompletableFuture<>();
+        dispatch.replies.put(token, reply);
+        dispatch.complete(dispatch.dispatcher.request(request, asking, token, nowNanos));
+        return reply;
+    }
+
+    private Dispatch dispatch(String service, long nowNanos) {
+        return dispatches.computeIfAbsent(service, name -> create(name, SHARE_OF_SLACK, nowNanos));
+    }
+
+    private Dispatch localChoice(String service, long nowNanos) {
+        double share = SHARE_OF_SLACK / Math.max(1, fleet.members().size());
+        return localChoices.computeIfAbsent(service, name -> create(name, share, nowNanos));
+    }
+
+    private Dispatch create(String service, double shareOfSlack, long nowNanos) {
+        PriorityDispatcherSettings dispatcherSettings = new PriorityDispatcherSettings(
+                SHARE_OF_RETRIES * settings.retryShare(),
+                shareOfSlack * settings.retrySlack(),
+                settings.floorShare(),
+                FIRST_HOLD_TIME);
+        Dispatch created = new Dispatch(new PriorityDispatcher(dispatcherSettings, random));
+        created.dispatcher.servers(serversOf(service), nowNanos);
+        return created;
+    }
+
+    private List<UpstreamServer> serversOf(String service) {
+        List<UpstreamServer> result = new ArrayList<>();
+        for (UpstreamServer server : knowledge.servers()) {
+            if (server.service().equals(service)) {
+                result.add(server);
+            }
+        }
+        return result;
+    }
+
+    private void askNext(long id, Pending wanted, long nowNanos) {
+        wanted.asked++;
+        wanted.generation++;
+        wanted.sentAtNanos = nowNanos;
+        FleetMember dispatcher = wanted.asked > MOST_DISPATCHERS_ASKED
+                ? null
+                : fleet.firstAlive("service/" + wanted.request.service(), nowNanos);
+        wanted.dispatcher = dispatcher;
+        if (dispatcher == null) {
+            ask(localChoice(wanted.request.service(), nowNanos), wanted.request, self, nowNanos)
+                    .thenAccept(answer -> answered(id, wanted, null, answer, System.nanoTime()));
+        } else if (dispatcher.id().equals(self)) {
+            requested(wanted.request, self, nowNanos)
+                    .thenAccept(answer -> answered(id, wanted, dispatcher, answer, System.nanoTime()));
+        } else {
+            askRemote(id, wanted, dispatcher, nowNanos);
+        }
+    }
+
+    private void askRemote(long id, Pending wanted, FleetMember dispatcher, long nowNanos) {
+        int generation = wanted.generation;
+        Duration left = Duration.ofNanos(Math.max(1_000_000, wanted.deadlineNanos - nowNanos));
+        peers.call(Peers.addressOf(dispatcher.peerAddress()), wanted.request, left.plusMillis(50), (result, now) -> {
+            if (result instanceof CallResult.Answered reply && reply.message() instanceof SlotAnswer answer) {
+                answered(id, wanted, dispatcher, answer, now);
+            } else if (pending.get(id) == wanted && wanted.generation == generation) {
+                fleet.suspect(dispatcher.id().name(), now + SUSPECT_NANOS);
+                askAgain(id, wanted, now);
+            }
+        });
+    }
+
+    private void answered(long id, Pending wanted, @Nullable FleetMember dispatcher, SlotAnswer answer, long nowNanos) {
+        boolean granted = answer.verdict() == SlotVerdict.GRANTED;
+        Slot slot = granted
+                ? new Slot(answer.server(), answer.address(), dispatcher, answer.grantId(), wanted.request.service())
+                : null;
+        if (pending.get(id) != wanted || !Objects.equals(wanted.dispatcher, dispatcher)) {
+            if (slot != null) {
+                release(slot, AttemptOutcome.ABANDONED, 0, nowNanos);
+            }
+            return;
+        }
+        pending.remove(id);
+        wanted.handler.accept(new SlotResult(slot, answer), nowNanos);
+    }
+
+    private void askAgain(long id, Pending wanted, long nowNanos) {
+        if (wanted.deadlineNanos - nowNanos <= 0) {
+            pending.remove(id);
+            SlotAnswer refused = new SlotAnswer(SlotVerdict.OVERLOADED, "", 0, REFUSED_RETRY_MILLIS);
+            wanted.handler.accept(new SlotResult(null, refused), nowNanos);
+        } else {
+            askNext(id, wanted, nowNanos);
+        }
+    }
+
+    private boolean isQuiet(FleetMember dispatcher, long sentAtNanos, long nowNanos) {
+        if (dispatcher.id().equals(self)) {
+            return false;
+        }
+        Long heard = peers.heardAt(dispatcher.id());
+        long lastHeard = heard == null || sentAtNanos - heard > 0 ? sentAtNanos : heard;
+        return nowNanos - lastHeard > QUIET_NANOS;
+    }
+
+    private void probe(FleetMember dispatcher, long nowNanos) {
+        Long probed = probedAt.get(dispatcher.id());
+        if (probed != null && nowNanos - probed < PROBE_TIMEOUT.toNanos()) {
+            return;
+        }
+        probedAt.put(dispatcher.id(), nowNanos);
+        peers.call(Peers.addressOf(dispatcher.peerAddress()), new PullRequest(0, 0), PROBE_TIMEOUT, (result, now) -> {
+            if (!(result instanceof CallResult.Answered)) {
+                fleet.suspect(dispatcher.id().name(), now + SUSPECT_NANOS);
+                passOver(dispatcher, now);
+            }
+        });
+    }
+
+    private void passOver(FleetMember dispatcher, long nowNanos) {
+        Map.copyOf(pending).forEach((id, waiting) -> {
+            FleetMember asked = waiting.dispatcher;
+            if (asked != null && asked.id().equals(dispatcher.id()) && pending.get(id) == waiting) {
+                askAgain(id, waiting, nowNanos);
+            }
+        });
+    }
+}
--- /dev/null
+++ b/src/main/java/org/auburnhoist/gateway/StoreFeed.java
@@ -0,0 +1,261 @@
+package org.auburnhoist.gateway;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+import org.auburnhoist.core.membership.FleetDocuments;
+import org.auburnhoist.core.membership.FleetMember;
+import org.auburnhoist.core.membership.FleetView;
+import org.auburnhoist.core.routing.UpstreamServer;
+import org.auburnhoist.host.ControlThread;
+import org.auburnhoist.store.Entry;
+import org.auburnhoist.store.ReadResult;
+import org.auburnhoist.store.Store;
+import org.auburnhoist.store.WatchListener;
+import org.auburnhoist.support.Event;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Reads configuration, servers and members from the store. Belongs to the control thread.
+ *
+ * <p>A coordinator reads for the others. Any other host reads for itself only while what it has is too old. A watch
+ * brings changes of the configuration early, but a silent watch proves nothing, so the configuration is read as well.
+ */
+final class StoreFeed {
+    /** Two reads and a report fit into the two seconds within which a leaving server must get no more work. */
+    private static final long SERVERS_NANOS = Duration.ofMillis(500).toNanos();
+
+    private static final long CONFIGURATION_NANOS = Duration.ofSeconds(1).toNanos();
+    private static final long MEMBERS_NANOS = Duration.ofSeconds(1).toNanos();
+    /** A host whose knowledge is older than this reads the store itself. */
+    private static final long TOO_OLD_NANOS = Duration.ofMillis(1_150).toNanos();
+    /** Servers registered anew reappear within this time after the store's return. */
+    private static final long REGISTRATION_GAP_NANOS = Duration.ofMillis(2_500).toNanos();
+
+    private final Store store;
+    private final ControlThread control;
+    private final PlatformBinding binding;
+    private final Knowledge knowledge;
+    private final FleetView fleet;
+    private final Runnable ownEntryMissing;
+    private final String selfName;
+    private final RetryDelay delay;
+    private long nextServers;
+    private long nextConfiguration;
+    private long nextMembers;
+    private boolean readingServers;
+    private boolean readingConfiguration;
+    private boolean readingMembers;
+    private @Nullable AutoCloseable watch;
+    private boolean storeFailing;
+    private long storeFailedSince;
+    private long storeBackSince;
+    private boolean everFailed;
+
+    StoreFeed(
+            Store store,
+            ControlThread control,
+            PlatformBinding binding,
+            Knowledge knowledge,
+            FleetView fleet,
+            String selfName,
+            Runnable ownEntryMissing,
+            RandomGenerator random,
+            long nowNanos) {
+        this.store = store;
+        this.control = control;
+        this.binding = binding;
+        this.knowledge = knowledge;
+        this.fleet = fleet;
+        this.selfName = selfName;
+        this.ownEntryMissing = ownEntryMissing;
+        this.delay = new RetryDelay(random);
+        this.nextServers = nowNanos;
+        this.nextConfiguration = nowNanos;
+        this.nextMembers = nowNanos;
+    }
+
+    /** Reads what is due; to be called about every 50 ms. */
+    void tick(boolean coordinator, long nowNanos) {
+        boolean tooOld = knowledge.storeAgeNanos(nowNanos) > TOO_OLD_NANOS || !knowledge.hasConfiguration();
+        watch(coordinator);
+        if (!coordinator && !tooOld) {
+            return;
+        }
+        if (nextServers - nowNanos <= 0 && !readingServers) {
+            readServers(nowNanos);
+        }
+        if (nextConfiguration - nowNanos <= 0 && !readingConfiguration) {
+            readConfiguration(nowNanos);
+        }
+        if (nextMembers - nowNanos <= 0 && !readingMembers) {
+            readMembers(nowNanos);
+        }
+    }
+
+    /** Ends the watch. */
+    void close() {
+        watch(false);
+    }
+
+    private void watch(boolean wanted) {
+        AutoCloseable present = watch;
+        if (wanted && present == null) {
+            watch = store.watch(binding.configurationKey(), new ConfigurationWatch());
+        } else if (!wanted && present != null) {
+            watch = null;
+            try {
+                present.close();
+            } catch (Exception cause) {
+                Event.named("watch-not-closed").with("cause", cause).warn();
+            }
+        }
+    }
+
+    private void readServers(long startedNanos) {
+        readingServers = true;
+        store.range(binding.serversPrefix())
+                .thenAccept(result -> control.execute(now -> {
+                    readingServers = false;
+                    if (result instanceof ReadResult.Found found) {
+                        answered(now);
+                        nextServers = startedNanos + SERVERS_NANOS;
+                        List<UpstreamServer> servers = new ArrayList<>();
+                        found.entries().forEach(entry -> {
+                            UpstreamServer server = binding.server(entry);
+                            if (server != null) {
+                                servers.add(server);
+                            }
+                        });
+                        knowledge.serversRead(
+                                withRegistrationsDue(servers, now), found.revision(), startedNanos, "store");
+                    } else {
+                        nextServers = failed("servers", result, now);
+                    }
+                }));
+    }
+
+    /** Registrations may have lapsed while the store was away; their servers have a moment to come back. */
+    private List<UpstreamServer> withRegistrationsDue(List<UpstreamServer> read, long nowNanos) {
+        if (!everFailed || nowNanos - storeBackSince > REGISTRATION_GAP_NANOS) {
+            return read;
+        }
+        Set<String> present = new HashSet<>();
+        Set<String> addresses = new HashSet<>();
+        for (UpstreamServer server : read) {
+            present.add(server.id());
+            addresses.add(server.address());
+        }
+        List<UpstreamServer> result = new ArrayList<>(read);
+        for (UpstreamServer known : knowledge.servers()) {
+            if (!present.contains(known.id()) && !addresses.contains(known.address()) && !known.leaving()) {
+                result.add(known);
+            }
+        }
+        return result;
+    }
+
+    private void readConfiguration(long startedNanos) {
+        readingConfiguration = true;
+        store.get(binding.configurationKey())
+                .thenAccept(result -> control.execute(now -> {
+                    readingConfiguration = false;
+                    if (result instanceof ReadResult.Found found) {
+                        answered(now);
+                        nextConfiguration = startedNanos + CONFIGURATION_NANOS;
+                        found.entries().forEach(entry -> knowledge.configurationRead(entry.value(), "store"));
+                    } else {
+                        nextConfiguration = failed("configuration", result, now);
+                    }
+                }));
+    }
+
+    private void readMembers(long startedNanos) {
+        readingMembers = true;
+        store.range(GatewayKeys.MEMBERS)
+                .thenAccept(result -> control.execute(now -> {
+                    readingMembers = false;
+                    if (result instanceof ReadResult.Found found) {
+                        answered(now);
+                        nextMembers = startedNanos + MEMBERS_NANOS;
+                        membersRead(found, now);
+                    } else {
+                        nextMembers = failed("members", result, now);
+                    }
+                }));
+    }
+
+    private void membersRead(ReadResult.Found found, long nowNanos) {
+        List<FleetMember> members = new ArrayList<>();
+        Set<String> names = new HashSet<>();
+        for (Entry entry : found.entries()) {
+            try {
+                FleetMember member = FleetDocuments.member(entry.value());
+                members.add(member);
+                names.add(member.id().name());
+            } catch (IOException cause) {
+                Event.named("member-unreadable")
+                        .with("key", entry.key())
+                        .with("cause", cause)
+                        .warn();
+            }
+        }
+        if (!names.contains(selfName)) {
+            ownEntryMissing.run();
+        }
+        // A lease may lapse during an outage of the store although its host is well; the host registers again.
+        for (FleetMember known : fleet.members()) {
+            if (!names.contains(known.id().name())
+                    && !known.leaving()
+                    && fleet.isAlive(known.id().name(), nowNanos)) {
+                members.add(known);
+            }
+        }
+        knowledge.membersRead(members, found.revision(), "store", nowNanos);
+    }
+
+    private void answered(long nowNanos) {
+        delay.reset();
+        if (storeFailing) {
+            storeFailing = false;
+            storeBackSince = nowNanos;
+            Event.named("store-regained")
+                    .with("after_millis", (nowNanos - storeFailedSince) / 1_000_000L)
+                    .log();
+        }
+    }
+
+    private long failed(String what, ReadResult result, long nowNanos) {
+        if (!storeFailing) {
+            storeFailing = true;
+            everFailed = true;
+            storeFailedSince = nowNanos;
+            Event.named("store-lost").with("read", what).with("result", result).warn();
+        }
+        return nowNanos + delay.nextNanos();
+    }
+
+    /** Hands changes to the control thread. */
+    private final class ConfigurationWatch implements WatchListener {
+        @Override
+        public void changed(Entry entry) {
+            if (entry.key().equals(binding.configurationKey())) {
+                control.execute(now -> knowledge.configurationRead(entry.value(), "watch"));
+            }
+        }
+
+        @Override
+        public void deleted(String key) {
+            // A configuration in force stays so until there is a newer one.
+        }
+
+        @Override
+        public void interrupted() {
+            control.execute(now -> nextConfiguration = now);
+        }
+    }
+}
--- a/src/main/java/org/auburnhoist/host/ControlThread.java
+++ b/src/main/java/org/auburnhoist/host/ControlThread.java
@@ -19,7 +19,7 @@
  * <p>Tasks receive the time at which they start, so that a decision made after a pause sees the pause. Tasks that
  * traffic submits are bounded in number; further ones are rejected.
  */
-final class ControlThread implements AutoCloseable {
+public final class ControlThread implements AutoCloseable {
     private static final int MAXIMUM_QUEUED = 50_000;
     private static final int TASKS_PER_RUN = 64;
 
@@ -28,7 +28,8 @@
     private final Queue<Runnable> soon = new ConcurrentLinkedQueue<>();
     private final AtomicBoolean draining = new AtomicBoolean();
 
-    ControlThread(String name) {
+    /** Starts the thread. */
+    public ControlThread(String name) {
         executor = new ScheduledThreadPoolExecutor(1, task -> {
             Thread thread = new Thread(task, name);
             thread.setDaemon(true);
@@ -40,7 +41,7 @@
     }
 
     /** Runs a task soon. */
-    void execute(LongConsumer task) {
+    public void execute(LongConsumer task) {
         try {
             submit(() -> runLogged(task));
         } catch (RejectedExecutionException closed) {
@@ -49,13 +50,13 @@
     }
 
     /** Runs a task at a fixed interval, starting after one interval. */
-    void every(Duration interval, LongConsumer task) {
+    public void every(Duration interval, LongConsumer task) {
         executor.scheduleWithFixedDelay(
                 () -> runLogged(task), interval.toNanos(), interval.toNanos(), TimeUnit.NANOSECONDS);
     }
 
     /** Runs a task once after a delay. */
-    void after(Duration delay, LongConsumer task) {
+    public void after(Duration delay, LongConsumer task) {
         try {
             executor.schedule(() -> runLogged(task), delay.toNanos(), TimeUnit.NANOSECONDS);
         } catch (RejectedExecutionException closed) {
@@ -68,7 +69,7 @@
      *
      * @return completes exceptionally with {@link RejectedExecutionException} if too many tasks are queued
      */
-    <T> CompletableFuture<T> compute(LongFunction<T> task) {
+    public <T> CompletableFuture<T> compute(LongFunction<T> task) {
         CompletableFuture<T> result = new CompletableFuture<>();
         if (queued.incrementAndGet() > MAXIMUM_QUEUED) {
             queued.decrementAndGet();
--- a/src/main/java/org/auburnhoist/host/Fingerprint.java
+++ b/src/main/java/org/auburnhoist/host/Fingerprint.java
@@ -4,14 +4,14 @@
 import org.jspecify.annotations.Nullable;
 
 /** Hash of what makes two requests the same request, for operations and for quarantine. */
-final class Fingerprint {
+public final class Fingerprint {
     private static final long OFFSET = 0xcbf29ce484222325L;
     private static final long PRIME = 0x100000001b3L;
 
     private Fingerprint() {}
 
     /** Hashes method, path, query, team and the length of the body. */
-    static long of(RequestHead head, String path, String team) {
+    public static long of(RequestHead head, String path, String team) {
         long hash = add(OFFSET, head.method());
         hash = add(hash, path);
         hash = add(hash, head.query());
@@ -20,7 +20,7 @@
     }
 
     /** Adds the whole body, so that different requests to the same path are told apart. */
-    static long withBody(long fingerprint, byte[] body) {
+    public static long withBody(long fingerprint, byte[] body) {
         long hash = fingerprint;
         for (byte octet : body) {
             hash = (hash ^ (octet & 0xff)) * PRIME;
--- a/src/main/java/org/auburnhoist/host/Peers.java
+++ b/src/main/java/org/auburnhoist/host/Peers.java
@@ -2,9 +2,6 @@
 
 import java.net.InetSocketAddress;
 import java.time.Duration;
-import java.util.HashMap;
-import java.util.Map;
-import java.util.function.BiConsumer;
 import java.util.function.Predicate;
 import org.auburnhoist.core.HostId;
 import org.auburnhoist.core.blackboard.Blackboard;
@@ -16,16 +13,14 @@
 import org.jspecify.annotations.Nullable;
 
 /** Calls members by their id and delivers the results on the control thread. */
-final class Peers {
+public final class Peers {
     private final Blackboard board;
-    private final PeerClient client;
+    private final PeerCalls calls;
     private final ControlThread control;
-    private final Map<HostId, Long> heardAt = new HashMap<>();
-    private volatile Predicate<InetSocketAddress> links = address -> true;
 
     Peers(Blackboard board, PeerClient client, ControlThread control) {
         this.board = board;
-        this.client = client;
+        this.calls = new PeerCalls(client, control);
         this.control = control;
     }
 
@@ -35,7 +30,7 @@
      * <p>A result from a process other than the called incarnation counts as not sent, because that process holds none
      * of the called one's state.
      */
-    interface ResultHandler extends BiConsumer<CallResult, Long> {}
+    interface ResultHandler extends PeerCalls.ResultHandler {}
 
     /** Calls a member; the handler gets the result and the present time. */
     void call(HostId target, Message request, Duration timeout, ResultHandler handler) {
@@ -57,22 +52,12 @@
 
     /** Lets tests cut links one way: calls to an address that the filter rejects end as not sent. */
     void filterLinks(Predicate<InetSocketAddress> filter) {
-        links = filter;
+        calls.filterLinks(filter);
     }
 
     /** Calls whichever process listens on an address. */
     void call(InetSocketAddress address, Message request, Duration timeout, ResultHandler handler) {
-        if (!links.test(address)) {
-            control.execute(now -> handler.accept(new CallResult.NotSent("the link is cut"), now));
-            return;
-        }
-        client.call(address, request, timeout)
-                .thenAccept(result -> control.execute(now -> {
-                    if (result instanceof CallResult.Answered answered) {
-                        heardAt.put(answered.from(), now);
-                    }
-                    handler.accept(result, now);
-                }));
+        calls.call(address, request, timeout, handler);
     }
 
     /** Runs a task on the control thread after a delay. */
@@ -83,20 +68,17 @@
     /** The last time at which a member answered a call, or null. */
     @Nullable
     Long heardAt(HostId member) {
-        return heardAt.get(member);
+        return calls.heardAt(member);
     }
 
     /** Forgets members that have left and closes idle links. */
     void tidy(long nowNanos) {
         Roster roster = board.roster();
-        if (roster != null) {
-            heardAt.keySet().removeIf(id -> roster.member(id).isEmpty());
-        }
-        client.closeIdle(nowNanos);
+        calls.tidy(id -> roster != null && roster.member(id).isEmpty(), nowNanos);
     }
 
     /** Parses an address of the form {@code 127.0.0.1:9080}. */
-    static InetSocketAddress addressOf(String text) {
+    public static InetSocketAddress addressOf(String text) {
         int colon = text.lastIndexOf(':');
         if (colon < 0) {
             throw new IllegalArgumentException("address: expected ip:port, got " + text);
@@ -105,7 +87,7 @@
     }
 
     /** Formats an address as {@code 127.0.0.1:9080}. */
-    static String textOf(InetSocketAddress address) {
+    public static String textOf(InetSocketAddress address) {
         return address.getAddress().getHostAddress() + ":" + address.getPort();
     }
 }
--- a/src/main/java/org/auburnhoist/peer/MessageFormat.java
+++ b/src/main/java/org/auburnhoist/peer/MessageFormat.java
@@ -34,7 +34,10 @@
 import org.auburnhoist.core.message.SlotAnswer;
 import org.auburnhoist.core.message.SlotRelease;
 import org.auburnhoist.core.message.SlotRequest;
+import org.auburnhoist.core.message.SlotTerms;
 import org.auburnhoist.core.message.SlotVerdict;
+import org.auburnhoist.core.message.StatusDigest;
+import org.auburnhoist.core.message.StatusReport;
 import org.auburnhoist.core.message.TokenAnswer;
 import org.auburnhoist.core.message.TokenRequest;
 import org.auburnhoist.core.message.TokenReturn;
@@ -134,10 +137,15 @@
                     SlotAnswer.class,
                     (message, packer) -> packer.packInt(message.verdict().ordinal())
                             .packString(message.server())
+                            .packString(message.address())
                             .packLong(message.grantId())
                             .packLong(message.retryAfterMillis()),
                     in -> new SlotAnswer(
-                            readEnum(in, SlotVerdict.values()), in.unpackString(), in.unpackLong(), in.unpackLong())),
+                            readEnum(in, SlotVerdict.values()),
+                            in.unpackString(),
+                            in.unpackString(),
+                            in.unpackLong(),
+                            in.unpackLong())),
             new MessageFormat<>(
                     15,
                     SlotRelease.class,
@@ -162,7 +170,17 @@
                     17,
                     Acknowledgement.class,
                     (message, packer) -> packer.packBoolean(message.accepted()),
-                    in -> new Acknowledgement(in.unpackBoolean())));
+                    in -> new Acknowledgement(in.unpackBoolean())),
+            new MessageFormat<>(
+                    18,
+                    StatusReport.class,
+                    (message, packer) -> packer.packBoolean(message.ready())
+                            .packLong(message.configurationVersion())
+                            .packLong(message.serversRevision())
+                            .packLong(message.membersRevision()),
+                    in -> new StatusReport(in.unpackBoolean(), in.unpackLong(), in.unpackLong(), in.unpackLong())),
+            new MessageFormat<>(
+                    19, StatusDigest.class, MessageFormat::writeStatusDigest, MessageFormat::readStatusDigest));
 
     private static final Map<Class<?>, MessageFormat<? extends Message>> BY_TYPE = indexByType();
     private static final Map<Integer, MessageFormat<? extends Message>> BY_KIND = indexByKind();
@@ -227,6 +245,9 @@
         packer.packInt(message.trafficClass().ordinal());
         packer.packLong(message.deadlineMillis()).packLong(message.fingerprint());
         writeStrings(packer, message.excludedServers());
+        SlotTerms terms = message.terms();
+        packer.packInt(terms.priority()).packLong(terms.targetMillis());
+        packer.packInt(terms.attempt()).packString(terms.dataCentre());
     }
 
     private static SlotRequest readSlotRequest(MessageUnpacker in) throws IOException {
@@ -237,7 +258,30 @@
                 readEnum(in, TrafficClass.values()),
                 in.unpackLong(),
                 in.unpackLong(),
-                readStrings(in));
+                readStrings(in),
+                new SlotTerms(in.unpackInt(), in.unpackLong(), in.unpackInt(), in.unpackString()));
+    }
+
+    private static void writeStatusDigest(StatusDigest message, MessagePacker packer) throws IOException {
+        packer.packLong(message.storeAgeMillis()).packLong(message.configurationVersion());
+        writeBytes(packer, message.configuration());
+        packer.packLong(message.serversRevision());
+        writeBytes(packer, message.servers());
+        packer.packLong(message.membersRevision());
+        writeBytes(packer, message.members());
+        writeBytes(packer, message.silences());
+    }
+
+    private static StatusDigest readStatusDigest(MessageUnpacker in) throws IOException {
+        return new StatusDigest(
+                in.unpackLong(),
+                in.unpackLong(),
+                readBytes(in),
+                in.unpackLong(),
+                readBytes(in),
+                in.unpackLong(),
+                readBytes(in),
+                readBytes(in));
     }
 
     private static Map<Class<?>, MessageFormat<? extends Message>> indexByType() {
--- a/src/main/java/org/auburnhoist/proxy/CallerExchange.java
+++ b/src/main/java/org/auburnhoist/proxy/CallerExchange.java
@@ -79,7 +79,9 @@
             return;
         }
         try {
-            server.policy().admit(received, server.now()).whenComplete(this::admitted);
+            server.policy(connection.session().getLocalAddress())
+                    .admit(received, server.now())
+                    .whenComplete(this::admitted);
         } catch (RuntimeException cause) {
             admitted(null, cause);
         }
@@ -157,7 +159,7 @@
      * @return whether it was written, which it is not once an answer has begun or the caller has left
      */
     boolean refuse(Refusal refusal, String detail, long retryAfterMillis, List<Map.Entry<String, String>> headers) {
-        return answer(RefusalWriter.answer(refusal, detail, retryAfterMillis, headers));
+        return answer(RefusalWriter.answer(refusal, detail, retryAfterMillis, server.settings().wireRules, headers));
     }
 
     private boolean answer(RecordedAnswer answer) {
@@ -183,7 +185,7 @@
         BasicHttpResponse response = new BasicHttpResponse(status);
         headers.forEach(header -> response.addHeader(header.getKey(), header.getValue()));
         if (head != null) {
-            response.setHeader(HeaderRules.REQUEST_ID, head.requestId());
+            response.setHeader(server.settings().wireRules.requestIdHeader(), head.requestId());
         }
         if (length >= 0) {
             response.setHeader("Content-Length", Long.toString(length));
--- a/src/main/java/org/auburnhoist/proxy/ForwardedExchange.java
+++ b/src/main/java/org/auburnhoist/proxy/ForwardedExchange.java
@@ -2,7 +2,6 @@
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.Future;
@@ -30,6 +29,8 @@
     }
 
     private static final long NANOS_PER_MICRO = 1000;
+    /** A server that was full has free slots again after about this time. */
+    private static final long REJECTED_RETRY_MILLIS = 200;
 
     private final ProxyServer server;
     private final CallerExchange caller;
@@ -121,7 +122,7 @@
                 attemptStartedNanos = server.now();
                 attemptReported = false;
                 answered = false;
-                startAttempt(granted, !idempotent);
+                startAttempt(granted, forwarding.needsNewConnection());
                 return;
             }
             forwarding.attemptEnded(AttemptOutcome.ABANDONED, false, 0, server.now());
@@ -150,8 +151,13 @@
     }
 
     private BasicHttpRequest request(Forwarding.Target.ServerTarget granted) {
+        WireRules rules = server.settings().wireRules;
         BasicHttpRequest request = UpstreamRequests.build(
-                head, forwarding.path(head.path()), keptBody, granted.address(), server.settings().hostName);
+                head,
+                forwarding.path(head.path()),
+                keptBody,
+                rules.towardsUpstream(head, granted, forwarding.team(), server.settings().hostName));
+        request.setHeader(rules.requestIdHeader(), head.requestId());
         if (resuming && resumable != null) {
             resumable.addRange(request);
         }
@@ -170,44 +176,55 @@
         answered = true;
         firstByteNanos = server.now();
         lastAnswerNanos = firstByteNanos;
-        everSent = true;
         status = code;
         answerHeaders = headers;
-        if (outcome() != AttemptOutcome.SUCCESS && isRepeatable(source) && !callerGone) {
-            boolean again = report(source, outcome());
-            if (again && isInTime()) {
-                source.abandon();
-                chooseTarget();
-                return;
-            }
+        AttemptOutcome outcome = outcome();
+        boolean rejected = outcome == AttemptOutcome.REJECTED || outcome == AttemptOutcome.MISDIRECTED;
+        boolean again = false;
+        if (outcome != AttemptOutcome.SUCCESS && (rejected ? keptBody != null : isRepeatable(source)) && !callerGone) {
+            again = report(source, outcome);
+        }
+        everSent |= !rejected;
+        if (again && isInTime()) {
+            source.abandon();
+            chooseTarget();
+            return;
+        }
+        if (rejected || !server.settings().wireRules.mayPassOn(code, headers)) {
+            replaceAnswer(source, outcome, rejected);
+            return;
         }
         state = State.ANSWERING;
         passOnHead(entity);
     }
 
-    private void passOnHead(@Nullable EntityDetails entity) {
-        Map.Entry<String, String> announcedLength = answerHeaders.stream()
-                .filter(header -> header.getKey().equalsIgnoreCase("Content-Length"))
-                .findFirst()
-                .orElse(null);
-        answerHeaders = HeaderRules.endToEnd(answerHeaders);
-        List<Map.Entry<String, String>> headers = new ArrayList<>(answerHeaders);
-        long length;
-        if (entity != null) {
-            length = entity.getContentLength() >= 0 ? entity.getContentLength() : CallerExchange.CHUNKED;
-        } else if (head.method().equals("HEAD") || status == 204 || status == 304) {
-            length = CallerExchange.NO_BODY;
-            if (announcedLength != null) {
-                headers.add(announcedLength);
-            }
+    /** Answers in the place of a server whose status would be a false promise to the caller. */
+    private void replaceAnswer(UpstreamAttempt source, AttemptOutcome outcome, boolean rejected) {
+        source.abandon();
+        report(source, outcome);
+        if (callerGone) {
+            done();
+        } else if (rejected) {
+            refuse(Refusal.SERVICE_OVERLOADED, "The server did not accept the request.", REJECTED_RETRY_MILLIS);
         } else {
-            length = 0;
+            refuse(Refusal.UPSTREAM_FAILED, "The server failed and did not say whether the request ran.", -1);
         }
+    }
+
+    /** Whether the headers of an answer fit the request. */
+    boolean isAnswer(List<Map.Entry<String, String>> answerHeaders) {
+        return server.settings().wireRules.isAnswerTo(head, answerHeaders);
+    }
+
+    private void passOnHead(@Nullable EntityDetails entity) {
+        AnswerFraming framing = AnswerFraming.of(head, status, answerHeaders, entity);
+        answerHeaders = HeaderRules.endToEnd(answerHeaders);
+        long length = framing.length();
         resumable = isRepeatableBody() ? ResumableAnswer.of(head, status, answerHeaders, length) : null;
         if (length > 0) {
             answerBody.announce(length);
         }
-        committed = !callerGone && caller.commit(status, headers, length, answerBody);
+        committed = !callerGone && caller.commit(status, framing.headers(), length, answerBody);
         if (!committed) {
             callerLeft();
         }
@@ -230,7 +247,7 @@
     }
 
     private void resumeOrBreak(boolean again) {
-        if (again && resumable != null && !callerGone) {
+        if (again && resumable != null && !callerGone && !isPastAnswerLimit(server.now())) {
             resuming = true;
             lastAnswerNanos = server.now();
             chooseTarget();
@@ -248,7 +265,7 @@
     }
 
     private AttemptOutcome outcome() {
-        return UpstreamRequests.outcome(status, answerHeaders);
+        return server.settings().wireRules.outcome(status, answerHeaders);
     }
 
     synchronized void answerData(UpstreamAttempt source, ByteBuffer data) {
@@ -315,7 +332,11 @@
             return;
         }
         boolean possible = isRepeatable(source) && !callerGone && isInTime();
-        if (possible && source.usesReusedConnection() && !freshConnectionTried && target != null) {
+        if (possible
+                && source.usesReusedConnection()
+                && !freshConnectionTried
+                && target != null
+                && forwarding.repeatsOnNewConnection(source.isSent())) {
             // The server may have closed the idle connection just before; that says nothing about the server.
             freshConnectionTried = true;
             lostAfterSending = source.isSent();
@@ -330,7 +351,7 @@
         } else if (everSent) {
             refuse(Refusal.UPSTREAM_FAILED, "The server's connection broke before its answer.", -1);
         } else {
-            refuse(Refusal.UPSTREAM_UNREACHABLE, "No connection to a server could be opened.", -1);
+            refuse(Refusal.UPSTREAM_UNREACHABLE, "No connection to a server could be opened.", REJECTED_RETRY_MILLIS);
         }
     }
 
@@ -367,12 +388,20 @@
         }
         if (state == State.ANSWERING && answerBody.isFull()) {
             lastAnswerNanos = now;
-        } else if (now - lastAnswerNanos > server.settings().answerIdleTimeout.toNanos()) {
+        }
+        boolean pausedTooLong =
+                now - lastAnswerNanos > server.settings().answerIdleTimeout.toNanos();
+        if (pausedTooLong || isPastAnswerLimit(now)) {
             running.abandon();
             resumeOrBreak(report(running, resuming ? AttemptOutcome.TIMEOUT : AttemptOutcome.TRUNCATED));
         }
     }
 
+    private boolean isPastAnswerLimit(long now) {
+        long limit = forwarding.answerLimitNanos();
+        return limit != Long.MAX_VALUE && now - limit > 0;
+    }
+
     synchronized void requestBodyBroken(Refusal reason, String detail) {
         brokenBody = reason;
         brokenBodyDetail = detail;
@@ -440,7 +469,7 @@
         Refusal told = everSent && reason.outcome() == Refusal.Outcome.NOT_RUN ? Refusal.UPSTREAM_FAILED : reason;
         state = State.DONE;
         refusal = told;
-        status = told.status();
+        status = server.settings().wireRules.status(told);
         committed = !callerGone && caller.refuse(told, detail, retryAfterMillis, List.of());
         callerGone |= !committed;
         caller.discardRequestBody();
--- a/src/main/java/org/auburnhoist/proxy/Forwarding.java
+++ b/src/main/java/org/auburnhoist/proxy/Forwarding.java
@@ -33,6 +33,26 @@
      */
     default void bodyRead(byte[] body) {}
 
+    /** The team for which the request runs, empty if none. */
+    default String team() {
+        return "";
+    }
+
+    /** Whether an attempt needs a connection that no earlier request has used. */
+    default boolean needsNewConnection() {
+        return !trafficClass().isIdempotent();
+    }
+
+    /** Whether an attempt whose reused connection broke is made again on a new one without a new choice. */
+    default boolean repeatsOnNewConnection(boolean sent) {
+        return true;
+    }
+
+    /** When a started answer is broken off, or {@link Long#MAX_VALUE} if only its pauses are limited. */
+    default long answerLimitNanos() {
+        return Long.MAX_VALUE;
+    }
+
     /** Time until which the first byte of the answer must have come. */
     long deadlineNanos();
 
--- a/src/main/java/org/auburnhoist/proxy/HeaderRules.java
+++ b/src/main/java/org/auburnhoist/proxy/HeaderRules.java
@@ -9,7 +9,7 @@
 import org.apache.hc.core5.http.Header;
 
 /** Which headers pass the proxy, and which it adds. */
-final class HeaderRules {
+public final class HeaderRules {
     static final String REQUEST_ID = "Auburnhoist-Request-Id";
     static final String DEADLINE = "Auburnhoist-Deadline-Millis";
 
@@ -45,8 +45,8 @@
         return result;
     }
 
-    /** Headers of an answer without those of one connection, of framing and of the fleet itself. */
-    static List<Map.Entry<String, String>> endToEnd(List<Map.Entry<String, String>> headers) {
+    /** Headers without those of one connection, of framing and of the fleet itself. */
+    public static List<Map.Entry<String, String>> endToEnd(List<Map.Entry<String, String>> headers) {
         Set<String> dropped = HOP_BY_HOP;
         for (Map.Entry<String, String> header : headers) {
             if (header.getKey().equalsIgnoreCase("connection")) {
--- a/src/main/java/org/auburnhoist/proxy/ProxyServer.java
+++ b/src/main/java/org/auburnhoist/proxy/ProxyServer.java
@@ -2,8 +2,10 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.SocketAddress;
 import java.nio.channels.ClosedSelectorException;
 import java.time.Duration;
+import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutionException;
@@ -41,6 +43,7 @@
     private final UpstreamPool pool;
     private final DefaultListeningIOReactor reactor;
     private final ScheduledThreadPoolExecutor timer;
+    private final Map<Integer, RequestPolicy> furtherPolicies = new ConcurrentHashMap<>();
     private final Set<CallerConnection> connections = ConcurrentHashMap.newKeySet();
     private final AtomicLong requestIds = new AtomicLong();
     private final Object quiet = new Object();
@@ -101,6 +104,11 @@
         return connections.size();
     }
 
+    /** Ends each caller's connection after its next answer; connections are still accepted. */
+    public void closeAfterAnswers() {
+        stopping = true;
+    }
+
     /** Accepts no further connections; answers carry {@code Connection: close} from now on. */
     public void stopAccepting() {
         stopping = true;
@@ -150,6 +158,10 @@
     private InetSocketAddress listen() throws IOException {
         try {
             ListenerEndpoint endpoint = reactor.listen(settings.listenAddress).get();
+            for (Map.Entry<InetSocketAddress, RequestPolicy> further : settings.furtherListeners.entrySet()) {
+                reactor.listen(further.getKey()).get();
+                furtherPolicies.put(further.getKey().getPort(), further.getValue());
+            }
             return (InetSocketAddress) endpoint.getAddress();
         } catch (ExecutionException cause) {
             close();
@@ -175,8 +187,11 @@
         return settings;
     }
 
-    RequestPolicy policy() {
-        return policy;
+    /** The policy of the address on which a connection was accepted. */
+    RequestPolicy policy(@Nullable SocketAddress local) {
+        return local instanceof InetSocketAddress address && address.getPort() != this.address.getPort()
+                ? furtherPolicies.getOrDefault(address.getPort(), policy)
+                : policy;
     }
 
     UpstreamPool pool() {
--- a/src/main/java/org/auburnhoist/proxy/ProxySettings.java
+++ b/src/main/java/org/auburnhoist/proxy/ProxySettings.java
@@ -3,6 +3,8 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.LinkedHashMap;
+import java.util.Map;
 
 /**
  * Immutable settings of a {@link ProxyServer}.
@@ -31,6 +33,8 @@
     final Duration connectTimeout;
     final Duration upstreamIdleExpiry;
     final Duration answerIdleTimeout;
+    final WireRules wireRules;
+    final Map<InetSocketAddress, RequestPolicy> furtherListeners;
 
     private ProxySettings(Builder builder) {
         listenAddress = builder.listenAddress;
@@ -48,6 +52,8 @@
         connectTimeout = builder.connectTimeout;
         upstreamIdleExpiry = builder.upstreamIdleExpiry;
         answerIdleTimeout = builder.answerIdleTimeout;
+        wireRules = builder.wireRules;
+        furtherListeners = Map.copyOf(builder.furtherListeners);
     }
 
     /** Starts with the defaults, which listen on a free port of the loopback interface. */
@@ -72,6 +78,8 @@
         private Duration connectTimeout = Duration.ofSeconds(1);
         private Duration upstreamIdleExpiry = Duration.ofSeconds(30);
         private Duration answerIdleTimeout = Duration.ofSeconds(30);
+        private WireRules wireRules = new StandardWireRules();
+        private final Map<InetSocketAddress, RequestPolicy> furtherListeners = new LinkedHashMap<>();
 
         private Builder() {}
 
@@ -155,6 +163,18 @@
             return this;
         }
 
+        /** Header names and status conventions. */
+        public Builder wireRules(WireRules value) {
+            wireRules = value;
+            return this;
+        }
+
+        /** A further address to listen on, with the policy that answers there. */
+        public Builder listener(InetSocketAddress address, RequestPolicy policy) {
+            furtherListeners.put(address, policy);
+            return this;
+        }
+
         /** Builds the settings. */
         public ProxySettings build() {
             return new ProxySettings(this);
--- a/src/main/java/org/auburnhoist/proxy/RefusalWriter.java
+++ b/src/main/java/org/auburnhoist/proxy/RefusalWriter.java
@@ -10,8 +10,6 @@
 
 /** Turns a refusal into an answer. */
 public final class RefusalWriter {
-    private static final long MILLIS_PER_SECOND = 1000;
-
     private RefusalWriter() {}
 
     /**
@@ -19,11 +17,16 @@
      *
      * @param refusal the reason
      * @param detail one sentence for the body
-     * @param retryAfterMillis when the caller should come back, -1 for no advice; sent as whole seconds, rounded up
+     * @param retryAfterMillis when the caller should come back, -1 for no advice
+     * @param rules decide the status and the form of {@code Retry-After}
      * @param headers further headers
      */
     public static RecordedAnswer answer(
-            Refusal refusal, String detail, long retryAfterMillis, List<Map.Entry<String, String>> headers) {
+            Refusal refusal,
+            String detail,
+            long retryAfterMillis,
+            WireRules rules,
+            List<Map.Entry<String, String>> headers) {
         List<Map.Entry<String, String>> all = new ArrayList<>();
         all.add(Map.entry("Content-Type", "application/json"));
         all.add(Map.entry("Auburnhoist-Refusal", refusal.code()));
@@ -35,14 +38,13 @@
                 .append(refusal.outcome().headerValue())
                 .append('"');
         if (retryAfterMillis >= 0) {
-            long seconds = retryAfterMillis / MILLIS_PER_SECOND + (retryAfterMillis % MILLIS_PER_SECOND > 0 ? 1 : 0);
-            all.add(Map.entry("Retry-After", Long.toString(seconds)));
+            all.add(Map.entry("Retry-After", rules.retryAfter(retryAfterMillis)));
             body.append(",\"retryAfterMillis\":").append(retryAfterMillis);
         }
         all.addAll(headers);
         body.append(",\"detail\":\"");
         JsonStringEncoder.getInstance().quoteAsString(detail, body);
         body.append("\"}\n");
-        return new RecordedAnswer(refusal.status(), all, body.toString().getBytes(StandardCharsets.UTF_8), true);
+        return new RecordedAnswer(rules.status(refusal), all, body.toString().getBytes(StandardCharsets.UTF_8), true);
     }
 }
--- a/src/main/java/org/auburnhoist/proxy/UpstreamAttempt.java
+++ b/src/main/java/org/auburnhoist/proxy/UpstreamAttempt.java
@@ -115,7 +115,7 @@
             throw new IOException("attempt: ended before the request was written");
         }
         long remaining = Math.max(0, (deadlineNanos - server.now()) / NANOS_PER_MILLI);
-        request.setHeader(HeaderRules.DEADLINE, Long.toString(remaining));
+        request.setHeader(server.settings().wireRules.deadlineHeader(), Long.toString(remaining));
         requestComplete = body == null;
         EntityDetails details = body == null ? null : new BasicEntityDetails(Framing.ofRequest(request), null);
         channel.sendRequest(request, details, context);
@@ -165,6 +165,11 @@
         keepAlive = requestComplete
                 && response.getVersion().greaterEquals(HttpVersion.HTTP_1_1)
                 && !HeaderRules.hasToken(headers, "Connection", "close");
+        if (!exchange.isAnswer(headers)) {
+            // The answer of an earlier request that came late; the right one may follow or not.
+            fail(AttemptOutcome.CONNECTION_LOST);
+            return;
+        }
         exchange.answerHead(this, response.getCode(), headers, entity);
         if (entity == null) {
             complete();
--- a/src/main/java/org/auburnhoist/proxy/UpstreamPool.java
+++ b/src/main/java/org/auburnhoist/proxy/UpstreamPool.java
@@ -224,7 +224,7 @@
             InetAddress ip = InetAddress.getByName(address.substring(0, Math.max(0, colon)));
             int port = Integer.parseInt(address.substring(colon + 1));
             Future<IOSession> unused = reactor.connect(
-                    new HttpHost("http", ip, port),
+                    new HttpHost("http", ip, ip.getHostAddress(), port),
                     new InetSocketAddress(ip, port),
                     null,
                     Timeout.of(settings.connectTimeout),
--- a/src/main/java/org/auburnhoist/proxy/UpstreamRequests.java
+++ b/src/main/java/org/auburnhoist/proxy/UpstreamRequests.java
@@ -15,16 +15,13 @@
      *
      * @param path path to forward
      * @param keptBody the whole body, or null if the body is streamed
-     * @param address the server's IP address and port
-     * @param hostName name in the {@code Via} header
+     * @param headers end-to-end headers for the server
      */
     static BasicHttpRequest build(
-            RequestHead head, String path, byte @Nullable [] keptBody, String address, String hostName) {
+            RequestHead head, String path, byte @Nullable [] keptBody, List<Map.Entry<String, String>> headers) {
         String target = head.query() == null ? path : path + "?" + head.query();
         BasicHttpRequest request = new BasicHttpRequest(head.method(), target);
-        HeaderRules.towardsUpstream(head, address, hostName)
-                .forEach(header -> request.addHeader(header.getKey(), header.getValue()));
-        request.setHeader(HeaderRules.REQUEST_ID, head.requestId());
+        headers.forEach(header -> request.addHeader(header.getKey(), header.getValue()));
         if (keptBody == null && head.contentLength() < 0) {
             request.setHeader("Transfer-Encoding", "chunked");
         } else if (keptBody == null) {
