Send writes to the store without waiting for 100 Continue

Cause: the library's request processor adds Expect to each request with a body; the platform's store does not answer it, so that no host got a lease, none became a member and each host read the store by itself.

Ruled out: the connection limit of the client, which was only a result.

--- a/src/main/java/org/auburnhoist/platform/KvTransport.java
+++ b/src/main/java/org/auburnhoist/platform/KvTransport.java
@@ -23,6 +23,11 @@
 import org.apache.hc.core5.http.nio.entity.BasicAsyncEntityConsumer;
 import org.apache.hc.core5.http.nio.support.AsyncRequestBuilder;
 import org.apache.hc.core5.http.nio.support.BasicResponseConsumer;
+import org.apache.hc.core5.http.protocol.HttpProcessor;
+import org.apache.hc.core5.http.protocol.HttpProcessorBuilder;
+import org.apache.hc.core5.http.protocol.RequestConnControl;
+import org.apache.hc.core5.http.protocol.RequestContent;
+import org.apache.hc.core5.http.protocol.RequestTargetHost;
 import org.apache.hc.core5.io.CloseMode;
 import org.apache.hc.core5.reactor.IOReactorConfig;
 import org.apache.hc.core5.util.Timeout;
@@ -60,7 +65,12 @@
     KvTransport(InetSocketAddress address) {
         // Without the text form the library would look the address's name up.
         this.host = new HttpHost("http", address.getAddress(), address.getAddress().getHostAddress(), address.getPort());
+        // The library's own processor would ask for "100 Continue", which the store does not send.
+        HttpProcessor processor = HttpProcessorBuilder.create()
+                .addAll(RequestTargetHost.INSTANCE, RequestContent.INSTANCE, RequestConnControl.INSTANCE)
+                .build();
         this.requester = AsyncRequesterBootstrap.bootstrap()
+                .setHttpProcessor(processor)
                 .setIOReactorConfig(IOReactorConfig.custom()
                         .setIoThreadCount(1)
                         .setTcpNoDelay(true)
