--- a/src/main/java/org/auburnhoist/core/dispatch/PriorityDispatcher.java
+++ b/src/main/java/org/auburnhoist/core/dispatch/PriorityDispatcher.java
@@ -74,7 +74,7 @@
 
     private record ConnectionUse(HostId host, String server) {}
 
-    private record Candidate(ServerUse use, int rank, int used, long provenNanos, int tie) {}
+    private record Candidate(ServerUse use, int rank, int used, long provenNanos, int distance, boolean connected) {}
 
     /** Creates a dispatcher without servers. */
     public PriorityDispatcher(PriorityDispatcherSettings settings, RandomGenerator random) {
@@ -319,24 +319,25 @@
             rank = 6;
         }
         Long proven = judge.lastSuccess(id);
-        int tie = sameDataCentre(waiting, use) ? 0 : 1;
-        if (connectionUses.containsKey(new ConnectionUse(waiting.asking(), id))) {
-            tie -= 2;
-        }
-        return new Candidate(use, rank, used, proven == null ? Long.MIN_VALUE : proven, tie);
+        int distance = sameDataCentre(waiting, use) ? 0 : 1;
+        boolean connected = connectionUses.containsKey(new ConnectionUse(waiting.asking(), id));
+        return new Candidate(use, rank, used, proven == null ? Long.MIN_VALUE : proven, distance, connected);
     }
 
     private boolean isBetter(Candidate candidate, Candidate best) {
         if (candidate.rank() != best.rank()) {
             return candidate.rank() < best.rank();
         }
+        if (candidate.distance() != best.distance()) {
+            return candidate.distance() < best.distance();
+        }
         double load = load(candidate);
         double bestLoad = load(best);
         if (load != bestLoad) {
             return load < bestLoad;
         }
-        if (candidate.tie() != best.tie()) {
-            return candidate.tie() < best.tie();
+        if (candidate.connected() != best.connected()) {
+            return candidate.connected();
         }
         if (candidate.rank() == 7) {
             return candidate.provenNanos() - best.provenNanos() > 0;
--- a/src/main/java/org/auburnhoist/gateway/FleetSecret.java
+++ b/src/main/java/org/auburnhoist/gateway/FleetBootstrap.java
@@ -13,8 +13,8 @@
 import org.auburnhoist.store.WriteResult;
 import org.auburnhoist.support.Event;
 
-/** Finds the secret that the fleet's hosts share in the store, or creates it. */
-final class FleetSecret {
+/** Reads with one call what a starting host needs: the fleet's secret, which the first host creates, and members. */
+final class FleetBootstrap {
     private static final int SECRET_BYTES = 16;
     /** Hosts that start together spread their first reads over this time, so that one of them creates the secret. */
     private static final long START_SPREAD_NANOS = Duration.ofMillis(400).toNanos();
@@ -23,9 +23,17 @@
     private final ControlThread control;
     private final RetryDelay delay;
     private final RandomGenerator random;
-    private final CompletableFuture<String> secret = new CompletableFuture<>();
+    private final CompletableFuture<Found> result = new CompletableFuture<>();
 
-    FleetSecret(Store store, ControlThread control, RandomGenerator random) {
+    /**
+     * What the store holds of the fleet.
+     *
+     * @param secret the secret that the hosts share
+     * @param entries all entries of the fleet
+     */
+    record Found(String secret, ReadResult.Found entries) {}
+
+    FleetBootstrap(Store store, ControlThread control, RandomGenerator random) {
         this.store = store;
         this.control = control;
         this.random = random;
@@ -33,37 +41,38 @@
     }
 
     /** Completes on the control thread when the secret is known. */
-    CompletableFuture<String> find() {
+    CompletableFuture<Found> find() {
         long spread = (long) (START_SPREAD_NANOS * random.nextDouble());
         control.after(Duration.ofNanos(spread), now -> read());
-        return secret;
+        return result;
     }
 
     private void read() {
-        store.get(GatewayKeys.SECRET)
-                .thenAccept(result -> control.execute(now -> {
-                    if (result instanceof ReadResult.Found found) {
-                        if (found.entries().isEmpty()) {
-                            create();
-                        } else {
-                            Entry entry = found.entries().get(0);
-                            secret.complete(new String(entry.value(), StandardCharsets.US_ASCII));
+        store.range(GatewayKeys.PREFIX)
+                .thenAccept(answer -> control.execute(now -> {
+                    if (answer instanceof ReadResult.Found found) {
+                        for (Entry entry : found.entries()) {
+                            if (entry.key().equals(GatewayKeys.SECRET)) {
+                                result.complete(new Found(new String(entry.value(), StandardCharsets.US_ASCII), found));
+                                return;
+                            }
                         }
+                        create(found);
                     } else {
-                        Event.named("secret-not-read").with("result", result).warn();
+                        Event.named("fleet-not-read").with("result", answer).warn();
                         again();
                     }
                 }));
     }
 
-    private void create() {
+    private void create(ReadResult.Found found) {
         byte[] bytes = new byte[SECRET_BYTES];
         new SecureRandom().nextBytes(bytes);
         String created = HexFormat.of().formatHex(bytes);
         store.compareAndSwap(GatewayKeys.SECRET, 0, created.getBytes(StandardCharsets.US_ASCII))
-                .thenAccept(result -> control.execute(now -> {
-                    if (result instanceof WriteResult.Done) {
-                        secret.complete(created);
+                .thenAccept(answer -> control.execute(now -> {
+                    if (answer instanceof WriteResult.Done) {
+                        result.complete(new Found(created, found));
                     } else {
                         again();
                     }
--- a/src/main/java/org/auburnhoist/gateway/GatewayForwarding.java
+++ b/src/main/java/org/auburnhoist/gateway/GatewayForwarding.java
@@ -25,7 +25,7 @@
     /** Attempts of which nothing was sent do not count as attempts; this bounds them. */
     private static final int MOST_UNSENT = 3;
     /** A body that is on its way when the time is up gets this much longer. */
-    private static final long ANSWER_GRACE_NANOS = 300 * MILLI;
+    private static final long ANSWER_GRACE_NANOS = 50 * MILLI;
 
     private static final long RETRY_MILLIS = 300;
 
@@ -91,6 +91,12 @@
         return request.deadlineNanos() + ANSWER_GRACE_NANOS;
     }
 
+    /** A connection that was used a moment ago is as good as a new one; older ones are closed. */
+    @Override
+    public boolean needsNewConnection() {
+        return false;
+    }
+
     @Override
     public boolean repeatsOnNewConnection(boolean sent) {
         return !sent;
--- a/src/main/java/org/auburnhoist/gateway/GatewayHost.java
+++ b/src/main/java/org/auburnhoist/gateway/GatewayHost.java
@@ -36,6 +36,7 @@
 import org.auburnhoist.proxy.ProxySettings;
 import org.auburnhoist.proxy.RequestHead;
 import org.auburnhoist.proxy.RequestPolicy;
+import org.auburnhoist.store.ReadResult;
 import org.auburnhoist.store.Store;
 import org.auburnhoist.support.Closer;
 import org.auburnhoist.support.Event;
@@ -51,7 +52,7 @@
  * }</pre>
  */
 public final class GatewayHost implements AutoCloseable {
-    private static final Duration TICK = Duration.ofMillis(50);
+    private static final Duration TICK = Duration.ofMillis(100);
     private static final Duration TIDY_INTERVAL = Duration.ofSeconds(5);
     /** A server that accepts no connection for this long is left for another; a round trip takes milliseconds. */
     private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(300);
@@ -179,10 +180,10 @@
                 .log();
         control.every(TICK, this::tick);
         control.every(TIDY_INTERVAL, this::tidy);
-        new FleetSecret(store, control, random).find().thenAccept(this::secretFound);
+        new FleetBootstrap(store, control, random).find().thenAccept(this::fleetFound);
     }
 
-    private void secretFound(String secret) {
+    private void fleetFound(FleetBootstrap.Found found) {
         ThreadFactory threads = task -> {
             Thread thread = new Thread(task, "peer");
             thread.setDaemon(true);
@@ -193,18 +194,18 @@
             closer.register(group::shutdownNow);
             ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor(threads);
             closer.register(timer::shutdownNow);
-            PeerSettings peerSettings = PeerSettings.of(self, secret);
+            PeerSettings peerSettings = PeerSettings.of(self, found.secret());
             TrafficCounter traffic = new TrafficCounter();
             metrics.gauge("peer_sent_bytes", traffic::sentBytes);
             closer.register(PeerServer.start(peerSettings, settings.peerAddress(), group, this::answerPeer, traffic));
             PeerClient client = closer.register(new PeerClient(peerSettings, group, timer, traffic));
-            join(new PeerCalls(client, control));
+            join(new PeerCalls(client, control), found.entries());
         } catch (IOException cause) {
             Event.named("peers-not-started").with("cause", cause).warn();
         }
     }
 
-    private void join(PeerCalls peers) {
+    private void join(PeerCalls peers, ReadResult.Found entries) {
         long now = System.nanoTime();
         SlotBroker slots = new SlotBroker(fleet, knowledge, peers, self, settings, random);
         QuotaBroker quotas = new QuotaBroker(
@@ -212,6 +213,10 @@
         GatewayParts parts = new GatewayParts(settings, control, knowledge, slots, quotas, metrics);
         FleetSync sync = new FleetSync(fleet, knowledge, peers, settings.name(), this::isReady, random, now);
         started = new Started(sync, slots, quotas, peers, new GatewayPolicy(binding, parts, random.nextLong()));
+        entries.entries().stream()
+                .filter(entry -> entry.key().equals(GatewayKeys.memberKey(settings.name())))
+                .forEach(entry -> lease.entrySeen(entry.revision()));
+        feed.joined(entries, now);
         joined = true;
     }
 
--- a/src/main/java/org/auburnhoist/gateway/MembershipLease.java
+++ b/src/main/java/org/auburnhoist/gateway/MembershipLease.java
@@ -5,9 +5,7 @@
 import org.auburnhoist.core.membership.FleetDocuments;
 import org.auburnhoist.core.membership.FleetMember;
 import org.auburnhoist.host.ControlThread;
-import org.auburnhoist.store.Entry;
 import org.auburnhoist.store.LeaseResult;
-import org.auburnhoist.store.ReadResult;
 import org.auburnhoist.store.Store;
 import org.auburnhoist.store.WriteResult;
 import org.auburnhoist.support.Event;
@@ -32,6 +30,7 @@
     private final String key;
     private FleetMember member;
     private long leaseId;
+    private long revision;
     private boolean registered;
     private boolean busy;
     private boolean ended;
@@ -48,6 +47,11 @@
         this.validUntilNanos = nowNanos;
     }
 
+    /** The revision of the entry that an earlier process has left. */
+    void entrySeen(long seenRevision) {
+        revision = seenRevision;
+    }
+
     /** Whether no other host can have got this host's duties. */
     boolean isHeld(long nowNanos) {
         return registered && validUntilNanos - SAFETY_NANOS - nowNanos > 0;
@@ -103,24 +107,10 @@
     }
 
     private void register(long startedNanos) {
-        store.get(key)
-                .thenAccept(read -> control.execute(now -> {
-                    if (read instanceof ReadResult.Found found) {
-                        long revision = found.entries().stream()
-                                .mapToLong(Entry::revision)
-                                .findFirst()
-                                .orElse(0);
-                        write(revision, startedNanos);
-                    } else {
-                        failed("member-not-read", read, now);
-                    }
-                }));
-    }
-
-    private void write(long revision, long startedNanos) {
         store.compareAndSwap(key, revision, FleetDocuments.member(member), leaseId)
                 .thenAccept(result -> control.execute(now -> {
-                    if (result instanceof WriteResult.Done) {
+                    if (result instanceof WriteResult.Done done) {
+                        revision = done.revision();
                         succeeded();
                         registered = true;
                         nextActionNanos = startedNanos + RENEWAL_NANOS;
@@ -128,6 +118,11 @@
                                 .with("host", member.id())
                                 .with("leaving", member.leaving())
                                 .log();
+                    } else if (result instanceof WriteResult.Conflict conflict) {
+                        // The entry of an earlier process under this name, or an own write whose answer was lost.
+                        revision = conflict.currentRevision();
+                        busy = false;
+                        nextActionNanos = now;
                     } else {
                         // The lease may be what is missing; a new one is as good.
                         leaseId = 0;
@@ -148,6 +143,7 @@
                         leaseId = 0;
                         registered = false;
                         busy = false;
+                        revision = 0;
                         nextActionNanos = now;
                     } else {
                         failed("lease-not-renewed", result, now);
--- a/src/main/java/org/auburnhoist/gateway/QuotaBroker.java
+++ b/src/main/java/org/auburnhoist/gateway/QuotaBroker.java
@@ -62,7 +62,7 @@
         this.peers = peers;
         this.selfName = selfName;
         this.mayOwn = mayOwn;
-        this.owned = new TeamQuotas(tolerance.slack(), nowNanos);
+        this.owned = new TeamQuotas(tolerance, nowNanos);
         this.isolated = new IsolatedAllowance(tolerance, random);
     }
 
--- a/src/main/java/org/auburnhoist/gateway/StoreFeed.java
+++ b/src/main/java/org/auburnhoist/gateway/StoreFeed.java
@@ -27,12 +27,14 @@
  */
 final class StoreFeed {
     /** Two reads and a report fit into the two seconds within which a leaving server must get no more work. */
-    private static final long SERVERS_NANOS = Duration.ofMillis(500).toNanos();
+    private static final long SERVERS_NANOS = Duration.ofMillis(600).toNanos();
 
     private static final long CONFIGURATION_NANOS = Duration.ofSeconds(1).toNanos();
-    private static final long MEMBERS_NANOS = Duration.ofSeconds(1).toNanos();
+    private static final long MEMBERS_NANOS = Duration.ofMillis(1_500).toNanos();
     /** A host whose knowledge is older than this reads the store itself. */
-    private static final long TOO_OLD_NANOS = Duration.ofMillis(1_150).toNanos();
+    private static final long TOO_OLD_NANOS = Duration.ofMillis(1_250).toNanos();
+    /** A coordinator answers a new host's first report within this time. */
+    private static final long START_WAIT_NANOS = Duration.ofSeconds(1).toNanos();
     /** Servers registered anew reappear within this time after the store's return. */
     private static final long REGISTRATION_GAP_NANOS = Duration.ofMillis(2_500).toNanos();
 
@@ -47,6 +49,7 @@
     private long nextServers;
     private long nextConfiguration;
     private long nextMembers;
+    private long waitUntil;
     private boolean readingServers;
     private boolean readingConfiguration;
     private boolean readingMembers;
@@ -75,15 +78,22 @@
         this.ownEntryMissing = ownEntryMissing;
         this.delay = new RetryDelay(random);
         this.nextServers = nowNanos;
+        this.waitUntil = nowNanos;
         this.nextConfiguration = nowNanos;
         this.nextMembers = nowNanos;
     }
 
+    /** Takes over the members that were read at the start; the coordinator among them tells the rest. */
+    void joined(ReadResult.Found found, long nowNanos) {
+        membersRead(found, nowNanos);
+        waitUntil = nowNanos + START_WAIT_NANOS;
+    }
+
     /** Reads what is due; to be called about every 50 ms. */
     void tick(boolean coordinator, long nowNanos) {
         boolean tooOld = knowledge.storeAgeNanos(nowNanos) > TOO_OLD_NANOS || !knowledge.hasConfiguration();
         watch(coordinator);
-        if (!coordinator && !tooOld) {
+        if (!coordinator && (!tooOld || waitUntil - nowNanos > 0)) {
             return;
         }
         if (nextServers - nowNanos <= 0 && !readingServers) {
@@ -193,6 +203,9 @@
         List<FleetMember> members = new ArrayList<>();
         Set<String> names = new HashSet<>();
         for (Entry entry : found.entries()) {
+            if (!entry.key().startsWith(GatewayKeys.MEMBERS)) {
+                continue;
+            }
             try {
                 FleetMember member = FleetDocuments.member(entry.value());
                 members.add(member);
--- a/src/main/java/org/auburnhoist/platform/KvTransport.java
+++ b/src/main/java/org/auburnhoist/platform/KvTransport.java
@@ -64,7 +64,8 @@
 
     KvTransport(InetSocketAddress address) {
         // Without the text form the library would look the address's name up.
-        this.host = new HttpHost("http", address.getAddress(), address.getAddress().getHostAddress(), address.getPort());
+        this.host =
+                new HttpHost("http", address.getAddress(), address.getAddress().getHostAddress(), address.getPort());
         // The library's own processor would ask for "100 Continue", which the store does not send.
         HttpProcessor processor = HttpProcessorBuilder.create()
                 .addAll(RequestTargetHost.INSTANCE, RequestContent.INSTANCE, RequestConnControl.INSTANCE)
--- a/src/main/java/org/auburnhoist/proxy/ProxyServer.java
+++ b/src/main/java/org/auburnhoist/proxy/ProxyServer.java
@@ -36,7 +36,9 @@
  */
 public final class ProxyServer implements AutoCloseable {
     /** How often the time limits of all connections are checked. */
-    private static final long CHECK_INTERVAL_MILLIS = 100;
+    private static final long CHECK_INTERVAL_MILLIS = 200;
+    /** Select calls end by events; the interval bounds only how late expired sessions are seen. */
+    private static final long SELECT_INTERVAL_MILLIS = 500;
 
     private final ProxySettings settings;
     private final RequestPolicy policy;
@@ -61,7 +63,7 @@
                 .setIoThreadCount(settings.callerThreads)
                 .setTcpNoDelay(true)
                 .setSoReuseAddress(true)
-                .setSelectInterval(TimeValue.ofMilliseconds(CHECK_INTERVAL_MILLIS))
+                .setSelectInterval(TimeValue.ofMilliseconds(SELECT_INTERVAL_MILLIS))
                 .build();
         reactor = new DefaultListeningIOReactor(
                 new CallerConnectionFactory(this),
