Send requests to the server that was last known to be well

Cause: about three servers in ten fail most of their requests for a few seconds each; a payment that meets one is lost, and spreading the load over all servers met nearly every such spell.

Ruled out: shorter avoidance, since the failures were first ones on servers in use, not repeated ones.

More requests meet a spell only when load or failures make the service spread over more servers.

--- a/src/main/java/org/auburnhoist/core/dispatch/PriorityDispatcher.java
+++ b/src/main/java/org/auburnhoist/core/dispatch/PriorityDispatcher.java
@@ -1,7 +1,6 @@
 package org.auburnhoist.core.dispatch;
 
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -42,9 +41,8 @@
     private static final long SOUND_AGAIN_NANOS = 1_800 * MILLI;
     /** Times the usual time after which a request in flight is taken as stuck. */
     private static final double OVERDUE_FACTOR = 4;
-
-    /** A connection that a host used on a server this short a time ago is taken as still open. */
-    private static final long WARM_CONNECTION_NANOS = 4_000 * MILLI;
+    /** A server that fails for a time answers its failures within this time. */
+    private static final long QUICK_FAILURE_NANOS = 60 * MILLI;
 
     private final PriorityDispatcherSettings settings;
     private final RankedQueue queue = new RankedQueue();
@@ -55,7 +53,6 @@
     private final RetryBudget budget;
     private final ServedShare served = new ServedShare();
     private final Map<String, ServerUse> servers = new LinkedHashMap<>();
-    private final Map<ConnectionUse, Long> connectionUses = new HashMap<>();
     private final RandomGenerator random;
 
     private static final class ServerUse {
@@ -63,6 +60,7 @@
         final long firstSeenNanos;
         final long coldUntilNanos;
         long lastGrantNanos;
+        long provenNanos;
         boolean everGranted;
 
         ServerUse(UpstreamServer server, long nowNanos) {
@@ -72,9 +70,7 @@
         }
     }
 
-    private record ConnectionUse(HostId host, String server) {}
-
-    private record Candidate(ServerUse use, int rank, int used, long provenNanos, int distance, boolean connected) {}
+    private record Candidate(int rank, int distance, long silentNanos) {}
 
     /** Creates a dispatcher without servers. */
     public PriorityDispatcher(PriorityDispatcherSettings settings, RandomGenerator random) {
@@ -168,9 +164,6 @@
         boolean success = outcome == AttemptOutcome.SUCCESS;
         if (success) {
             rate.released(grant, release.latencyMicros(), nowNanos);
-            connectionUses.put(new ConnectionUse(grant.host(), grant.server()), nowNanos);
-        } else {
-            connectionUses.remove(new ConnectionUse(grant.host(), grant.server()));
         }
         if (outcome != AttemptOutcome.ABANDONED) {
             served.ended(success, nowNanos);
@@ -191,7 +184,6 @@
         List<SlotDecision> decisions = new ArrayList<>();
         quarantine.forget(nowNanos);
         grants.removeIf(grant -> nowNanos - grant.expiresNanos() >= 0);
-        connectionUses.values().removeIf(used -> nowNanos - used > WARM_CONNECTION_NANOS);
         queue.removeIf(waiting -> cannotBeAnswered(waiting.request(), nowNanos))
                 .forEach(waiting -> refuseOverloaded(waiting.request(), 0, decisions, nowNanos));
         grantWaiting(decisions, nowNanos);
@@ -236,6 +228,8 @@
     }
 
     private SlotDecision grant(WaitingRequest waiting, ServerUse use, long nowNanos) {
+        long silent = silentNanos(use, nowNanos);
+        use.provenNanos = silent == Long.MAX_VALUE ? nowNanos : nowNanos - silent;
         use.lastGrantNanos = nowNanos;
         use.everGranted = true;
         UpstreamServer server = use.server;
@@ -285,7 +279,6 @@
             long nowNanos) {
         String id = use.server.id();
         SpellJudge.Standing standing = judge.standing(id, longestAvoidance, nowNanos);
-        boolean idempotent = waiting.request().trafficClass().isIdempotent();
         boolean pathDoubtful = judge.avoidsPath(waiting.asking(), id, nowNanos);
         int rank;
         if (isIntroductionDue(use, nowNanos)) {
@@ -294,8 +287,7 @@
             if (used > 0) {
                 return null;
             }
-            // A repeatable request loses little on a server that still fails.
-            rank = idempotent && waiting.request().terms().attempt() == 1 ? 0 : 4;
+            rank = 4;
         } else if (standing == SpellJudge.Standing.AVOIDED) {
             if (!pressed || used > 0) {
                 return null;
@@ -318,10 +310,8 @@
             }
             rank = 6;
         }
-        Long proven = judge.lastSuccess(id);
         int distance = sameDataCentre(waiting, use) ? 0 : 1;
-        boolean connected = connectionUses.containsKey(new ConnectionUse(waiting.asking(), id));
-        return new Candidate(use, rank, used, proven == null ? Long.MIN_VALUE : proven, distance, connected);
+        return new Candidate(rank, distance, silentNanos(use, nowNanos));
     }
 
     private boolean isBetter(Candidate candidate, Candidate best) {
@@ -331,23 +321,24 @@
         if (candidate.distance() != best.distance()) {
             return candidate.distance() < best.distance();
         }
-        double load = load(candidate);
-        double bestLoad = load(best);
-        if (load != bestLoad) {
-            return load < bestLoad;
-        }
-        if (candidate.connected() != best.connected()) {
-            return candidate.connected();
+        if (candidate.silentNanos() != best.silentNanos()) {
+            return candidate.silentNanos() < best.silentNanos();
         }
-        if (candidate.rank() == 7) {
-            return candidate.provenNanos() - best.provenNanos() > 0;
-        }
-        return candidate.provenNanos() > best.provenNanos()
-                || (candidate.provenNanos() == best.provenNanos() && random.nextBoolean());
+        return random.nextBoolean();
     }
 
-    private static double load(Candidate candidate) {
-        return (double) candidate.used() / candidate.use().server.slots();
+    /**
+     * Time since a request is known to have been taken up well. Servers in a spell fail requests at once, so a request
+     * that has not failed for a moment shows that its server was well when it came.
+     */
+    private long silentNanos(ServerUse use, long nowNanos) {
+        long provenNanos = use.provenNanos;
+        if (use.everGranted
+                && nowNanos - use.lastGrantNanos > QUICK_FAILURE_NANOS
+                && !judge.hasFailedSince(use.server.id(), use.lastGrantNanos)) {
+            provenNanos = use.lastGrantNanos;
+        }
+        return use.everGranted ? nowNanos - provenNanos : Long.MAX_VALUE;
     }
 
     private static boolean sameDataCentre(WaitingRequest waiting, ServerUse use) {
--- a/src/main/java/org/auburnhoist/core/dispatch/SpellJudge.java
+++ b/src/main/java/org/auburnhoist/core/dispatch/SpellJudge.java
@@ -63,6 +63,7 @@
         long lastFailure;
         long lastSuccess;
         boolean failed;
+        boolean everFailed;
         boolean succeeded;
         boolean onTrial;
         double slowness = 1;
@@ -135,6 +136,7 @@
         }
         track.onTrial = true;
         track.failed = true;
+        track.everFailed = true;
         track.lastFailure = nowNanos;
         avoid(track, nowNanos + (long) avoidanceNanos);
     }
@@ -191,11 +193,10 @@
         return path != null && path.avoidedUntil - nowNanos > 0;
     }
 
-    /** Time of the server's last good answer, or null if there was none. */
-    @Nullable
-    Long lastSuccess(String server) {
+    /** Whether a server has failed at or after a time. */
+    boolean hasFailedSince(String server, long sinceNanos) {
         Track track = tracks.get(server);
-        return track == null || !track.succeeded ? null : track.lastSuccess;
+        return track != null && track.everFailed && track.lastFailure - sinceNanos >= 0;
     }
 
     /** How long a server is avoided after a failure at present, in nanoseconds. */
