Close a store connection whose call was given up; settle limits team by team

The library's future does not end the exchange when it is cancelled, so hung calls kept all pooled connections for 30 s. Each change of members also restarted the waiting time of all team limits, so that during a rolling restart no new owner ever decided and requests were refused.

Ruled out: the back-off after failed reads, which is at most 1.5 s.

Tests that failed first: KvStoreTest.aCallThatIsGivenUpClosesItsConnection (6 of 6 connections left open), TeamQuotasTest.changesOfOtherHostsDoNotKeepAnOwnerFromDeciding.

--- a/src/main/java/org/auburnhoist/core/dispatch/PriorityDispatcher.java
+++ b/src/main/java/org/auburnhoist/core/dispatch/PriorityDispatcher.java
@@ -45,6 +45,8 @@
     private static final double OVERDUE_FACTOR = 4;
     /** A server that took up a request well counts as proven for this long; spells come every ten seconds or so. */
     private static final long PROVEN_NANOS = 1_500 * MILLI;
+    /** Part of a server's slots that is filled before others are used; full servers slow down and lose more at once. */
+    private static final double FILLED_SHARE = 0.6;
     /** Part of a request's target that it may wait for a proven server. */
     private static final double WAITING_SHARE = 0.12;
     /** Part of its target after which a request goes to servers that have just failed rather than wait on. */
@@ -353,7 +355,8 @@
         if (use.coldUntilNanos - nowNanos > 0) {
             return ServerRank.COLD;
         }
-        return silentNanos(use, nowNanos) < PROVEN_NANOS ? ServerRank.PROVEN : ServerRank.UNPROVEN;
+        boolean hasRoom = grants.used(id) < Math.ceil(FILLED_SHARE * use.server.slots());
+        return hasRoom && silentNanos(use, nowNanos) < PROVEN_NANOS ? ServerRank.PROVEN : ServerRank.UNPROVEN;
     }
 
     private static long longestAvoidance(boolean spread) {
--- a/src/main/java/org/auburnhoist/core/limit/TeamQuotas.java
+++ b/src/main/java/org/auburnhoist/core/limit/TeamQuotas.java
@@ -2,7 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
-import java.util.function.Predicate;
+import java.util.Set;
 import org.auburnhoist.core.routing.TeamTerms;
 
 /**
@@ -20,23 +20,36 @@
 
     private final IsolatedAllowance.Tolerance tolerance;
     private final Map<String, SlidingCount> counts = new HashMap<>();
-    private long ownerSinceNanos;
+    private final Map<String, Long> ownerSince = new HashMap<>();
+    private long changedNanos;
 
     /** Counts of a host that has just started. */
     public TeamQuotas(IsolatedAllowance.Tolerance tolerance, long nowNanos) {
         this.tolerance = tolerance;
-        this.ownerSinceNanos = nowNanos;
+        this.changedNanos = nowNanos;
     }
 
-    /** The fleet's members have changed; counts that fall to other hosts are dropped. */
-    public void membersChanged(Predicate<String> owns, long nowNanos) {
-        counts.keySet().removeIf(team -> !owns.test(team));
-        ownerSinceNanos = nowNanos;
+    /**
+     * The fleet's members have changed; counts that fall to other hosts are dropped.
+     *
+     * @param owned all teams whose limits this host decides about now
+     * @param nowNanos the present time
+     */
+    public void membersChanged(Set<String> owned, long nowNanos) {
+        counts.keySet().retainAll(owned);
+        ownerSince.keySet().retainAll(owned);
+        owned.forEach(team -> ownerSince.putIfAbsent(team, nowNanos));
+        changedNanos = nowNanos;
     }
 
     /** Whether this host may decide about a team whose owner it is. */
     public boolean isSettled(String team, long nowNanos) {
-        return counts.containsKey(team) || nowNanos - ownerSinceNanos >= TAKEOVER_NANOS;
+        return counts.containsKey(team) || nowNanos - ownerSince(team) >= TAKEOVER_NANOS;
+    }
+
+    /** A team that was declared after the last change of members has had no other owner since then. */
+    private long ownerSince(String team) {
+        return ownerSince.getOrDefault(team, changedNanos);
     }
 
     /** Admits one request of a limited team, or tells when there is room for the next one. */
@@ -44,7 +57,7 @@
         double limit = Math.max(1, team.ratePerSecond() * tolerance.windowSeconds() + team.burst());
         SlidingCount count = counts.computeIfAbsent(team.name(), name -> {
             double assumed = Math.max(0, limit - FIRST_SHARE_OF_SLACK * tolerance.slack());
-            return new SlidingCount(tolerance.windowSeconds(), assumed, ownerSinceNanos);
+            return new SlidingCount(tolerance.windowSeconds(), assumed, ownerSince(name));
         });
         if (count.sum(nowNanos) + 1 <= limit) {
             count.add(nowNanos);
--- a/src/main/java/org/auburnhoist/gateway/QuotaBroker.java
+++ b/src/main/java/org/auburnhoist/gateway/QuotaBroker.java
@@ -1,9 +1,11 @@
 package org.auburnhoist.gateway;
 
 import java.time.Duration;
+import java.util.Set;
 import java.util.function.BiConsumer;
 import java.util.function.LongPredicate;
 import java.util.random.RandomGenerator;
+import java.util.stream.Collectors;
 import org.auburnhoist.core.limit.IsolatedAllowance;
 import org.auburnhoist.core.limit.TeamQuotas;
 import org.auburnhoist.core.limit.TokenDecision;
@@ -67,7 +69,10 @@
     }
 
     void membersChanged(long nowNanos) {
-        owned.membersChanged(team -> isOwner(team), nowNanos);
+        Set<String> mine = knowledge.router().configuration().teams().keySet().stream()
+                .filter(this::isOwner)
+                .collect(Collectors.toSet());
+        owned.membersChanged(mine, nowNanos);
     }
 
     /** Asks for one token. */
--- a/src/main/java/org/auburnhoist/platform/KvTransport.java
+++ b/src/main/java/org/auburnhoist/platform/KvTransport.java
@@ -19,10 +19,12 @@
 import org.apache.hc.core5.http.Message;
 import org.apache.hc.core5.http.impl.bootstrap.AsyncRequesterBootstrap;
 import org.apache.hc.core5.http.impl.bootstrap.HttpAsyncRequester;
+import org.apache.hc.core5.http.nio.AsyncClientEndpoint;
 import org.apache.hc.core5.http.nio.AsyncRequestProducer;
 import org.apache.hc.core5.http.nio.entity.BasicAsyncEntityConsumer;
 import org.apache.hc.core5.http.nio.support.AsyncRequestBuilder;
 import org.apache.hc.core5.http.nio.support.BasicResponseConsumer;
+import org.apache.hc.core5.http.protocol.HttpCoreContext;
 import org.apache.hc.core5.http.protocol.HttpProcessor;
 import org.apache.hc.core5.http.protocol.HttpProcessorBuilder;
 import org.apache.hc.core5.http.protocol.RequestConnControl;
@@ -103,18 +105,12 @@
         if (body != null) {
             builder.setEntity(body.toString().getBytes(StandardCharsets.UTF_8), ContentType.APPLICATION_JSON);
         }
-        AsyncRequestProducer producer = builder.build();
-        Future<?> exchange = requester.execute(
-                host,
-                producer,
-                new BasicResponseConsumer<>(new BasicAsyncEntityConsumer()),
-                SILENCE_LIMIT,
-                new ReplyCallback(reply));
+        Exchange exchange = new Exchange(reply, builder.build());
+        Future<?> lease = requester.connect(host, SILENCE_LIMIT, null, exchange);
         Future<?> expiry = timer.schedule(
                 () -> {
-                    if (reply.complete(noAnswer("no answer within " + limit.toMillis() + " ms"))) {
-                        exchange.cancel(true);
-                    }
+                    exchange.expire("no answer within " + limit.toMillis() + " ms");
+                    lease.cancel(true);
                 },
                 limit.toMillis(),
                 TimeUnit.MILLISECONDS);
@@ -132,11 +128,77 @@
         return new Reply(NO_ANSWER, MissingNode.getInstance(), reason);
     }
 
-    private static final class ReplyCallback implements FutureCallback<Message<HttpResponse, byte[]>> {
+    /**
+     * One call on a leased connection. A call that is given up closes its connection: a store that has gone silent
+     * would otherwise hold all connections of the pool.
+     */
+    private static final class Exchange implements FutureCallback<AsyncClientEndpoint> {
         private final CompletableFuture<Reply> reply;
+        private final AsyncRequestProducer producer;
+        private @Nullable AsyncClientEndpoint leased;
+        private boolean over;
 
-        ReplyCallback(CompletableFuture<Reply> reply) {
+        Exchange(CompletableFuture<Reply> reply, AsyncRequestProducer producer) {
             this.reply = reply;
+            this.producer = producer;
+        }
+
+        @Override
+        public void completed(AsyncClientEndpoint endpoint) {
+            synchronized (this) {
+                if (!over) {
+                    leased = endpoint;
+                }
+            }
+            if (leased == null) {
+                endpoint.releaseAndReuse();
+                return;
+            }
+            endpoint.execute(
+                    producer,
+                    new BasicResponseConsumer<>(new BasicAsyncEntityConsumer()),
+                    HttpCoreContext.create(),
+                    new ReplyCallback(this));
+        }
+
+        @Override
+        public void failed(Exception cause) {
+            end(noAnswer(String.valueOf(cause)), false);
+        }
+
+        @Override
+        public void cancelled() {
+            end(noAnswer("cancelled"), false);
+        }
+
+        void expire(String reason) {
+            end(noAnswer(reason), false);
+        }
+
+        /** Ends the call once; the connection is kept only after a whole answer. */
+        void end(Reply result, boolean whole) {
+            AsyncClientEndpoint endpoint;
+            synchronized (this) {
+                if (over) {
+                    return;
+                }
+                over = true;
+                endpoint = leased;
+            }
+            if (endpoint != null && whole) {
+                endpoint.releaseAndReuse();
+            } else if (endpoint != null) {
+                endpoint.releaseAndDiscard();
+            }
+            reply.complete(result);
+        }
+    }
+
+    private static final class ReplyCallback implements FutureCallback<Message<HttpResponse, byte[]>> {
+        private final Exchange exchange;
+
+        ReplyCallback(Exchange exchange) {
+            this.exchange = exchange;
         }
 
         @Override
@@ -145,23 +207,24 @@
             int status = message.getHead().getCode();
             try {
                 JsonNode parsed = body == null || body.length == 0 ? MissingNode.getInstance() : MAPPER.readTree(body);
-                reply.complete(new Reply(status, parsed, ""));
+                exchange.end(new Reply(status, parsed, ""), true);
             } catch (IOException malformed) {
-                reply.complete(
+                exchange.end(
                         status == 200
                                 ? noAnswer("an unreadable answer")
-                                : new Reply(status, MissingNode.getInstance(), ""));
+                                : new Reply(status, MissingNode.getInstance(), ""),
+                        false);
             }
         }
 
         @Override
         public void failed(Exception cause) {
-            reply.complete(noAnswer(String.valueOf(cause)));
+            exchange.failed(cause);
         }
 
         @Override
         public void cancelled() {
-            reply.complete(noAnswer("cancelled"));
+            exchange.cancelled();
         }
     }
 }
--- a/src/test/java/org/auburnhoist/cli/OperatingPageTest.java
+++ b/src/test/java/org/auburnhoist/cli/OperatingPageTest.java
@@ -13,7 +13,7 @@
     private final String page;
 
     OperatingPageTest() throws IOException {
-        page = Files.readString(Path.of("docs/OPERATING.md"));
+        page = Files.readString(Path.of("docs/OPERATIONS.md"));
     }
 
     @Test
--- a/src/test/java/org/auburnhoist/core/limit/TeamQuotasTest.java
+++ b/src/test/java/org/auburnhoist/core/limit/TeamQuotasTest.java
@@ -8,6 +8,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Random;
+import java.util.Set;
 import org.auburnhoist.core.routing.TeamTerms;
 import org.junit.jupiter.api.Test;
 
@@ -62,7 +63,7 @@
     @Test
     void aNewOwnerDoesNotGrantTheWindowThatAnEarlierOneMayHaveGranted() {
         TeamQuotas quotas = new TeamQuotas(TOLERANCE, 0);
-        quotas.membersChanged(team -> false, 60 * SECOND);
+        quotas.membersChanged(Set.of("members"), 60 * SECOND);
         assertFalse(quotas.isSettled("members", 61 * SECOND));
         assertTrue(quotas.isSettled("members", 63 * SECOND));
         int admitted = 0;
@@ -72,6 +73,18 @@
         assertEquals(8, admitted, "only a part of the tolerated excess");
     }
 
+    @Test
+    void changesOfOtherHostsDoNotKeepAnOwnerFromDeciding() {
+        TeamQuotas quotas = new TeamQuotas(TOLERANCE, 0);
+        for (int change = 0; change < 10; change++) {
+            quotas.membersChanged(Set.of("members"), (60 + change) * SECOND);
+        }
+        assertTrue(quotas.isSettled("members", 69 * SECOND));
+        quotas.membersChanged(Set.of(), 70 * SECOND);
+        quotas.membersChanged(Set.of("members"), 71 * SECOND);
+        assertFalse(quotas.isSettled("members", 72 * SECOND), "another host may have decided in between");
+    }
+
     @Test
     void isolatedHostsStayWithinTheExcessAtTheEndsOfTheRange() {
         for (int hosts : new int[] {3, 40, 100}) {
--- a/src/test/java/org/auburnhoist/platform/KvStoreTest.java
+++ b/src/test/java/org/auburnhoist/platform/KvStoreTest.java
@@ -4,9 +4,16 @@
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.auburnhoist.store.Entry;
@@ -74,6 +81,44 @@
         assertTrue(revisionOf("a/b") > 0, "the write whose answer was lost took effect");
     }
 
+    @Test
+    void aCallThatIsGivenUpClosesItsConnection() throws Exception {
+        CountDownLatch closed = new CountDownLatch(6);
+        try (ServerSocket silent = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+                KvStore cut = new KvStore(new InetSocketAddress("127.0.0.1", silent.getLocalPort()))) {
+            Thread acceptor = new Thread(() -> acceptAll(silent, closed), "silent-store");
+            acceptor.setDaemon(true);
+            acceptor.start();
+            for (int call = 0; call < 6; call++) {
+                assertInstanceOf(ReadResult.Unavailable.class, cut.get("a/b").join());
+            }
+            assertTrue(closed.await(5, TimeUnit.SECONDS), "connections left open: " + closed.getCount());
+        }
+    }
+
+    /** Reads what comes and never answers; counts connections that the caller has closed. */
+    private static void acceptAll(ServerSocket server, CountDownLatch closed) {
+        while (!server.isClosed()) {
+            try {
+                Socket socket = server.accept();
+                Thread reader = new Thread(() -> readToEnd(socket, closed), "silent-connection");
+                reader.setDaemon(true);
+                reader.start();
+            } catch (IOException stopped) {
+                return;
+            }
+        }
+    }
+
+    private static void readToEnd(Socket socket, CountDownLatch closed) {
+        try (socket) {
+            socket.getInputStream().transferTo(OutputStream.nullOutputStream());
+        } catch (IOException reset) {
+            // A reset ends the connection as well.
+        }
+        closed.countDown();
+    }
+
     @Test
     void rangesOfSeveralPagesAreReadWhole() {
         for (int number = 0; number < 130; number++) {
--- a/src/test/java/org/auburnhoist/platform/PlatformHostTest.java
+++ b/src/test/java/org/auburnhoist/platform/PlatformHostTest.java
@@ -5,6 +5,8 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.IOException;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.URI;
@@ -15,6 +17,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
 import org.auburnhoist.core.limit.IsolatedAllowance;
@@ -96,9 +99,15 @@
                 0.7);
     }
 
-    private static InetSocketAddress free() throws Exception {
-        try (ServerSocket socket = new ServerSocket(0)) {
-            return new InetSocketAddress("127.0.0.1", socket.getLocalPort());
+    /** A port below those that the system gives to outgoing connections, which could take it before it is used. */
+    private static InetSocketAddress free() {
+        while (true) {
+            int port = ThreadLocalRandom.current().nextInt(20_000, 32_000);
+            try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+                return new InetSocketAddress("127.0.0.1", socket.getLocalPort());
+            } catch (IOException taken) {
+                // The next number may be free.
+            }
         }
     }
 
@@ -126,7 +135,7 @@
         }
         try {
             return client.send(builder.build(), HttpResponse.BodyHandlers.ofString());
-        } catch (java.io.IOException cause) {
+        } catch (IOException cause) {
             throw new java.io.UncheckedIOException(cause);
         } catch (InterruptedException cause) {
             Thread.currentThread().interrupt();
