Remove what nothing uses and what stood twice

Cause: reading the change as a newcomer: methods without callers, the hop to the control thread and the end of the process written twice, constants in the middle of classes. No behaviour changes.

--- a/src/main/java/org/auburnhoist/cli/ServePlatformCommand.java
+++ b/src/main/java/org/auburnhoist/cli/ServePlatformCommand.java
@@ -3,11 +3,9 @@
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.List;
-import java.util.concurrent.CountDownLatch;
 import org.auburnhoist.platform.BootFile;
 import org.auburnhoist.platform.PlatformHost;
 import org.auburnhoist.support.Event;
-import org.auburnhoist.support.LogFormat;
 import sun.misc.Signal;
 
 /** Runs an entry host on the users' platform until it is told to stop. */
@@ -38,8 +36,7 @@
             BootFile boot = BootFile.read(file);
             PlatformHost host = PlatformHost.start(boot);
             Signal.handle(new Signal("HUP"), signal -> checkAgain(file, boot));
-            Runtime.getRuntime().addShutdownHook(new Thread(() -> stopAndExit(host), "planned-stop"));
-            new CountDownLatch(1).await();
+            StopSignal.await(() -> host.stop().join());
             return ExitCode.DONE;
         } catch (BootFile.InvalidBootFileException invalid) {
             invalid.findings().forEach(finding -> context.err().println(finding.describe()));
@@ -70,11 +67,4 @@
             Event.named("settings-unreadable").with("cause", cause).warn();
         }
     }
-
-    /** Ends the process with status 0, because a planned stop is not a failure; the default after SIGTERM is 143. */
-    private static void stopAndExit(PlatformHost host) {
-        host.stop().join();
-        LogFormat.flush();
-        Runtime.getRuntime().halt(ExitCode.DONE.status());
-    }
 }
--- a/src/main/java/org/auburnhoist/core/dispatch/PriorityDispatcher.java
+++ b/src/main/java/org/auburnhoist/core/dispatch/PriorityDispatcher.java
@@ -1,7 +1,6 @@
 package org.auburnhoist.core.dispatch;
 
 import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -185,15 +184,6 @@
         }
     }
 
-    /** Frees the grants and drops the waiting requests of a host that is gone. */
-    public List<SlotDecision> memberGone(HostId member, long nowNanos) {
-        List<SlotDecision> decisions = new ArrayList<>();
-        grants.removeIf(grant -> grant.host().equals(member));
-        queue.removeIf(waiting -> waiting.request().asking().equals(member));
-        grantWaiting(decisions, nowNanos);
-        return decisions;
-    }
-
     /** Lets time pass; to be called about every 100 ms while requests wait. */
     public List<SlotDecision> tick(long nowNanos) {
         tidiedAt = nowNanos;
@@ -206,22 +196,6 @@
         return decisions;
     }
 
-    /** Requests that wait for a slot. */
-    public boolean hasWaiting() {
-        return !queue.isEmpty();
-    }
-
-    /** Names of servers that get no requests at present because they failed. */
-    public Set<String> avoided(long nowNanos) {
-        Set<String> result = new HashSet<>();
-        for (ServerUse use : servers.values()) {
-            if (judge.standing(use.server.id(), Long.MAX_VALUE, nowNanos) == SpellJudge.Standing.AVOIDED) {
-                result.add(use.server.id());
-            }
-        }
-        return result;
-    }
-
     private void grantWaiting(List<SlotDecision> decisions, long nowNanos) {
         while (!queue.isEmpty()) {
             ServerChoice choice = new ServerChoice();
--- a/src/main/java/org/auburnhoist/core/dispatch/SpellJudge.java
+++ b/src/main/java/org/auburnhoist/core/dispatch/SpellJudge.java
@@ -209,9 +209,4 @@
         Track track = tracks.get(server);
         return track != null && track.everFailed && track.lastFailure - sinceNanos >= 0;
     }
-
-    /** How long a server is avoided after a failure at present, in nanoseconds. */
-    long avoidanceNanos() {
-        return (long) avoidanceNanos;
-    }
 }
--- a/src/main/java/org/auburnhoist/core/routing/TrafficRouter.java
+++ b/src/main/java/org/auburnhoist/core/routing/TrafficRouter.java
@@ -1,8 +1,6 @@
 package org.auburnhoist.core.routing;
 
-import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import org.auburnhoist.core.configuration.Sha256;
@@ -70,11 +68,6 @@
         return configuration.teams().get(name);
     }
 
-    /** All host names that have routes. */
-    public List<String> hostNames() {
-        return new ArrayList<>(routesByHostAndPrefix.keySet());
-    }
-
     private static String hostName(String hostHeader) {
         int colon = hostHeader.lastIndexOf(':');
         String name = colon < 0 ? hostHeader : hostHeader.substring(0, colon);
--- a/src/main/java/org/auburnhoist/gateway/GatewayForwarding.java
+++ b/src/main/java/org/auburnhoist/gateway/GatewayForwarding.java
@@ -27,7 +27,10 @@
     /** A body that is on its way when the time is up gets this much longer. */
     private static final long ANSWER_GRACE_NANOS = 50 * MILLI;
 
+    /** Advice to callers while nothing is known of when a server will be free. */
     private static final long RETRY_MILLIS = 300;
+    /** Slots limit the connections in use; this bounds a host's own share of a server's connections. */
+    private static final int MOST_CONNECTIONS = 16;
 
     private final Request request;
     private final GatewayParts parts;
@@ -160,9 +163,6 @@
         }
     }
 
-    /** Slots limit the connections in use; this bounds a host's own share of a server's connections. */
-    private static final int MOST_CONNECTIONS = 16;
-
     @Override
     public boolean attemptEnded(AttemptOutcome outcome, boolean sent, long latencyMicros, long nowNanos) {
         SlotBroker.Slot used = slot;
--- a/src/main/java/org/auburnhoist/gateway/GatewayHost.java
+++ b/src/main/java/org/auburnhoist/gateway/GatewayHost.java
@@ -4,6 +4,7 @@
 import java.nio.channels.AsynchronousChannelGroup;
 import java.security.SecureRandom;
 import java.time.Duration;
+import java.util.List;
 import java.util.Random;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
@@ -261,23 +262,13 @@
         Started present = started;
         if (present == null) {
             return CompletableFuture.completedFuture(
-                    new Admission.Refused(Refusal.HOST_ISOLATED, "this host is starting", 500, java.util.List.of()));
+                    new Admission.Refused(Refusal.HOST_ISOLATED, "this host is starting", 500, List.of()));
         }
         return present.policy().admit(head, nowNanos);
     }
 
     private CompletionStage<Message> answerPeer(HostId from, Message request) {
-        CompletableFuture<Message> answer = new CompletableFuture<>();
-        control.compute(now -> {
-                    answer(from, request, now, answer);
-                    return true;
-                })
-                .whenComplete((done, failure) -> {
-                    if (failure != null) {
-                        answer.completeExceptionally(failure);
-                    }
-                });
-        return answer;
+        return control.answer((answer, now) -> answer(from, request, now, answer));
     }
 
     private void answer(HostId from, Message request, long nowNanos, CompletableFuture<Message> answer) {
--- a/src/main/java/org/auburnhoist/gateway/Knowledge.java
+++ b/src/main/java/org/auburnhoist/gateway/Knowledge.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Objects;
@@ -131,7 +132,7 @@
         List<FleetMember> sorted = new ArrayList<>(read);
         sorted.sort(Comparator.comparing(member -> member.id().name()));
         byte[] document = FleetDocuments.members(sorted);
-        if (!java.util.Arrays.equals(document, membersDocument)) {
+        if (!Arrays.equals(document, membersDocument)) {
             adoptMembers(sorted, document, revision, source, nowNanos);
         }
     }
--- a/src/main/java/org/auburnhoist/gateway/PlatformQueries.java
+++ b/src/main/java/org/auburnhoist/gateway/PlatformQueries.java
@@ -23,6 +23,11 @@
     /** Most addresses that a caller uses of one answer. */
     private static final int MOST_ADDRESSES = 64;
 
+    /** A data centre with less than its share among so many is helped out by the others. */
+    private static final int MOST_DATA_CENTRES = 5;
+    /** With fewer near hosts the loss of one would be felt. */
+    private static final int LEAST_NEAR = 4;
+
     private static final String METRICS_PATH = "/metrics";
 
     private final PlatformBinding binding;
@@ -87,11 +92,6 @@
         return new Admission.Answered(binding.addressAnswer(addresses, settings.addressValidity()));
     }
 
-    /** A data centre with less than its share among so many is helped out by the others. */
-    private static final int MOST_DATA_CENTRES = 5;
-    /** With fewer near hosts the loss of one would be felt. */
-    private static final int LEAST_NEAR = 4;
-
     private static CompletionStage<Admission> completed(RecordedAnswer answer) {
         return CompletableFuture.completedFuture(new Admission.Answered(answer));
     }
--- a/src/main/java/org/auburnhoist/host/ControlThread.java
+++ b/src/main/java/org/auburnhoist/host/ControlThread.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.LongConsumer;
 import java.util.function.LongFunction;
+import java.util.function.ObjLongConsumer;
 import org.auburnhoist.support.Event;
 
 /**
@@ -88,6 +89,25 @@
         return result;
     }
 
+    /**
+     * Runs a task that completes an answer, at once or later.
+     *
+     * @return completes exceptionally if the task fails or too many tasks are queued
+     */
+    public <T> CompletableFuture<T> answer(ObjLongConsumer<CompletableFuture<T>> task) {
+        CompletableFuture<T> answer = new CompletableFuture<>();
+        CompletableFuture<Boolean> accepted = compute(now -> {
+            task.accept(answer, now);
+            return true;
+        });
+        accepted.whenComplete((done, failure) -> {
+            if (failure != null) {
+                answer.completeExceptionally(failure);
+            }
+        });
+        return answer;
+    }
+
     /** Adds to the tasks that one run of the executor takes, because its own queue costs several times more. */
     private void submit(Runnable task) {
         if (executor.isShutdown()) {
--- a/src/main/java/org/auburnhoist/host/PeerRequests.java
+++ b/src/main/java/org/auburnhoist/host/PeerRequests.java
@@ -29,17 +29,7 @@
 
     @Override
     public CompletionStage<Message> handle(HostId from, Message request) {
-        CompletableFuture<Message> answer = new CompletableFuture<>();
-        control.compute(now -> {
-                    answer(from, request, now, answer);
-                    return true;
-                })
-                .whenComplete((done, failure) -> {
-                    if (failure != null) {
-                        answer.completeExceptionally(failure);
-                    }
-                });
-        return answer;
+        return control.answer((answer, now) -> answer(from, request, now, answer));
     }
 
     private void answer(HostId from, Message request, long nowNanos, CompletableFuture<Message> answer) {
--- a/src/test/java/org/auburnhoist/platform/PlatformHostTest.java
+++ b/src/test/java/org/auburnhoist/platform/PlatformHostTest.java
@@ -6,6 +6,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -20,6 +21,8 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import org.auburnhoist.core.limit.IsolatedAllowance;
 import org.auburnhoist.gateway.GatewaySettings;
 import org.auburnhoist.support.Closer;
@@ -136,7 +139,7 @@
         try {
             return client.send(builder.build(), HttpResponse.BodyHandlers.ofString());
         } catch (IOException cause) {
-            throw new java.io.UncheckedIOException(cause);
+            throw new UncheckedIOException(cause);
         } catch (InterruptedException cause) {
             Thread.currentThread().interrupt();
             throw new IllegalStateException(cause);
@@ -147,8 +150,7 @@
         HttpResponse<String> answer = get(host.directoryAddress(), "/api/resolve?name=x&zone=a", "x");
         List<String> found = new ArrayList<>();
         if (answer.statusCode() == 200) {
-            java.util.regex.Matcher matcher =
-                    java.util.regex.Pattern.compile("127\\.0\\.0\\.1:\\d+").matcher(answer.body());
+            Matcher matcher = Pattern.compile("127\\.0\\.0\\.1:\\d+").matcher(answer.body());
             while (matcher.find()) {
                 found.add(matcher.group());
             }
--- a/src/test/java/org/auburnhoist/platform/StandInServer.java
+++ b/src/test/java/org/auburnhoist/platform/StandInServer.java
@@ -4,6 +4,7 @@
 import java.net.InetAddress;
 import java.util.HashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.CopyOnWriteArrayList;
 import org.apache.hc.core5.http.ClassicHttpRequest;
@@ -67,7 +68,7 @@
             throws IOException {
         Map<String, String> headers = new HashMap<>();
         for (Header header : request.getHeaders()) {
-            headers.put(header.getName().toLowerCase(java.util.Locale.ROOT), header.getValue());
+            headers.put(header.getName().toLowerCase(Locale.ROOT), header.getValue());
         }
         headers.put(":path", request.getPath());
         EntityUtils.consume(request.getEntity());
