Keep the floor of servers in use while hosts are missing

Requests that are lost with a host are not seen by the dispatcher, so it goes on filling few servers while more than a tenth of the service's requests may fail.

Test that failed first: theFloorOfServersIsInUseWhileHostsAreMissing, with 3 of 10 servers in use.

Ruled out: spreading always, since each server in use meets its spells; not measured.

--- a/src/main/java/org/auburnhoist/core/dispatch/PriorityDispatcher.java
+++ b/src/main/java/org/auburnhoist/core/dispatch/PriorityDispatcher.java
@@ -64,6 +64,7 @@
     private final Map<String, ServerUse> servers = new LinkedHashMap<>();
     private final RandomGenerator random;
     private long tidiedAt;
+    private boolean hostsMissing;
 
     private static final class ServerUse {
         UpstreamServer server;
@@ -92,6 +93,14 @@
         this.budget = new RetryBudget(settings.retryShare(), settings.leastRetries());
     }
 
+    /**
+     * Tells whether some hosts do not answer. Requests that they lose are not seen here, but count for the floor of
+     * servers in use.
+     */
+    public void hostsMissing(boolean missing) {
+        hostsMissing = missing;
+    }
+
     /** Takes over the registered servers of the service. */
     public List<SlotDecision> servers(List<UpstreamServer> registered, long nowNanos) {
         Map<String, ServerUse> next = new LinkedHashMap<>();
@@ -389,7 +398,7 @@
     }
 
     private boolean isSpreading(long nowNanos) {
-        if (served.unservedShare(nowNanos) < SPREAD_SHARE) {
+        if (!hostsMissing && served.unservedShare(nowNanos) < SPREAD_SHARE) {
             return false;
         }
         int present = 0;
--- a/src/test/java/org/auburnhoist/core/dispatch/PriorityDispatcherTest.java
+++ b/src/test/java/org/auburnhoist/core/dispatch/PriorityDispatcherTest.java
@@ -6,7 +6,9 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.time.Duration;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -221,6 +223,27 @@
         assertTrue(tried);
     }
 
+    @Test
+    void theFloorOfServersIsInUseWhileHostsAreMissing() {
+        dispatcher.servers(servers(10, 2), 0);
+        dispatcher.hostsMissing(true);
+        Set<String> used = new HashSet<>();
+        Deque<Long> running = new ArrayDeque<>();
+        for (int request = 0; request < 240; request++) {
+            long now = request * 25L * MILLI;
+            // The last two seconds count, after each new server has had its first request.
+            if (running.size() == 4) {
+                end(running.removeFirst(), AttemptOutcome.SUCCESS, HOST, 100, now);
+            }
+            long token = ask(TrafficClass.LOOKUP, 1, 1, HOST, now);
+            running.add(token);
+            if (request >= 160) {
+                used.add(answers.get(token).server());
+            }
+        }
+        assertTrue(used.size() >= 7, "requests that missing hosts lose are not seen here: " + used);
+    }
+
     @Test
     void theFloorOfServersStaysInUseWhileRequestsFail() {
         dispatcher.servers(servers(10, 2), 0);
