Keep the floor of servers in use at all times

Change: servers that were not used for 1.85 s are due whenever fewer than the floor and a fiftieth are in use; the signal of missing hosts is removed again. One that failed is avoided for at most 4 s then, and 1.8 s while requests fail.

--- a/src/main/java/org/auburnhoist/core/dispatch/PriorityDispatcher.java
+++ b/src/main/java/org/auburnhoist/core/dispatch/PriorityDispatcher.java
@@ -19,7 +19,7 @@
  * Grants the slots of one service's registered servers to requests in order of rank.
  *
  * <p>Requests go first to servers that have just proved to work, so that servers in a spell of failures are met seldom.
- * When more requests fail than usual, they are spread over more servers, so that the floor of servers in use holds.
+ * The floor of servers is kept in use at all times, because requests may fail at any moment for reasons not seen here.
  * Further attempts draw on one budget of the service. Not thread-safe.
  */
 public final class PriorityDispatcher {
@@ -33,13 +33,15 @@
     /** A server that has announced itself gets its first request after this time, before the others. */
     private static final long INTRODUCTION_NANOS = 1_500 * MILLI;
     /** Servers count as in use for this long after a request; the floor is judged over 2 s. */
-    private static final long IN_USE_NANOS = 1_700 * MILLI;
-    /** Unserved share from which requests are spread; the floor is judged from a tenth on. */
-    private static final double SPREAD_SHARE = 0.085;
+    private static final long IN_USE_NANOS = 1_850 * MILLI;
     /** Share of servers kept in use beyond the floor while requests are spread. */
-    private static final double FLOOR_MARGIN = 0.05;
-    /** A server that failed by itself counts as sound again after this time. */
-    private static final long SOUND_AGAIN_NANOS = 1_800 * MILLI;
+    private static final double FLOOR_MARGIN = 0.02;
+    /** While too few servers are in use, one that failed is avoided no longer; it counts as sound again after 2 s. */
+    private static final long LONGEST_AVOIDANCE_NANOS = 4_000 * MILLI;
+    /** The same while many requests fail, when the floor is judged. */
+    private static final long AVOIDANCE_WHILE_FAILING_NANOS = 1_800 * MILLI;
+    /** Unserved share from which requests count as failing; the floor is judged from a tenth on. */
+    private static final double FAILING_SHARE = 0.085;
     /** Times the usual time after which a request in flight is taken as stuck. */
     private static final double OVERDUE_FACTOR = 4;
     /** A server that took up a request well counts as proven for this long; spells come every ten seconds or so. */
@@ -64,7 +66,6 @@
     private final Map<String, ServerUse> servers = new LinkedHashMap<>();
     private final RandomGenerator random;
     private long tidiedAt;
-    private boolean hostsMissing;
 
     private static final class ServerUse {
         UpstreamServer server;
@@ -93,14 +94,6 @@
         this.budget = new RetryBudget(settings.retryShare(), settings.leastRetries());
     }
 
-    /**
-     * Tells whether some hosts do not answer. Requests that they lose are not seen here, but count for the floor of
-     * servers in use.
-     */
-    public void hostsMissing(boolean missing) {
-        hostsMissing = missing;
-    }
-
     /** Takes over the registered servers of the service. */
     public List<SlotDecision> servers(List<UpstreamServer> registered, long nowNanos) {
         Map<String, ServerUse> next = new LinkedHashMap<>();
@@ -318,7 +311,7 @@
         if (judge.avoidsPath(waiting.asking(), id, nowNanos)) {
             return pressed ? ServerRank.DOUBTFUL_PATH : null;
         }
-        SpellJudge.Standing standing = judge.standing(id, longestAvoidance(spread), nowNanos);
+        SpellJudge.Standing standing = judge.standing(id, longestAvoidance(spread, nowNanos), nowNanos);
         if (standing == SpellJudge.Standing.AVOIDED) {
             return pressed && idle ? ServerRank.AVOIDED : null;
         }
@@ -342,8 +335,12 @@
         return hasRoom && silentNanos(use, nowNanos) < PROVEN_NANOS ? ServerRank.PROVEN : ServerRank.UNPROVEN;
     }
 
-    private static long longestAvoidance(boolean spread) {
-        return spread ? SOUND_AGAIN_NANOS : Long.MAX_VALUE;
+    private long longestAvoidance(boolean spread, long nowNanos) {
+        if (!spread) {
+            return Long.MAX_VALUE;
+        }
+        boolean failing = served.unservedShare(nowNanos) >= FAILING_SHARE;
+        return failing ? AVOIDANCE_WHILE_FAILING_NANOS : LONGEST_AVOIDANCE_NANOS;
     }
 
     private boolean isBetter(Candidate candidate, Candidate best) {
@@ -398,9 +395,6 @@
     }
 
     private boolean isSpreading(long nowNanos) {
-        if (!hostsMissing && served.unservedShare(nowNanos) < SPREAD_SHARE) {
-            return false;
-        }
         int present = 0;
         int inUse = 0;
         for (ServerUse use : servers.values()) {
--- a/src/main/java/org/auburnhoist/core/membership/FleetView.java
+++ b/src/main/java/org/auburnhoist/core/membership/FleetView.java
@@ -20,13 +20,8 @@
     /** A member that nobody has heard of for this long is passed over: three missed reports. */
     static final long ALIVE_NANOS = 1_600_000_000L;
 
-    /** Callers of a host that is gone fail for about as long as they keep an address answer. */
-    private static final long SETTLING_NANOS = 4_000_000_000L;
-
     private final FleetMember self;
     private long namesHash;
-    private boolean everChanged;
-    private long changedAt;
     private final Map<String, FleetMember> members = new TreeMap<>();
     private final Map<String, Long> heardAt = new HashMap<>();
     private final Map<String, Boolean> ready = new HashMap<>();
@@ -59,8 +54,6 @@
         members.clear();
         members.putAll(next);
         namesHash = StableHash.of(String.join("\n", members.keySet()));
-        everChanged = true;
-        changedAt = nowNanos;
         heardAt.keySet().retainAll(members.keySet());
         ready.keySet().retainAll(members.keySet());
         orders.clear();
@@ -118,19 +111,6 @@
         return heard != null && nowNanos - heard <= ALIVE_NANOS;
     }
 
-    /** Whether a member that is not leaving does not answer, or one has joined or left a short time ago. */
-    public boolean isMissingHosts(long nowNanos) {
-        if (everChanged && nowNanos - changedAt < SETTLING_NANOS) {
-            return true;
-        }
-        for (FleetMember member : members.values()) {
-            if (!member.leaving() && !isAlive(member.id().name(), nowNanos)) {
-                return true;
-            }
-        }
-        return false;
-    }
-
     /** Nanoseconds since a member was heard of, or null if it never was. */
     public @Nullable Long silence(String name, long nowNanos) {
         if (name.equals(self.id().name())) {
--- a/src/main/java/org/auburnhoist/gateway/SlotBroker.java
+++ b/src/main/java/org/auburnhoist/gateway/SlotBroker.java
@@ -199,8 +199,6 @@
 
     private void tick(long nowNanos) {
         ticking = false;
-        boolean missing = fleet.isMissingHosts(nowNanos);
-        dispatches.values().forEach(dispatch -> dispatch.dispatcher.hostsMissing(missing));
         for (Map<String, Dispatch> kind : List.of(dispatches, localChoices)) {
             List.copyOf(kind.values()).forEach(dispatch -> dispatch.complete(dispatch.dispatcher.tick(nowNanos)));
         }
--- a/src/test/java/org/auburnhoist/core/dispatch/PriorityDispatcherTest.java
+++ b/src/test/java/org/auburnhoist/core/dispatch/PriorityDispatcherTest.java
@@ -224,9 +224,8 @@
     }
 
     @Test
-    void theFloorOfServersIsInUseWhileHostsAreMissing() {
+    void theFloorOfServersIsInUseAlsoWhileNothingFails() {
         dispatcher.servers(servers(10, 2), 0);
-        dispatcher.hostsMissing(true);
         Set<String> used = new HashSet<>();
         Deque<Long> running = new ArrayDeque<>();
         for (int request = 0; request < 240; request++) {
@@ -241,7 +240,7 @@
                 used.add(answers.get(token).server());
             }
         }
-        assertTrue(used.size() >= 7, "requests that missing hosts lose are not seen here: " + used);
+        assertTrue(used.size() >= 7, "a sudden loss of hosts is judged with the two seconds before it: " + used);
     }
 
     @Test
--- a/src/test/java/org/auburnhoist/core/membership/FleetViewTest.java
+++ b/src/test/java/org/auburnhoist/core/membership/FleetViewTest.java
@@ -81,18 +81,6 @@
         return members.stream().map(member -> member.id().name()).toList();
     }
 
-    @Test
-    void hostsAreMissingWhileOneIsSilentOrHasJustJoined() {
-        FleetView view = new FleetView(member("host-0", 1));
-        view.members(members(3), 0);
-        assertTrue(view.isMissingHosts(SECOND));
-        view.heard("host-1", true, 5 * SECOND);
-        view.heard("host-2", true, 5 * SECOND);
-        assertFalse(view.isMissingHosts(5 * SECOND));
-        view.heard("host-1", true, 7 * SECOND);
-        assertTrue(view.isMissingHosts(7 * SECOND));
-    }
-
     @Test
     void documentsKeepEveryField() throws IOException {
         List<FleetMember> members = members(3);
