Split the choice of server from the queue of a service

PriorityDispatcher held both the queue with its refusals and the ranking of servers in 447 lines. ServerChooser now ranks; PriorityDispatcher queues, refuses and keeps the retry budget. No behaviour changes.

Checked: PriorityDispatcherTest, 10 passed, among them the simulated minute that counts requests lost to failing servers.

--- a/src/main/java/org/auburnhoist/core/dispatch/PriorityDispatcher.java
+++ b/src/main/java/org/auburnhoist/core/dispatch/PriorityDispatcher.java
@@ -1,9 +1,7 @@
 package org.auburnhoist.core.dispatch;
 
 import java.util.ArrayList;
-import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
 import java.util.random.RandomGenerator;
 import org.auburnhoist.core.HostId;
@@ -18,9 +16,8 @@
 /**
  * Grants the slots of one service's registered servers to requests in order of rank.
  *
- * <p>Requests go first to servers that have just proved to work, so that servers in a spell of failures are met seldom.
- * The floor of servers is kept in use at all times, because requests may fail at any moment for reasons not seen here.
- * Further attempts draw on one budget of the service. Not thread-safe.
+ * <p>{@link ServerChooser} chooses the servers. Requests that cannot be answered in time are refused at once; further
+ * attempts draw on one budget of the service. Not thread-safe.
  */
 public final class PriorityDispatcher {
     private static final long MILLI = 1_000_000L;
@@ -30,84 +27,27 @@
     private static final long TIDY_NANOS = 100 * MILLI;
     /** A grant that was never released ends this long after its request's deadline. */
     private static final long GRANT_MARGIN_NANOS = 1_000 * MILLI;
-    /** A server that has announced itself gets its first request after this time, before the others. */
-    private static final long INTRODUCTION_NANOS = 1_500 * MILLI;
-    /** Servers count as in use for this long after a request; the floor is judged over 2 s. */
-    private static final long IN_USE_NANOS = 1_850 * MILLI;
-    /** Share of servers kept in use beyond the floor while requests are spread. */
-    private static final double FLOOR_MARGIN = 0.02;
-    /** While too few servers are in use, one that failed is avoided no longer; it counts as sound again after 2 s. */
-    private static final long LONGEST_AVOIDANCE_NANOS = 4_000 * MILLI;
-    /** The same while many requests fail, when the floor is judged. */
-    private static final long AVOIDANCE_WHILE_FAILING_NANOS = 1_800 * MILLI;
-    /** Unserved share from which requests count as failing; the floor is judged from a tenth on. */
-    private static final double FAILING_SHARE = 0.085;
-    /** Times the usual time after which a request in flight is taken as stuck. */
-    private static final double OVERDUE_FACTOR = 4;
-    /** A server that took up a request well counts as proven for this long; spells come every ten seconds or so. */
-    private static final long PROVEN_NANOS = 1_500 * MILLI;
-    /** Part of a server's slots that is filled before others are used; full servers slow down and lose more at once. */
-    private static final double FILLED_SHARE = 0.6;
-    /** Part of a request's target that it may wait for a proven server. */
-    private static final double WAITING_SHARE = 0.12;
-    /** Part of its target after which a request goes to servers that have just failed rather than wait on. */
-    private static final double LAST_RESORT_SHARE = 0.4;
-    /** A server that fails for a time answers its failures within this time. */
-    private static final long QUICK_FAILURE_NANOS = 60 * MILLI;
 
-    private final PriorityDispatcherSettings settings;
     private final RankedQueue queue = new RankedQueue();
-    private final SpellJudge judge = new SpellJudge();
     private final Quarantine quarantine = new Quarantine();
     private final GrantTable grants;
     private final ServiceRate rate;
     private final RetryBudget budget;
     private final ServedShare served = new ServedShare();
-    private final Map<String, ServerUse> servers = new LinkedHashMap<>();
-    private final RandomGenerator random;
+    private final ServerChooser chooser;
     private long tidiedAt;
 
-    private static final class ServerUse {
-        UpstreamServer server;
-        final long firstSeenNanos;
-        final long coldUntilNanos;
-        long lastGrantNanos;
-        long provenNanos;
-        boolean everGranted;
-        boolean everProven;
-
-        ServerUse(UpstreamServer server, long nowNanos) {
-            this.server = server;
-            this.firstSeenNanos = nowNanos;
-            this.coldUntilNanos = nowNanos + server.warmUpMillis() * MILLI;
-        }
-    }
-
-    private record Candidate(ServerRank rank, int distance, int used, long silentNanos) {}
-
     /** Creates a dispatcher without servers. */
     public PriorityDispatcher(PriorityDispatcherSettings settings, RandomGenerator random) {
-        this.settings = settings;
-        this.random = random;
         this.grants = new GrantTable(random.nextLong());
         this.rate = new ServiceRate(settings.firstHoldTime());
         this.budget = new RetryBudget(settings.retryShare(), settings.leastRetries());
+        this.chooser = new ServerChooser(settings.floorShare(), grants, rate, served, random);
     }
 
     /** Takes over the registered servers of the service. */
     public List<SlotDecision> servers(List<UpstreamServer> registered, long nowNanos) {
-        Map<String, ServerUse> next = new LinkedHashMap<>();
-        for (UpstreamServer server : registered) {
-            ServerUse known = servers.get(server.id());
-            if (known == null || known.server.bornMillis() != server.bornMillis()) {
-                known = new ServerUse(server, nowNanos);
-            }
-            known.server = server;
-            next.put(server.id(), known);
-        }
-        servers.clear();
-        servers.putAll(next);
-        judge.retain(servers.keySet());
+        chooser.servers(registered, nowNanos);
         List<SlotDecision> decisions = new ArrayList<>();
         grantWaiting(decisions, nowNanos);
         return decisions;
@@ -176,7 +116,7 @@
                 grant.fingerprint(),
                 outcome,
                 release.latencyMicros());
-        judge.observe(observation, grant.grantedNanos(), rate.latencySeconds(grant.trafficClass()), nowNanos);
+        chooser.observe(observation, grant.grantedNanos(), nowNanos);
         boolean success = outcome == AttemptOutcome.SUCCESS;
         if (success) {
             rate.released(grant, release.latencyMicros(), nowNanos);
@@ -205,7 +145,7 @@
                 choice.server = chooseServer(waiting.request(), nowNanos);
                 return choice.server != null;
             });
-            ServerUse server = choice.server;
+            UpstreamServer server = choice.server;
             if (next == null || server == null) {
                 return;
             }
@@ -216,210 +156,28 @@
     /** The server found while the queue looks for a request that can be granted. */
     private static final class ServerChoice {
         @Nullable
-        ServerUse server;
+        UpstreamServer server;
     }
 
-    private SlotDecision grant(WaitingRequest waiting, ServerUse use, long nowNanos) {
-        long silent = silentNanos(use, nowNanos);
-        if (silent != Long.MAX_VALUE) {
-            use.everProven = true;
-            use.provenNanos = nowNanos - silent;
-        }
-        use.lastGrantNanos = nowNanos;
-        use.everGranted = true;
-        UpstreamServer server = use.server;
+    private SlotDecision grant(WaitingRequest waiting, UpstreamServer server, long nowNanos) {
+        chooser.granted(server, nowNanos);
         Grant grant = grants.add(waiting, server.id(), nowNanos, waiting.deadlineNanos() + GRANT_MARGIN_NANOS);
         return new SlotDecision(
                 waiting.replyToken(),
                 new SlotAnswer(SlotVerdict.GRANTED, server.id(), server.address(), grant.id(), 0));
     }
 
-    private @Nullable ServerUse chooseServer(WaitingRequest waiting, long nowNanos) {
-        SlotRequest request = waiting.request();
-        Set<String> suspectedOn = quarantine.diedWith(request.fingerprint());
-        if (!suspectedOn.isEmpty() && grants.usedBy(request.fingerprint()) > 0) {
-            return null;
-        }
-        boolean spread = isSpreading(nowNanos);
-        boolean pressed = waitedSeconds(waiting, nowNanos) >= LAST_RESORT_SHARE * targetSeconds(request);
-        ServerUse best = null;
-        Candidate bestCandidate = null;
-        for (ServerUse use : servers.values()) {
-            UpstreamServer server = use.server;
-            int used = grants.used(server.id());
-            if (server.leaving()
-                    || used >= server.slots()
-                    || request.excludedServers().contains(server.id())
-                    || suspectedOn.contains(server.id())) {
-                continue;
-            }
-            Candidate candidate = candidate(waiting, use, spread, pressed, nowNanos);
-            if (candidate != null && (bestCandidate == null || isBetter(candidate, bestCandidate))) {
-                best = use;
-                bestCandidate = candidate;
-            }
-        }
-        boolean wait =
-                bestCandidate != null && bestCandidate.rank().isWorthWaitingAt() && waitsForProven(waiting, nowNanos);
-        return wait ? null : best;
-    }
-
-    /**
-     * Whether a slot on a proven server will be free so soon that a request that cannot be repeated had better wait.
-     * Answers are worth the same within their target, so a small part of it may be spent on waiting.
-     */
-    private boolean waitsForProven(WaitingRequest waiting, long nowNanos) {
-        SlotRequest request = waiting.request();
-        if (request.trafficClass().isIdempotent()) {
-            return false;
-        }
-        double allowedSeconds = WAITING_SHARE * targetSeconds(request);
-        double waitedSeconds = waitedSeconds(waiting, nowNanos);
-        int provenBusy = 0;
-        for (ServerUse use : servers.values()) {
-            if (!use.server.leaving() && silentNanos(use, nowNanos) < PROVEN_NANOS) {
-                provenBusy += grants.used(use.server.id());
-            }
-        }
-        return provenBusy > 0 && waitedSeconds + rate.holdSeconds(request.trafficClass()) / provenBusy < allowedSeconds;
-    }
-
-    private static double targetSeconds(SlotRequest request) {
-        long target = request.terms().targetMillis();
-        return (target > 0 ? Math.min(target, request.deadlineMillis()) : request.deadlineMillis()) / 1e3;
-    }
-
-    private static double waitedSeconds(WaitingRequest waiting, long nowNanos) {
-        return (nowNanos - waiting.deadlineNanos()) / 1e9 + waiting.request().deadlineMillis() / 1e3;
-    }
-
-    /** A server's suitability for a request, or null if it must not get it. */
-    private @Nullable Candidate candidate(
-            WaitingRequest waiting, ServerUse use, boolean spread, boolean pressed, long nowNanos) {
-        ServerRank rank = rank(waiting, use, spread, pressed, nowNanos);
-        if (rank == null) {
-            return null;
-        }
-        return new Candidate(
-                rank, sameDataCentre(waiting, use) ? 0 : 1, grants.used(use.server.id()), silentNanos(use, nowNanos));
-    }
-
-    private @Nullable ServerRank rank(
-            WaitingRequest waiting, ServerUse use, boolean spread, boolean pressed, long nowNanos) {
-        String id = use.server.id();
-        boolean idle = grants.used(id) == 0;
-        if (judge.avoidsPath(waiting.asking(), id, nowNanos)) {
-            return pressed ? ServerRank.DOUBTFUL_PATH : null;
-        }
-        SpellJudge.Standing standing = judge.standing(id, longestAvoidance(spread, nowNanos), nowNanos);
-        if (standing == SpellJudge.Standing.AVOIDED) {
-            return pressed && idle ? ServerRank.AVOIDED : null;
-        }
-        if (standing == SpellJudge.Standing.ON_TRIAL && !idle) {
-            return null;
-        }
-        boolean neededForFloor = spread && nowNanos - use.lastGrantNanos > IN_USE_NANOS;
-        if (neededForFloor || isIntroductionDue(use, nowNanos)) {
-            return ServerRank.DUE;
-        }
-        if (standing == SpellJudge.Standing.ON_TRIAL) {
-            return ServerRank.ON_TRIAL;
-        }
-        if (standing == SpellJudge.Standing.SLOW || isOverdue(id, nowNanos)) {
-            return ServerRank.SLOW;
-        }
-        if (use.coldUntilNanos - nowNanos > 0) {
-            return ServerRank.COLD;
-        }
-        boolean hasRoom = grants.used(id) < Math.ceil(FILLED_SHARE * use.server.slots());
-        return hasRoom && silentNanos(use, nowNanos) < PROVEN_NANOS ? ServerRank.PROVEN : ServerRank.UNPROVEN;
-    }
-
-    private long longestAvoidance(boolean spread, long nowNanos) {
-        if (!spread) {
-            return Long.MAX_VALUE;
-        }
-        boolean failing = served.unservedShare(nowNanos) >= FAILING_SHARE;
-        return failing ? AVOIDANCE_WHILE_FAILING_NANOS : LONGEST_AVOIDANCE_NANOS;
-    }
-
-    private boolean isBetter(Candidate candidate, Candidate best) {
-        if (candidate.rank() != best.rank()) {
-            return candidate.rank().compareTo(best.rank()) < 0;
-        }
-        if (candidate.distance() != best.distance()) {
-            return candidate.distance() < best.distance();
-        }
-        // Filling servers one after the other keeps the number of those in use, and so of spells met, small.
-        if (candidate.rank() == ServerRank.PROVEN && candidate.used() != best.used()) {
-            return candidate.used() > best.used();
-        }
-        if (candidate.silentNanos() != best.silentNanos()) {
-            return candidate.silentNanos() < best.silentNanos();
-        }
-        return random.nextBoolean();
-    }
-
-    /**
-     * Time since a request is known to have been taken up well. Servers in a spell fail requests at once, so a request
-     * that has not failed for a moment shows that its server was well when it came.
-     */
-    private long silentNanos(ServerUse use, long nowNanos) {
-        if (use.everGranted
-                && nowNanos - use.lastGrantNanos > QUICK_FAILURE_NANOS
-                && !judge.hasFailedSince(use.server.id(), use.lastGrantNanos)) {
-            return nowNanos - use.lastGrantNanos;
-        }
-        return use.everProven ? nowNanos - use.provenNanos : Long.MAX_VALUE;
-    }
-
-    private static boolean sameDataCentre(WaitingRequest waiting, ServerUse use) {
-        return use.server.dataCentre().equals(waiting.request().terms().dataCentre());
-    }
-
-    private static boolean isIntroductionDue(ServerUse use, long nowNanos) {
-        return !use.everGranted && nowNanos - use.firstSeenNanos > INTRODUCTION_NANOS;
-    }
-
-    private boolean isOverdue(String server, long nowNanos) {
-        if (grants.used(server) == 0) {
-            return false;
-        }
-        for (Grant grant : grants.onServer(server)) {
-            double usual = rate.holdSeconds(grant.trafficClass());
-            if ((nowNanos - grant.grantedNanos()) / 1e9 > OVERDUE_FACTOR * usual) {
-                return true;
-            }
-        }
-        return false;
-    }
-
-    private boolean isSpreading(long nowNanos) {
-        int present = 0;
-        int inUse = 0;
-        for (ServerUse use : servers.values()) {
-            if (!use.server.leaving()) {
-                present++;
-                inUse += use.everGranted && nowNanos - use.lastGrantNanos <= IN_USE_NANOS ? 1 : 0;
-            }
-        }
-        return inUse < Math.ceil(present * Math.min(1, settings.floorShare() + FLOOR_MARGIN));
-    }
-
-    private int usableSlots(long longestAvoidance, long nowNanos) {
-        int slots = 0;
-        for (ServerUse use : servers.values()) {
-            if (!use.server.leaving()
-                    && judge.standing(use.server.id(), longestAvoidance, nowNanos) != SpellJudge.Standing.AVOIDED) {
-                slots += use.server.slots();
-            }
-        }
-        return slots;
+    private @Nullable UpstreamServer chooseServer(WaitingRequest waiting, long nowNanos) {
+        long fingerprint = waiting.request().fingerprint();
+        Set<String> suspectedOn = quarantine.diedWith(fingerprint);
+        // A request that may have crashed a server is tried on one other server at a time.
+        boolean beingTried = !suspectedOn.isEmpty() && grants.usedBy(fingerprint) > 0;
+        return beingTried ? null : chooser.choose(waiting, suspectedOn, nowNanos);
     }
 
     /** By how many seconds the answer would come after the deadline at the present rate; not positive if in time. */
     private double secondsBeyondDeadline(WaitingRequest waiting, long nowNanos) {
-        double slots = Math.max(1, usableSlots(Long.MAX_VALUE, nowNanos));
+        double slots = Math.max(1, chooser.usableSlots(nowNanos));
         double hold = rate.holdSeconds(waiting.request().trafficClass());
         int ahead = queue.ahead(waiting.request().terms().priority());
         double wait = ahead * hold / slots;
@@ -428,7 +186,7 @@
 
     private boolean cannotBeAnswered(WaitingRequest waiting, long nowNanos) {
         double hold = rate.holdSeconds(waiting.request().trafficClass());
-        return servers.isEmpty() || (waiting.deadlineNanos() - nowNanos) / 1e9 < hold;
+        return !chooser.hasServers() || (waiting.deadlineNanos() - nowNanos) / 1e9 < hold;
     }
 
     private void refuseOverloaded(WaitingRequest waiting, double excess, List<SlotDecision> decisions, long nowNanos) {
