Let a restarted owner decide about its teams at once

The owner of a team's limit waited 2.5 s after a restart, although its own earlier process was the only owner before, and then started from a window taken as nearly full. Each new incarnation among the members also put the wait back.

Ruled out: the retries of callers and the servers (no service had queued requests at that time); the configuration (read within 0.7 s).

Change: a team's limit is a token bucket of its burst. A bucket that starts empty when the earlier owner's last token was granted keeps every window within the limit, whatever was granted before, so the earlier process needs no further wait.

Also: hosts that restart no longer spread their first read over 0.4 s, and report every 0.1 s until they have a configuration; bounds that a deployment does not state have usual values instead of ending the start.

--- a/src/main/java/org/auburnhoist/core/limit/TeamQuotas.java
+++ b/src/main/java/org/auburnhoist/core/limit/TeamQuotas.java
@@ -6,63 +6,91 @@
 import org.auburnhoist.core.routing.TeamTerms;
 
 /**
- * Counts the requests of the teams whose limits this host decides for the whole fleet.
+ * Token buckets of the teams whose limits this host decides for the whole fleet.
  *
- * <p>In any window a team may send its rate times the window plus its burst, which is how the limit is judged; a token
- * bucket of the burst's size would refuse requests that arrive in clumps although the window has room. The window of a
- * team that is new here starts nearly full, because an earlier owner may just have granted all of it. Not thread-safe.
+ * <p>A bucket of the team's burst that fills at the team's rate keeps every window within the rate times the window
+ * plus the burst. It also makes a change of the owner cheap: a new bucket that starts empty when the earlier owner
+ * granted its last token keeps to the same bound, whatever the earlier owner had granted. Not thread-safe.
  */
 public final class TeamQuotas {
-    /** Part of the tolerated excess that a new window has room for at once. */
-    private static final double FIRST_SHARE_OF_SLACK = 0.4;
+    /** Part of the tolerated slack by which a bucket is larger than the burst; small teams send in clumps. */
+    private static final double SHARE_OF_SLACK = 0.2;
+    /** Part of the tolerated slack that a new owner's bucket holds at first. */
+    private static final double FIRST_SHARE_OF_SLACK = 0.2;
     /** By then every host in contact has learned of a new owner and the earlier one has stopped. */
     private static final long TAKEOVER_NANOS = 2_500_000_000L;
 
     private final IsolatedAllowance.Tolerance tolerance;
-    private final Map<String, SlidingCount> counts = new HashMap<>();
-    private final Map<String, Long> ownerSince = new HashMap<>();
-    private long changedNanos;
+    private final Map<String, Level> levels = new HashMap<>();
+    private final Map<String, Long> earlierOwnerEnds = new HashMap<>();
+    private long lastChangeEnds;
 
-    /** Counts of a host that has just started. */
+    private static final class Level {
+        double tokens;
+        long atNanos;
+    }
+
+    /** Buckets of a host that has just started; another host may own any team for a while yet. */
     public TeamQuotas(IsolatedAllowance.Tolerance tolerance, long nowNanos) {
         this.tolerance = tolerance;
-        this.changedNanos = nowNanos;
+        this.lastChangeEnds = nowNanos + TAKEOVER_NANOS;
     }
 
     /**
-     * The fleet's members have changed; counts that fall to other hosts are dropped.
+     * A host has joined or is gone; buckets that fall to other hosts are dropped.
      *
      * @param owned all teams whose limits this host decides about now
      * @param nowNanos the present time
      */
     public void membersChanged(Set<String> owned, long nowNanos) {
-        counts.keySet().retainAll(owned);
-        ownerSince.keySet().retainAll(owned);
-        owned.forEach(team -> ownerSince.putIfAbsent(team, nowNanos));
-        changedNanos = nowNanos;
+        ownersChanged(owned, nowNanos + TAKEOVER_NANOS);
+    }
+
+    /**
+     * Earlier owners of the teams that are new here have stopped already, such as a host that said that it is leaving,
+     * or this host's own earlier process.
+     *
+     * @param owned all teams whose limits this host decides about now
+     * @param endedNanos when the earlier owners had stopped
+     */
+    public void ownersEnded(Set<String> owned, long endedNanos) {
+        ownersChanged(owned, endedNanos);
+    }
+
+    private void ownersChanged(Set<String> owned, long earlierEnds) {
+        levels.keySet().retainAll(owned);
+        earlierOwnerEnds.keySet().retainAll(owned);
+        owned.forEach(team -> earlierOwnerEnds.putIfAbsent(team, earlierEnds));
+        lastChangeEnds = earlierEnds;
     }
 
     /** Whether this host may decide about a team whose owner it is. */
     public boolean isSettled(String team, long nowNanos) {
-        return counts.containsKey(team) || nowNanos - ownerSince(team) >= TAKEOVER_NANOS;
+        return nowNanos - earlierOwnerEnds(team) >= 0;
     }
 
     /** A team that was declared after the last change of members has had no other owner since then. */
-    private long ownerSince(String team) {
-        return ownerSince.getOrDefault(team, changedNanos);
+    private long earlierOwnerEnds(String team) {
+        return earlierOwnerEnds.computeIfAbsent(team, name -> lastChangeEnds);
     }
 
-    /** Admits one request of a limited team, or tells when there is room for the next one. */
+    /** Admits one request of a limited team, or tells when there is a token for the next one. */
     public TokenDecision acquire(TeamTerms team, long nowNanos) {
-        double limit = Math.max(1, team.ratePerSecond() * tolerance.windowSeconds() + team.burst());
-        SlidingCount count = counts.computeIfAbsent(team.name(), name -> {
-            double assumed = Math.max(0, limit - FIRST_SHARE_OF_SLACK * tolerance.slack());
-            return new SlidingCount(tolerance.windowSeconds(), assumed, ownerSince(name));
+        double rate = Math.max(Double.MIN_NORMAL, team.ratePerSecond());
+        double capacity = Math.max(1, team.burst() + SHARE_OF_SLACK * tolerance.slack());
+        Level level = levels.computeIfAbsent(team.name(), name -> {
+            Level first = new Level();
+            first.tokens = Math.min(capacity, FIRST_SHARE_OF_SLACK * tolerance.slack());
+            first.atNanos = earlierOwnerEnds(name);
+            return first;
         });
-        if (count.sum(nowNanos) + 1 <= limit) {
-            count.add(nowNanos);
+        double elapsed = Math.max(0, nowNanos - level.atNanos) / 1e9;
+        level.tokens = Math.min(capacity, level.tokens + elapsed * rate);
+        level.atNanos = nowNanos;
+        if (level.tokens >= 1) {
+            level.tokens -= 1;
             return TokenDecision.Spend.INSTANCE;
         }
-        return new TokenDecision.Refuse(count.millisUntil(limit - 1, nowNanos));
+        return new TokenDecision.Refuse((long) Math.ceil(Math.min(1e6, (1 - level.tokens) / rate * 1_000)));
     }
 }
--- a/src/main/java/org/auburnhoist/gateway/FleetBootstrap.java
+++ b/src/main/java/org/auburnhoist/gateway/FleetBootstrap.java
@@ -16,8 +16,10 @@
 /** Reads with one call what a starting host needs: the fleet's secret, which the first host creates, and members. */
 final class FleetBootstrap {
     private static final int SECRET_BYTES = 16;
-    /** Hosts that start together spread their first reads over this time, so that one of them creates the secret. */
-    private static final long START_SPREAD_NANOS = Duration.ofMillis(400).toNanos();
+    /** Hosts of a new fleet spread their first reads over this time, so that one of them creates the secret. */
+    private static final long FIRST_START_SPREAD_NANOS = Duration.ofMillis(400).toNanos();
+    /** Spreads the reads of hosts that restart together by some times the store's answer time. */
+    private static final long RESTART_SPREAD_NANOS = Duration.ofMillis(40).toNanos();
 
     private final Store store;
     private final ControlThread control;
@@ -40,9 +42,14 @@
         this.delay = new RetryDelay(random);
     }
 
-    /** Completes on the control thread when the secret is known. */
-    CompletableFuture<Found> find() {
-        long spread = (long) (START_SPREAD_NANOS * random.nextDouble());
+    /**
+     * Reads until it succeeds.
+     *
+     * @param firstStart whether the whole fleet starts for the first time
+     * @return completes on the control thread when the secret is known
+     */
+    CompletableFuture<Found> find(boolean firstStart) {
+        long spread = (long) ((firstStart ? FIRST_START_SPREAD_NANOS : RESTART_SPREAD_NANOS) * random.nextDouble());
         control.after(Duration.ofNanos(spread), now -> read());
         return result;
     }
--- a/src/main/java/org/auburnhoist/gateway/FleetSync.java
+++ b/src/main/java/org/auburnhoist/gateway/FleetSync.java
@@ -26,6 +26,9 @@
     /** Three reports fit into the time within which a change must be in force. */
     private static final long REPORT_NANOS = Duration.ofMillis(500).toNanos();
 
+    /** A host without a configuration serves nobody, so it asks more often. */
+    private static final long STARTING_REPORT_NANOS = Duration.ofMillis(100).toNanos();
+
     private static final Duration REPORT_TIMEOUT = Duration.ofMillis(400);
     private static final long SUSPECT_NANOS = Duration.ofSeconds(2).toNanos();
     /** A host to which nobody has reported for this long coordinates no more. */
@@ -83,7 +86,8 @@
             return;
         }
         FleetMember coordinator = coordinator(nowNanos);
-        nextReport = nowNanos + (long) (REPORT_NANOS * (0.9 + 0.2 * random.nextDouble()));
+        long interval = knowledge.hasConfiguration() ? REPORT_NANOS : STARTING_REPORT_NANOS;
+        nextReport = nowNanos + (long) (interval * (0.9 + 0.2 * random.nextDouble()));
         if (!coordinator.id().name().equals(selfName)) {
             report(coordinator, nowNanos);
         }
--- a/src/main/java/org/auburnhoist/gateway/GatewayHost.java
+++ b/src/main/java/org/auburnhoist/gateway/GatewayHost.java
@@ -15,6 +15,7 @@
 import java.util.random.RandomGenerator;
 import org.auburnhoist.core.HostId;
 import org.auburnhoist.core.Refusal;
+import org.auburnhoist.core.membership.FleetDocuments;
 import org.auburnhoist.core.membership.FleetMember;
 import org.auburnhoist.core.membership.FleetView;
 import org.auburnhoist.core.message.Acknowledgement;
@@ -37,6 +38,7 @@
 import org.auburnhoist.proxy.ProxySettings;
 import org.auburnhoist.proxy.RequestHead;
 import org.auburnhoist.proxy.RequestPolicy;
+import org.auburnhoist.store.Entry;
 import org.auburnhoist.store.ReadResult;
 import org.auburnhoist.store.Store;
 import org.auburnhoist.support.Closer;
@@ -77,6 +79,7 @@
     private final StoreFeed feed;
     private final MembershipLease lease;
     private final ProxyServer proxy;
+    private final long startNanos;
     private volatile @Nullable Started started;
     private volatile boolean joined;
     private volatile boolean stopping;
@@ -103,6 +106,7 @@
                 false,
                 settings.capacity());
         long now = System.nanoTime();
+        this.startNanos = now;
         this.fleet = new FleetView(member);
         this.knowledge = new Knowledge(binding, fleet, this::serversChanged, this::membersChanged);
         this.lease = new MembershipLease(store, control, member, random, now);
@@ -183,7 +187,7 @@
                 .log();
         control.every(TICK, this::tick);
         control.every(TIDY_INTERVAL, this::tidy);
-        new FleetBootstrap(store, control, random).find().thenAccept(this::fleetFound);
+        new FleetBootstrap(store, control, random).find(settings.firstStart()).thenAccept(this::fleetFound);
     }
 
     private void fleetFound(FleetBootstrap.Found found) {
@@ -212,15 +216,33 @@
         long now = System.nanoTime();
         SlotBroker slots = new SlotBroker(fleet, knowledge, peers, control, self, settings, random);
         QuotaBroker quotas = new QuotaBroker(
-                fleet, knowledge, peers, settings.name(), lease::isHeld, settings.quotaTolerance(), random, now);
+                fleet, knowledge, peers, settings.name(), lease::isHeld, settings.quotaTolerance(), random, startNanos);
         GatewayParts parts = new GatewayParts(settings, control, knowledge, slots, quotas, metrics);
         FleetSync sync = new FleetSync(fleet, knowledge, peers, settings.name(), this::isReady, random, now);
         started = new Started(sync, slots, quotas, peers, new GatewayPolicy(binding, parts, random.nextLong()));
         entries.entries().stream()
                 .filter(entry -> entry.key().equals(GatewayKeys.memberKey(settings.name())))
-                .forEach(entry -> lease.entrySeen(entry.revision()));
+                .forEach(entry -> {
+                    lease.entrySeen(entry.revision());
+                    if (!isLeaving(entry)) {
+                        quotas.resumes();
+                    }
+                });
         feed.joined(entries, now);
         joined = true;
+        tick(now);
+    }
+
+    private static boolean isLeaving(Entry entry) {
+        try {
+            return FleetDocuments.member(entry.value()).leaving();
+        } catch (IOException cause) {
+            Event.named("member-unreadable")
+                    .with("key", entry.key())
+                    .with("cause", cause)
+                    .warn();
+            return true;
+        }
     }
 
     private void tick(long nowNanos) {
--- a/src/main/java/org/auburnhoist/gateway/GatewaySettings.java
+++ b/src/main/java/org/auburnhoist/gateway/GatewaySettings.java
@@ -21,6 +21,7 @@
  * @param retryShare further attempts for each request that a service may get
  * @param retrySlack further attempts in a window that a service may get besides
  * @param floorShare share of the sound servers that must stay in use
+ * @param firstStart whether the whole fleet starts for the first time
  */
 public record GatewaySettings(
         String name,
@@ -35,4 +36,5 @@
         IsolatedAllowance.Tolerance quotaTolerance,
         double retryShare,
         double retrySlack,
-        double floorShare) {}
+        double floorShare,
+        boolean firstStart) {}
--- a/src/main/java/org/auburnhoist/gateway/MembershipLease.java
+++ b/src/main/java/org/auburnhoist/gateway/MembershipLease.java
@@ -52,9 +52,9 @@
         revision = seenRevision;
     }
 
-    /** Whether no other host can have got this host's duties. */
+    /** Whether no other host can have got this host's duties, and this host has not begun to leave. */
     boolean isHeld(long nowNanos) {
-        return registered && validUntilNanos - SAFETY_NANOS - nowNanos > 0;
+        return registered && !member.leaving() && validUntilNanos - SAFETY_NANOS - nowNanos > 0;
     }
 
     /** Registers or renews when it is time; to be called about every 100 ms. */
--- a/src/main/java/org/auburnhoist/gateway/QuotaBroker.java
+++ b/src/main/java/org/auburnhoist/gateway/QuotaBroker.java
@@ -1,6 +1,7 @@
 package org.auburnhoist.gateway;
 
 import java.time.Duration;
+import java.util.HashSet;
 import java.util.Set;
 import java.util.function.BiConsumer;
 import java.util.function.LongPredicate;
@@ -38,6 +39,10 @@
     private final LongPredicate mayOwn;
     private final TeamQuotas owned;
     private final IsolatedAllowance isolated;
+    private final long startNanos;
+    private boolean resumes;
+    private Set<String> memberNames = Set.of();
+    private Set<String> leavingNames = Set.of();
 
     /**
      * What became of a request for a token.
@@ -58,21 +63,47 @@
             LongPredicate mayOwn,
             IsolatedAllowance.Tolerance tolerance,
             RandomGenerator random,
-            long nowNanos) {
+            long startNanos) {
         this.fleet = fleet;
         this.knowledge = knowledge;
         this.peers = peers;
         this.selfName = selfName;
         this.mayOwn = mayOwn;
-        this.owned = new TeamQuotas(tolerance, nowNanos);
+        this.owned = new TeamQuotas(tolerance, startNanos);
         this.isolated = new IsolatedAllowance(tolerance, random);
+        this.startNanos = startNanos;
+    }
+
+    /** An earlier process under this host's name was a member until this one started, and owned the same teams. */
+    void resumes() {
+        resumes = true;
     }
 
     void membersChanged(long nowNanos) {
+        Set<String> names = new HashSet<>();
+        Set<String> leaving = new HashSet<>();
+        for (FleetMember member : fleet.members()) {
+            names.add(member.id().name());
+            if (member.leaving()) {
+                leaving.add(member.id().name());
+            }
+        }
+        if (names.equals(memberNames) && leaving.equals(leavingNames)) {
+            return;
+        }
+        // A leaving host grants nothing from the moment at which it says so.
+        boolean onlyLeaving = names.equals(memberNames) && leaving.containsAll(leavingNames);
+        memberNames = names;
+        leavingNames = leaving;
         Set<String> mine = knowledge.router().configuration().teams().keySet().stream()
                 .filter(this::isOwner)
                 .collect(Collectors.toSet());
-        owned.membersChanged(mine, nowNanos);
+        if (resumes || onlyLeaving) {
+            owned.ownersEnded(mine, resumes ? startNanos : nowNanos);
+            resumes = false;
+        } else {
+            owned.membersChanged(mine, nowNanos);
+        }
     }
 
     /** Asks for one token. */
--- a/src/main/java/org/auburnhoist/platform/BootFile.java
+++ b/src/main/java/org/auburnhoist/platform/BootFile.java
@@ -12,6 +12,7 @@
 import org.auburnhoist.core.configuration.NetworkAddress;
 import org.auburnhoist.core.limit.IsolatedAllowance;
 import org.auburnhoist.gateway.GatewaySettings;
+import org.auburnhoist.support.Event;
 import org.jspecify.annotations.Nullable;
 import org.snakeyaml.engine.v2.api.Load;
 import org.snakeyaml.engine.v2.api.LoadSettings;
@@ -108,15 +109,15 @@
             InetSocketAddress store = address("platform.platform.address", true);
             String ip = text("self.ip");
             int port = internalPort();
-            double validity = Math.min(LONGEST_ADDRESS_SECONDS, number("terms.bounds.ttl_max_s", 0.1, 3_600));
-            double grace = number("terms.bounds.grace_s", 0.5, 3_600);
+            double validity = Math.min(LONGEST_ADDRESS_SECONDS, bound("ttl_max_s", 0.1, 3_600, 5));
+            double grace = bound("grace_s", 0.5, 3_600, 6);
             IsolatedAllowance.Tolerance tolerance = new IsolatedAllowance.Tolerance(
-                    number("terms.bounds.quota_window_s", 0.1, 3_600),
-                    number("terms.bounds.quota_overrun", 0, 10),
-                    number("terms.bounds.quota_slack", 0, 1e6));
-            double retryShare = number("terms.bounds.retry_budget_ratio", 0, 10);
-            double retrySlack = number("terms.bounds.retry_budget_slack", 0, 1e6);
-            double floor = number("terms.bounds.floor_share", 0, 1);
+                    bound("quota_window_s", 0.1, 3_600, 5),
+                    bound("quota_overrun", 0, 10, 0.1),
+                    bound("quota_slack", 0, 1e6, 20));
+            double retryShare = bound("retry_budget_ratio", 0, 10, 0.2);
+            double retrySlack = bound("retry_budget_slack", 0, 1e6, 50);
+            double floor = bound("floor_share", 0, 1, 0.7);
             if (!findings.isEmpty() || front == null || store == null) {
                 return null;
             }
@@ -133,7 +134,8 @@
                     tolerance,
                     retryShare,
                     retrySlack,
-                    floor);
+                    floor,
+                    Boolean.TRUE.equals(value("self.bootstrap")));
             return new BootFile(settings, store);
         }
 
@@ -168,6 +170,19 @@
             return least;
         }
 
+        /** A deployment states no bounds for rules that are not in force there; the usual ones are kept then. */
+        private double bound(String name, double least, double most, double usual) {
+            String place = "terms.bounds." + name;
+            if (value(place) == null) {
+                Event.named("setting-missing")
+                        .with("place", place)
+                        .with("used", usual)
+                        .log();
+                return usual;
+            }
+            return number(place, least, most);
+        }
+
         private @Nullable InetSocketAddress address(String place, boolean required) {
             Object value = value(place);
             if (value == null && !required) {
--- a/src/test/java/org/auburnhoist/platform/DecodersTest.java
+++ b/src/test/java/org/auburnhoist/platform/DecodersTest.java
@@ -165,6 +165,15 @@
         assertNotNull(boot.settings().directoryAddress());
     }
 
+    /** Guards against hosts that do not start where a deployment lacks the bounds of rules that are not in force. */
+    @Test
+    void boundsThatADeploymentDoesNotStateHaveUsualValues() throws Exception {
+        BootFile boot =
+                BootFile.parse(BOOT.replace(", floor_share: 0.7", "").replace("bounds: {ttl_max_s: 5, ", "bounds: {"));
+        assertEquals(0.7, boot.settings().floorShare());
+        assertEquals(Duration.ofSeconds(2), boot.settings().addressValidity());
+    }
+
     @Test
     void eachFaultOfTheSettingsFileIsAFindingWithItsPlace() {
         String text = BOOT.replace("\"a\"\n", "7\n")
