Keep the floor of sound servers in every second

Cause: when hosts are lost, the requests that they lose make up to half of the 2 s over which the floor is judged, so the servers of the last second before must already be enough. Servers counted as in use for 1.85 s, and servers that had just failed counted although they are not sound for 2 s.

--- a/src/main/java/org/auburnhoist/core/dispatch/ServerChooser.java
+++ b/src/main/java/org/auburnhoist/core/dispatch/ServerChooser.java
@@ -20,8 +20,13 @@
     private static final long MILLI = 1_000_000L;
     /** A server that has announced itself gets its first request after this time, before the others. */
     private static final long INTRODUCTION_NANOS = 1_500 * MILLI;
-    /** Servers count as in use for this long after a request; the floor is judged over 2 s. */
-    private static final long IN_USE_NANOS = 1_850 * MILLI;
+    /**
+     * Servers count as in use for this long after a request. The floor is judged over 2 s in which up to half of the
+     * requests fail; when hosts are lost, the other half are those of the last second before.
+     */
+    private static final long IN_USE_NANOS = 1_000 * MILLI;
+    /** A server that failed by itself counts as sound again after this time. */
+    private static final long SOUND_AGAIN_NANOS = 2_000 * MILLI;
     /** Share of servers kept in use beyond the floor while requests are spread. */
     private static final double FLOOR_MARGIN = 0.02;
     /** While too few servers are in use, one that failed is avoided no longer; it counts as sound again after 2 s. */
@@ -292,15 +297,15 @@
     }
 
     private boolean isSpreading(long nowNanos) {
-        int present = 0;
+        int sound = 0;
         int inUse = 0;
         for (ServerUse use : servers.values()) {
-            if (!use.server.leaving()) {
-                present++;
+            if (!use.server.leaving() && !judge.hasFailedSince(use.server.id(), nowNanos - SOUND_AGAIN_NANOS)) {
+                sound++;
                 inUse += use.everGranted && nowNanos - use.lastGrantNanos <= IN_USE_NANOS ? 1 : 0;
             }
         }
-        return inUse < Math.ceil(present * Math.min(1, floorShare + FLOOR_MARGIN));
+        return inUse < Math.ceil(sound * Math.min(1, floorShare + FLOOR_MARGIN));
     }
 
     /** Slots of the servers that are not avoided. */
--- a/src/test/java/org/auburnhoist/core/dispatch/PriorityDispatcherTest.java
+++ b/src/test/java/org/auburnhoist/core/dispatch/PriorityDispatcherTest.java
@@ -131,6 +131,62 @@
         assertTrue(failed < 1.5 * spells, failed + " of " + all + " failed in " + spells + " spells");
     }
 
+    /** Guards against a floor that is broken when hosts are lost: only the last second's servers count then. */
+    @Test
+    void theFloorOfSoundServersIsKeptInEverySecond() {
+        int count = 18;
+        dispatcher.servers(servers(count, 2), 0);
+        Random random = new Random(5);
+        long[] phase = random.longs(count + 1, 0, 12_000).toArray();
+        long[] usedAt = new long[count + 1];
+        long[] failedUntil = new long[count + 1];
+        Map<Long, List<Long>> ends = new HashMap<>();
+        Set<Long> failing = new HashSet<>();
+        Set<Long> waiting = new HashSet<>();
+        int looks = 0;
+        int below = 0;
+        for (long millis = 0; millis < 60_000; millis++) {
+            long now = millis * MILLI;
+            for (long token : ends.getOrDefault(millis, List.of())) {
+                boolean fails = failing.remove(token);
+                end(token, fails ? AttemptOutcome.SERVER_ERROR : AttemptOutcome.SUCCESS, HOST, fails ? 5 : 220, now);
+            }
+            if (millis % 100 == 0) {
+                take(dispatcher.tick(now));
+            }
+            if (random.nextDouble() < 0.051) {
+                waiting.add(ask(TrafficClass.BOOKING, 1, 1, HOST, now));
+            }
+            for (long token : List.copyOf(waiting)) {
+                if (isGranted(token)) {
+                    waiting.remove(token);
+                    int number = Integer.parseInt(answers.get(token).server().substring("server-".length()));
+                    boolean fails = (millis + phase[number]) % 12_000 < 3_600 && random.nextDouble() < 0.85;
+                    usedAt[number] = millis;
+                    if (fails) {
+                        failing.add(token);
+                    }
+                    ends.computeIfAbsent(millis + (fails ? 5 : 220), key -> new ArrayList<>())
+                            .add(token);
+                }
+            }
+            int sound = 0;
+            int used = 0;
+            for (int number = 1; number <= count; number++) {
+                if ((millis + phase[number]) % 12_000 < 3_600) {
+                    failedUntil[number] = millis + 2_000;
+                }
+                sound += millis > failedUntil[number] ? 1 : 0;
+                used += millis > failedUntil[number] && millis - usedAt[number] < 1_000 ? 1 : 0;
+            }
+            if (millis > 5_000) {
+                looks++;
+                below += used < 0.7 * sound ? 1 : 0;
+            }
+        }
+        assertTrue(below < 0.05 * looks, "below the floor in " + below + " of " + looks + " ms");
+    }
+
     @Test
     void higherRanksAndThoseThatCanStillBeInTimeGoFirst() {
         dispatcher.servers(servers(1, 1), 0);
