Let requests wait for a starting host and for an absent owner of a limit

Both are over within some tenths of a second, and callers that are sent away come back later than that.

Ruled out: a shorter Retry-After, which costs callers a new connection and meets the next host in the same state.

--- a/src/main/java/org/auburnhoist/gateway/GatewayHost.java
+++ b/src/main/java/org/auburnhoist/gateway/GatewayHost.java
@@ -4,7 +4,6 @@
 import java.nio.channels.AsynchronousChannelGroup;
 import java.security.SecureRandom;
 import java.time.Duration;
-import java.util.List;
 import java.util.Random;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
@@ -14,7 +13,6 @@
 import java.util.concurrent.ThreadFactory;
 import java.util.random.RandomGenerator;
 import org.auburnhoist.core.HostId;
-import org.auburnhoist.core.Refusal;
 import org.auburnhoist.core.membership.FleetDocuments;
 import org.auburnhoist.core.membership.FleetMember;
 import org.auburnhoist.core.membership.FleetView;
@@ -77,6 +75,7 @@
     private final HostMetrics metrics = new HostMetrics();
     private final RandomGenerator random;
     private final FleetView fleet;
+    private final StartQueue startQueue;
     private final Knowledge knowledge;
     private final StoreFeed feed;
     private final MembershipLease lease;
@@ -110,7 +109,9 @@
         long now = System.nanoTime();
         this.startNanos = now;
         this.fleet = new FleetView(member);
-        this.knowledge = new Knowledge(binding, fleet, this::serversChanged, this::membersChanged);
+        this.startQueue = new StartQueue(control);
+        this.knowledge =
+                new Knowledge(binding, fleet, this::configurationChanged, this::serversChanged, this::membersChanged);
         this.lease = new MembershipLease(store, control, member, random, now);
         this.feed = new StoreFeed(
                 store, control, binding, knowledge, fleet, settings.name(), this::ownEntryMissing, random, now);
@@ -226,7 +227,8 @@
     private void join(PeerCalls peers, ReadResult.Found entries) {
         long now = System.nanoTime();
         SlotBroker slots = new SlotBroker(fleet, knowledge, peers, control, self, settings, random);
-        QuotaBroker quotas = new QuotaBroker(fleet, knowledge, peers, settings, lease::isHeld, random, startNanos);
+        QuotaBroker quotas =
+                new QuotaBroker(fleet, knowledge, peers, control, settings, lease::isHeld, random, startNanos);
         GatewayParts parts = new GatewayParts(settings, control, knowledge, slots, quotas, metrics);
         FleetSync sync = new FleetSync(fleet, knowledge, peers, settings.name(), this::isReady, random, now);
         started = new Started(sync, slots, quotas, peers, new GatewayPolicy(binding, parts, random.nextLong()));
@@ -292,11 +294,19 @@
 
     private CompletionStage<Admission> admit(RequestHead head, long nowNanos) {
         Started present = started;
-        if (present == null) {
-            return CompletableFuture.completedFuture(
-                    new Admission.Refused(Refusal.HOST_ISOLATED, "this host is starting", 500, List.of()));
+        if (present != null && knowledge.hasConfiguration()) {
+            return present.policy().admit(head, nowNanos);
         }
-        return present.policy().admit(head, nowNanos);
+        return startQueue.hold(binding.callerTerms(head).remainingMillis(), () -> {
+            Started joinedNow = started;
+            return joinedNow == null
+                    ? CompletableFuture.failedFuture(new IllegalStateException("the host is starting"))
+                    : joinedNow.policy().admit(head, nowNanos);
+        });
+    }
+
+    private void configurationChanged() {
+        startQueue.open();
     }
 
     private CompletionStage<Message> answerPeer(HostId from, Message request) {
--- a/src/main/java/org/auburnhoist/gateway/Knowledge.java
+++ b/src/main/java/org/auburnhoist/gateway/Knowledge.java
@@ -28,6 +28,7 @@
 
     private final PlatformBinding binding;
     private final FleetView fleet;
+    private final Runnable configurationChanged;
     private final Runnable serversChanged;
     private final Runnable membersChanged;
     private volatile TrafficRouter router = TrafficRouter.of(TrafficConfiguration.NONE);
@@ -42,9 +43,15 @@
     private boolean everRead;
     private long readAtNanos;
 
-    Knowledge(PlatformBinding binding, FleetView fleet, Runnable serversChanged, Runnable membersChanged) {
+    Knowledge(
+            PlatformBinding binding,
+            FleetView fleet,
+            Runnable configurationChanged,
+            Runnable serversChanged,
+            Runnable membersChanged) {
         this.binding = binding;
         this.fleet = fleet;
+        this.configurationChanged = configurationChanged;
         this.serversChanged = serversChanged;
         this.membersChanged = membersChanged;
     }
@@ -87,6 +94,7 @@
                     .log();
             router = TrafficRouter.of(read);
             configuration = FleetDocuments.deflate(stored);
+            configurationChanged.run();
         }
     }
 
--- a/src/main/java/org/auburnhoist/gateway/QuotaBroker.java
+++ b/src/main/java/org/auburnhoist/gateway/QuotaBroker.java
@@ -19,6 +19,7 @@
 import org.auburnhoist.core.message.TokenAnswer;
 import org.auburnhoist.core.message.TokenRequest;
 import org.auburnhoist.core.routing.TeamTerms;
+import org.auburnhoist.host.ControlThread;
 import org.auburnhoist.host.PeerCalls;
 import org.auburnhoist.host.Peers;
 import org.auburnhoist.peer.CallResult;
@@ -33,12 +34,17 @@
     private static final Duration TOKEN_TIMEOUT = Duration.ofMillis(250);
 
     private static final long SUSPECT_NANOS = Duration.ofSeconds(1).toNanos();
-    /** While the owner is away, the next one takes over within about a second. */
+    /** Advice to callers while a team's owner is away; a process that was killed is back within about a second. */
     private static final long AWAY_RETRY_MILLIS = 400;
+    /** A request whose team has no owner at the moment asks again after this time before it is refused. */
+    private static final Duration ASK_AGAIN = Duration.ofMillis(120);
+    /** Three times 120 ms are a small part of what callers allow. */
+    private static final int MOST_ASKED = 4;
 
     private final FleetView fleet;
     private final Knowledge knowledge;
     private final PeerCalls peers;
+    private final ControlThread control;
     private final String selfAddress;
     private final TeamQuotas quotas;
     private final QuotaOwnership ownership;
@@ -59,6 +65,7 @@
             FleetView fleet,
             Knowledge knowledge,
             PeerCalls peers,
+            ControlThread control,
             GatewaySettings settings,
             LongPredicate mayOwn,
             RandomGenerator random,
@@ -66,6 +73,7 @@
         this.fleet = fleet;
         this.knowledge = knowledge;
         this.peers = peers;
+        this.control = control;
         this.selfAddress = Peers.textOf(settings.peerAddress());
         this.quotas = new TeamQuotas(settings.quotaTolerance(), startNanos);
         this.ownership = new QuotaOwnership(fleet, settings.name(), quotas, mayOwn, startNanos);
@@ -115,8 +123,22 @@
         return new Acknowledgement(given);
     }
 
-    /** Asks for one token. */
+    /** Asks for one token, and a few times again while the team has no owner. */
     void acquire(TeamTerms team, long nowNanos, BiConsumer<QuotaResult, Long> handler) {
+        acquire(team, 1, nowNanos, handler);
+    }
+
+    private void acquire(TeamTerms team, int asked, long nowNanos, BiConsumer<QuotaResult, Long> handler) {
+        askOnce(team, nowNanos, (result, now) -> {
+            if (result.granted() || result.overLimit() || asked >= MOST_ASKED) {
+                handler.accept(result, now);
+            } else {
+                control.after(ASK_AGAIN, later -> acquire(team, asked + 1, later, handler));
+            }
+        });
+    }
+
+    private void askOnce(TeamTerms team, long nowNanos, BiConsumer<QuotaResult, Long> handler) {
         String name = team.name();
         FleetMember owner = ownership.owner(name);
         String givenTo = ownership.givenTo(name);
