Answer oversized heads, bytes of other protocols and repeated keys

Three faults of the product's own interface, each with a test that failed: - The refusal of a head whose line exceeds 8,192 bytes never arrived: the library's limit on a line ended the connection before ours on the head was looked at. Both limits are the same now, and passing it is a 431. - Bytes without an end of line kept a connection without an answer until the time limit of a head. The start line is now looked at as it comes. - Of two Authorization or Operation-Id headers the first one counted. They are refused with 400 before anything else is decided.

--- a/src/main/java/org/auburnhoist/host/HostPolicy.java
+++ b/src/main/java/org/auburnhoist/host/HostPolicy.java
@@ -78,6 +78,9 @@
                     "this host has no configuration that is fresh; use another address",
                     STALE_RETRY_MILLIS);
         }
+        if (head.isRepeated(AUTHORIZATION) || head.isRepeated(OPERATION_ID)) {
+            return refused(record, Refusal.MALFORMED_REQUEST, "a deciding header came more than once", NO_ADVICE);
+        }
         AccessDecision decision =
                 current.active().access().decide(head.method(), head.path(), head.header(AUTHORIZATION));
         if (decision instanceof AccessDecision.ForTeam access) {
--- a/src/main/java/org/auburnhoist/platform/KvBinding.java
+++ b/src/main/java/org/auburnhoist/platform/KvBinding.java
@@ -44,9 +44,9 @@
                 ? authorization.substring(KEY_SCHEME.length()).strip()
                 : null;
         String attempt = head.header(PlatformWireRules.ATTEMPT_ID);
-        boolean ambiguous = count(head, AUTHORIZATION) > 1
-                || count(head, PlatformWireRules.ATTEMPT_ID) > 1
-                || count(head, PlatformWireRules.DEADLINE) > 1;
+        boolean ambiguous = head.isRepeated(AUTHORIZATION)
+                || head.isRepeated(PlatformWireRules.ATTEMPT_ID)
+                || head.isRepeated(PlatformWireRules.DEADLINE);
         return new CallerTerms(
                 host == null ? "" : host, key, ambiguous, attempt == null ? "" : attempt, remainingMillis(head));
     }
@@ -63,12 +63,6 @@
         }
     }
 
-    private static long count(RequestHead head, String name) {
-        return head.headers().stream()
-                .filter(header -> header.getKey().equalsIgnoreCase(name))
-                .count();
-    }
-
     @Override
     public String configurationKey() {
         return CONFIGURATION_KEY;
--- a/src/main/java/org/auburnhoist/proxy/CallerConnectionFactory.java
+++ b/src/main/java/org/auburnhoist/proxy/CallerConnectionFactory.java
@@ -47,6 +47,7 @@
                     URIScheme.HTTP.id,
                     Http1Config.custom()
                             .setBufferSize(BUFFER_BYTES)
+                            .setMaxLineLength(connection.server().settings().maxHeadBytes)
                             .setInitialWindowSize(CallerExchange.READ_AHEAD_BYTES)
                             .build(),
                     CharCodingConfig.DEFAULT,
--- a/src/main/java/org/auburnhoist/proxy/MessageHead.java
+++ b/src/main/java/org/auburnhoist/proxy/MessageHead.java
@@ -1,9 +1,12 @@
 package org.auburnhoist.proxy;
 
 import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import org.apache.hc.core5.http.Header;
+import org.apache.hc.core5.http.MessageConstraintException;
 import org.apache.hc.core5.http.message.BasicHeader;
 import org.apache.hc.core5.http.nio.SessionInputBuffer;
 import org.apache.hc.core5.util.CharArrayBuffer;
@@ -20,6 +23,9 @@
     private final CharArrayBuffer line = new CharArrayBuffer(256);
     private final List<Header> headers = new ArrayList<>();
     private String startLine = "";
+    /** What has come of a start line that is not complete. */
+    private String beginning = "";
+
     private int bytes;
 
     MessageHead(int maxBytes, int maxHeaders) {
@@ -47,9 +53,27 @@
         if (bytes + buffer.length() > maxBytes) {
             throw MalformedHeadException.tooLarge("head: expected at most " + maxBytes + " bytes");
         }
+        if (startLine.isEmpty() && buffer.hasData()) {
+            takeBeginning(buffer);
+        }
         return false;
     }
 
+    /** Takes an incomplete start line out of the buffer, so that bytes of another protocol are seen at once. */
+    private void takeBeginning(SessionInputBuffer buffer) throws MalformedHeadException {
+        ByteBuffer taken = ByteBuffer.allocate(buffer.length());
+        buffer.read(taken);
+        beginning += new String(taken.array(), 0, taken.position(), StandardCharsets.ISO_8859_1);
+        bytes += taken.position();
+        boolean returned = beginning.endsWith("\r");
+        checkCharacters(returned ? beginning.substring(0, beginning.length() - 1) : beginning);
+    }
+
+    /** The part of an incomplete start line that has come. */
+    String beginning() {
+        return beginning;
+    }
+
     /** Whether any byte of the head has been consumed. */
     boolean isStarted() {
         return bytes > 0;
@@ -66,8 +90,12 @@
     private boolean nextLine(SessionInputBuffer buffer) throws IOException, MalformedHeadException {
         line.clear();
         // A partial line at the end of the stream is never a line, hence the constant.
-        if (!buffer.readLine(line, false)) {
-            return false;
+        try {
+            if (!buffer.readLine(line, false)) {
+                return false;
+            }
+        } catch (MessageConstraintException longLine) {
+            throw MalformedHeadException.tooLarge("head: expected at most " + maxBytes + " bytes");
         }
         bytes += line.length() + 2;
         if (bytes > maxBytes) {
@@ -77,8 +105,10 @@
     }
 
     private void readStartLine() throws MalformedHeadException {
-        checkCharacters(line.toString());
-        startLine = line.toString();
+        String whole = beginning + line;
+        beginning = "";
+        startLine = whole.endsWith("\r") ? whole.substring(0, whole.length() - 1) : whole;
+        checkCharacters(startLine);
     }
 
     private void readHeader() throws MalformedHeadException {
--- a/src/main/java/org/auburnhoist/proxy/RequestHead.java
+++ b/src/main/java/org/auburnhoist/proxy/RequestHead.java
@@ -38,4 +38,12 @@
         }
         return null;
     }
+
+    /** Whether a header comes more than once, so that its receivers could follow different values. */
+    public boolean isRepeated(String name) {
+        return headers.stream()
+                        .filter(header -> header.getKey().equalsIgnoreCase(name))
+                        .count()
+                > 1;
+    }
 }
--- a/src/main/java/org/auburnhoist/proxy/RequestHeadParser.java
+++ b/src/main/java/org/auburnhoist/proxy/RequestHeadParser.java
@@ -19,6 +19,8 @@
     private static final int READ_AHEAD_BYTES = 16 * 1024;
 
     private static final int DISCARD_BYTES = 4096;
+    /** Registered methods have at most 17 letters. */
+    private static final int LONGEST_METHOD = 32;
 
     private final CallerConnection connection;
     private final ProxySettings settings;
@@ -74,6 +76,7 @@
     private @Nullable HttpRequest parseHead(SessionInputBuffer buffer, boolean endOfStream)
             throws IOException, MalformedHeadException {
         if (!head.read(buffer)) {
+            checkMethod(head.beginning());
             if (head.isStarted() || buffer.hasData()) {
                 connection.headStarted();
                 if (endOfStream) {
@@ -87,6 +90,17 @@
         return request(complete);
     }
 
+    /** Refuses bytes that are no request as soon as that is certain. */
+    private static void checkMethod(String beginning) throws MalformedHeadException {
+        int space = beginning.indexOf(' ');
+        String method = space < 0 ? beginning : beginning.substring(0, space);
+        if (!beginning.isEmpty()
+                && !method.equals("\r")
+                && (!MessageHead.isToken(method) || method.length() > LONGEST_METHOD)) {
+            throw new MalformedHeadException("request line: expected method, target and HTTP/1.1");
+        }
+    }
+
     private MessageHead newHead() {
         return new MessageHead(settings.maxHeadBytes, settings.maxHeaderCount);
     }
--- a/src/test/java/org/auburnhoist/host/EntryHostTest.java
+++ b/src/test/java/org/auburnhoist/host/EntryHostTest.java
@@ -74,6 +74,11 @@
         assertRefused("key-missing", 401, fleet.get(first, "/telescopes/7"));
         assertRefused("key-unknown", 401, fleet.get(first, "/telescopes/7", "Authorization", "Bearer members-1.wrong"));
         assertRefused("route-unknown", 404, fleet.get(first, "/nowhere", "Authorization", AUTHORIZATION));
+        // The first of two keys would decide here, and perhaps the second one elsewhere.
+        assertRefused(
+                "malformed-request",
+                400,
+                fleet.get(first, "/telescopes/7", "Authorization", AUTHORIZATION, "Authorization", "Bearer other.key"));
     }
 
     @Test
--- a/src/test/java/org/auburnhoist/proxy/CallerSideTest.java
+++ b/src/test/java/org/auburnhoist/proxy/CallerSideTest.java
@@ -90,6 +90,49 @@
         }
     }
 
+    /** Guards against connections that bytes of another protocol keep open without an answer. */
+    @ParameterizedTest
+    @ValueSource(strings = {"\u0016\u0003\u0001\u0002", "{\"a\":1}", "SSH-2.0-client_with_a_name_of_no_request_method"})
+    void bytesOfNoRequestAreRefusedWithoutTheEndOfALine(String bytes) throws Exception {
+        try (RawConnection caller = start(ProxySettings.builder().headTimeout(Duration.ofSeconds(50)))) {
+            long begin = System.nanoTime();
+            ProxyServerTest.assertRefused(caller.send(bytes).readMessage(), Refusal.MALFORMED_REQUEST);
+            assertTrue(System.nanoTime() - begin < Duration.ofSeconds(10).toNanos());
+            assertEquals(0, admitted.get());
+        }
+    }
+
+    /** Guards against start lines that are lost when they come in pieces. */
+    @Test
+    void aStartLineMayComeInPieces() throws Exception {
+        try (RawConnection caller = start(ProxySettings.builder())) {
+            for (String piece : List.of("\r", "\nPO", "ST /a HT", "TP/1.1\r", "\nHost: fl", "eet\r\n", "\r\n")) {
+                caller.send(piece);
+                Thread.sleep(30);
+            }
+            assertTrue(caller.readMessage().startsWith("HTTP/1.1 200"));
+        }
+    }
+
+    /** Guards against a refusal that a reset destroys while the caller is still sending its head. */
+    @Test
+    void theRefusalOfAnOversizedHeadArrivesAlthoughMoreIsBeingSent() throws Exception {
+        try (RawConnection caller = start(ProxySettings.builder())) {
+            caller.send("GET /a HTTP/1.1\r\nHost: fleet\r\nX-Large: ");
+            CompletableFuture<Void> sending = CompletableFuture.runAsync(() -> {
+                try {
+                    for (int block = 0; block < 16; block++) {
+                        caller.send("x".repeat(BLOCK_BYTES));
+                    }
+                } catch (IOException closed) {
+                    // The proxy need not read all of it.
+                }
+            });
+            ProxyServerTest.assertRefused(caller.readMessage(), Refusal.HEADER_TOO_LARGE);
+            sending.get(30, TimeUnit.SECONDS);
+        }
+    }
+
     /** Guards against chunk sizes that receivers read in different ways, and against passing on part of the body. */
     @ParameterizedTest
     @ValueSource(strings = {"-1", "+1", "0x1", "1 1", "", "g", "ffffffffffffffff", "1;", "\u0661"})
