Keep idle connections as long as servers say and prefer connected servers

A host kept idle connections for 4 s whatever the server announced, and the dispatcher did not know which servers the asking host is connected to.

Change: the Keep-Alive header of an answer sets how long its connection may be idle, less one second in which a request could cross the server's close. A request for a slot names the connected servers of the service; among servers of equal standing and distance one of these is chosen.

--- a/src/main/java/org/auburnhoist/core/dispatch/ServerChooser.java
+++ b/src/main/java/org/auburnhoist/core/dispatch/ServerChooser.java
@@ -72,7 +72,7 @@
         }
     }
 
-    private record Candidate(ServerRank rank, int distance, int used, long silentNanos) {}
+    private record Candidate(ServerRank rank, int distance, boolean connected, int used, long silentNanos) {}
 
     /**
      * A chooser without servers.
@@ -203,7 +203,11 @@
             return null;
         }
         return new Candidate(
-                rank, sameDataCentre(waiting, use) ? 0 : 1, grants.used(use.server.id()), silentNanos(use, nowNanos));
+                rank,
+                sameDataCentre(waiting, use) ? 0 : 1,
+                waiting.request().terms().connected().contains(use.server.id()),
+                grants.used(use.server.id()),
+                silentNanos(use, nowNanos));
     }
 
     private @Nullable ServerRank rank(
@@ -252,6 +256,10 @@
         if (candidate.distance() != best.distance()) {
             return candidate.distance() < best.distance();
         }
+        // A new connection costs a round trip and may hold a slot of the server.
+        if (candidate.connected() != best.connected()) {
+            return candidate.connected();
+        }
         // Filling servers one after the other keeps the number of those in use, and so of spells met, small.
         if (candidate.rank() == ServerRank.PROVEN && candidate.used() != best.used()) {
             return candidate.used() > best.used();
--- a/src/main/java/org/auburnhoist/core/message/SlotTerms.java
+++ b/src/main/java/org/auburnhoist/core/message/SlotTerms.java
@@ -1,5 +1,7 @@
 package org.auburnhoist.core.message;
 
+import java.util.List;
+
 /**
  * What decides between requests that wait for the same service.
  *
@@ -7,8 +9,14 @@
  * @param targetMillis time from now within which the answer has its full use, 0 if not stated
  * @param attempt 1 for the request's first attempt
  * @param dataCentre where the asking host runs, empty if that does not matter
+ * @param connected servers to which the asking host has an idle connection
  */
-public record SlotTerms(int priority, long targetMillis, int attempt, String dataCentre) {
+public record SlotTerms(int priority, long targetMillis, int attempt, String dataCentre, List<String> connected) {
     /** Terms of a first attempt without a rank of its own. */
-    public static final SlotTerms STANDARD = new SlotTerms(0, 0, 1, "");
+    public static final SlotTerms STANDARD = new SlotTerms(0, 0, 1, "", List.of());
+
+    /** Copies the list. */
+    public SlotTerms {
+        connected = List.copyOf(connected);
+    }
 }
--- a/src/main/java/org/auburnhoist/gateway/GatewayForwarding.java
+++ b/src/main/java/org/auburnhoist/gateway/GatewayForwarding.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import org.auburnhoist.core.Refusal;
@@ -12,6 +13,7 @@
 import org.auburnhoist.core.message.SlotTerms;
 import org.auburnhoist.core.message.SlotVerdict;
 import org.auburnhoist.core.routing.TrafficRoute;
+import org.auburnhoist.core.routing.UpstreamServer;
 import org.auburnhoist.host.Fingerprint;
 import org.auburnhoist.proxy.Forwarding;
 import org.auburnhoist.proxy.RequestHead;
@@ -29,6 +31,8 @@
 
     /** Advice to callers while nothing is known of when a server will be free. */
     private static final long RETRY_MILLIS = 300;
+    /** Bounds the size of a request for a slot; a host has few connections to large services. */
+    private static final int MOST_CONNECTED_TOLD = 24;
     /** Slots limit the connections in use; this bounds a host's own share of a server's connections. */
     private static final int MOST_CONNECTIONS = 16;
 
@@ -133,7 +137,8 @@
                 request.priority(),
                 target == 0 ? 0 : Math.max(1, target - elapsedMillis),
                 attempts + 1,
-                parts.settings().dataCentre());
+                parts.settings().dataCentre(),
+                connectedServers());
         SlotRequest wanted = new SlotRequest(
                 request.service(),
                 request.route().name(),
@@ -146,6 +151,15 @@
         parts.slots().acquire(wanted, nowNanos, (slotResult, now) -> decided(slotResult, now, result));
     }
 
+    private List<String> connectedServers() {
+        Set<String> idle = parts.idleUpstreams().get();
+        return parts.knowledge().servers().stream()
+                .filter(server -> server.service().equals(request.service()) && idle.contains(server.address()))
+                .map(UpstreamServer::id)
+                .limit(MOST_CONNECTED_TOLD)
+                .toList();
+    }
+
     private void decided(SlotBroker.SlotResult slotResult, long nowNanos, CompletableFuture<Target> result) {
         SlotBroker.Slot granted = slotResult.slot();
         if (granted == null) {
--- a/src/main/java/org/auburnhoist/gateway/GatewayHost.java
+++ b/src/main/java/org/auburnhoist/gateway/GatewayHost.java
@@ -229,7 +229,8 @@
         SlotBroker slots = new SlotBroker(fleet, knowledge, peers, control, self, settings, random);
         QuotaBroker quotas =
                 new QuotaBroker(fleet, knowledge, peers, control, settings, lease::isHeld, random, startNanos);
-        GatewayParts parts = new GatewayParts(settings, control, knowledge, slots, quotas, metrics);
+        GatewayParts parts =
+                new GatewayParts(settings, control, knowledge, slots, quotas, metrics, proxy::idleUpstreams);
         FleetSync sync = new FleetSync(fleet, knowledge, peers, settings.name(), this::isReady, random, now);
         started = new Started(sync, slots, quotas, peers, new GatewayPolicy(binding, parts, random.nextLong()));
         entries.entries().stream()
--- a/src/main/java/org/auburnhoist/gateway/GatewayParts.java
+++ b/src/main/java/org/auburnhoist/gateway/GatewayParts.java
@@ -1,5 +1,7 @@
 package org.auburnhoist.gateway;
 
+import java.util.Set;
+import java.util.function.Supplier;
 import org.auburnhoist.host.ControlThread;
 import org.auburnhoist.host.HostMetrics;
 
@@ -12,6 +14,7 @@
  * @param slots slots of the services' servers
  * @param quotas tokens of the teams
  * @param metrics counters and histograms
+ * @param idleUpstreams addresses of servers to which an idle connection is open
  */
 record GatewayParts(
         GatewaySettings settings,
@@ -19,4 +22,5 @@
         Knowledge knowledge,
         SlotBroker slots,
         QuotaBroker quotas,
-        HostMetrics metrics) {}
+        HostMetrics metrics,
+        Supplier<Set<String>> idleUpstreams) {}
--- a/src/main/java/org/auburnhoist/peer/MessageFormat.java
+++ b/src/main/java/org/auburnhoist/peer/MessageFormat.java
@@ -261,6 +261,7 @@
         SlotTerms terms = message.terms();
         packer.packInt(terms.priority()).packLong(terms.targetMillis());
         packer.packInt(terms.attempt()).packString(terms.dataCentre());
+        writeStrings(packer, terms.connected());
     }
 
     private static SlotRequest readSlotRequest(MessageUnpacker in) throws IOException {
@@ -272,7 +273,7 @@
                 in.unpackLong(),
                 in.unpackLong(),
                 readStrings(in),
-                new SlotTerms(in.unpackInt(), in.unpackLong(), in.unpackInt(), in.unpackString()));
+                new SlotTerms(in.unpackInt(), in.unpackLong(), in.unpackInt(), in.unpackString(), readStrings(in)));
     }
 
     private static void writeStatusDigest(StatusDigest message, MessagePacker packer) throws IOException {
--- a/src/main/java/org/auburnhoist/proxy/HeaderRules.java
+++ b/src/main/java/org/auburnhoist/proxy/HeaderRules.java
@@ -79,6 +79,22 @@
         return result;
     }
 
+    /** Seconds for which a server says that it keeps an idle connection, or -1 if it does not say. */
+    static int keepAliveSeconds(List<Map.Entry<String, String>> headers) {
+        for (Map.Entry<String, String> header : headers) {
+            if (header.getKey().equalsIgnoreCase("Keep-Alive")) {
+                for (String part : header.getValue().split(",", -1)) {
+                    String text = part.strip();
+                    if (text.regionMatches(true, 0, "timeout=", 0, 8)
+                            && text.substring(8).matches("[0-9]{1,6}")) {
+                        return Integer.parseInt(text.substring(8));
+                    }
+                }
+            }
+        }
+        return -1;
+    }
+
     /** Whether a comma-separated header contains a token. */
     static boolean hasToken(List<Map.Entry<String, String>> headers, String name, String token) {
         for (Map.Entry<String, String> header : headers) {
--- a/src/main/java/org/auburnhoist/proxy/ProxyServer.java
+++ b/src/main/java/org/auburnhoist/proxy/ProxyServer.java
@@ -185,6 +185,11 @@
         }
     }
 
+    /** Addresses of upstream servers to which a connection is open that waits for its next request. */
+    public Set<String> idleUpstreams() {
+        return pool.idleAddresses(now());
+    }
+
     ProxySettings settings() {
         return settings;
     }
--- a/src/main/java/org/auburnhoist/proxy/UpstreamAttempt.java
+++ b/src/main/java/org/auburnhoist/proxy/UpstreamAttempt.java
@@ -57,7 +57,7 @@
     }
 
     void start() {
-        server.pool().lease(target.address(), target.connectionLimit(), this);
+        server.pool().lease(target.address(), target.connectionLimit(), server.now(), this);
     }
 
     /** Whether any byte of the request may have been written. */
@@ -165,6 +165,10 @@
         keepAlive = requestComplete
                 && response.getVersion().greaterEquals(HttpVersion.HTTP_1_1)
                 && !HeaderRules.hasToken(headers, "Connection", "close");
+        UpstreamConnection used = connection;
+        if (used != null) {
+            used.keepAlive(HeaderRules.keepAliveSeconds(headers));
+        }
         if (!exchange.isAnswer(headers)) {
             // The answer of an earlier request that came late; the right one may follow or not.
             fail(AttemptOutcome.CONNECTION_LOST);
--- a/src/main/java/org/auburnhoist/proxy/UpstreamConnection.java
+++ b/src/main/java/org/auburnhoist/proxy/UpstreamConnection.java
@@ -21,6 +21,11 @@
         CLOSED
     }
 
+    /** A request that is sent this long before the server's limit arrives in time. */
+    private static final long IDLE_MARGIN_NANOS = 1_000_000_000L;
+    /** Connections that are idle for longer are no use; other devices on the way may forget them. */
+    private static final int MOST_IDLE_SECONDS = 60;
+
     final String address;
     private final IOSession session;
     private final IOEventHandler handler;
@@ -28,6 +33,7 @@
     private final UpstreamPool pool;
     Place place = Place.LEASED;
     long idleSinceNanos;
+    private long idleLimitNanos;
     private boolean used;
 
     UpstreamConnection(
@@ -37,6 +43,24 @@
         this.handler = handler;
         this.parser = parser;
         this.pool = pool;
+        this.idleLimitNanos = pool.standardIdleNanos();
+    }
+
+    /**
+     * Takes in how long the server says that it keeps the connection while it is idle.
+     *
+     * @param seconds the server's time limit, -1 if it does not say
+     */
+    void keepAlive(int seconds) {
+        if (seconds >= 0) {
+            long announced = Math.min(seconds, MOST_IDLE_SECONDS) * 1_000_000_000L;
+            idleLimitNanos = Math.max(announced / 2, announced - IDLE_MARGIN_NANOS);
+        }
+    }
+
+    /** Whether the connection has been idle for so long that the server may be about to close it. */
+    boolean isIdleTooLong(long nowNanos) {
+        return nowNanos - idleSinceNanos > idleLimitNanos;
     }
 
     /** Whether an earlier exchange used this connection. */
--- a/src/main/java/org/auburnhoist/proxy/UpstreamPool.java
+++ b/src/main/java/org/auburnhoist/proxy/UpstreamPool.java
@@ -7,8 +7,10 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.Future;
 import org.apache.hc.core5.concurrent.FutureCallback;
 import org.apache.hc.core5.http.HttpHost;
@@ -71,14 +73,31 @@
         reactor.start();
     }
 
-    void lease(String address, int limit, Lease lease) {
+    /** How long connections are kept idle to servers that do not say how long they keep them. */
+    long standardIdleNanos() {
+        return settings.upstreamIdleExpiry.toNanos();
+    }
+
+    /** Addresses to which a connection is open that waits for its next request. */
+    synchronized Set<String> idleAddresses(long nowNanos) {
+        Set<String> result = new HashSet<>();
+        servers.forEach((address, server) -> {
+            UpstreamConnection newest = server.idle.peekLast();
+            if (newest != null && !newest.isIdleTooLong(nowNanos)) {
+                result.add(address);
+            }
+        });
+        return result;
+    }
+
+    void lease(String address, int limit, long nowNanos, Lease lease) {
         UpstreamConnection reused = null;
         UpstreamConnection victim = null;
         synchronized (this) {
             ServerConnections server = servers.computeIfAbsent(address, key -> new ServerConnections());
             server.limit = Math.max(1, limit);
             if (!lease.needsNewConnection()) {
-                reused = takeIdle(server);
+                reused = takeIdle(server, nowNanos);
             }
             if (reused == null) {
                 if (server.open < server.limit) {
@@ -158,7 +177,7 @@
         synchronized (this) {
             for (ServerConnections server : servers.values()) {
                 for (UpstreamConnection connection : server.idle) {
-                    if (nowNanos - connection.idleSinceNanos > settings.upstreamIdleExpiry.toNanos()) {
+                    if (connection.isIdleTooLong(nowNanos)) {
                         expired.add(connection);
                     }
                 }
@@ -195,12 +214,14 @@
         reactor.close(CloseMode.IMMEDIATE);
     }
 
-    private static @Nullable UpstreamConnection takeIdle(ServerConnections server) {
-        UpstreamConnection connection = server.idle.pollLast();
-        if (connection != null) {
-            connection.place = UpstreamConnection.Place.LEASED;
+    private static @Nullable UpstreamConnection takeIdle(ServerConnections server, long nowNanos) {
+        UpstreamConnection newest = server.idle.peekLast();
+        if (newest == null || newest.isIdleTooLong(nowNanos)) {
+            return null;
         }
-        return connection;
+        server.idle.removeLast();
+        newest.place = UpstreamConnection.Place.LEASED;
+        return newest;
     }
 
     /** Passes the permit of a closed connection to the next waiting lease; the caller holds the lock. */
--- a/src/test/java/org/auburnhoist/core/dispatch/PriorityDispatcherTest.java
+++ b/src/test/java/org/auburnhoist/core/dispatch/PriorityDispatcherTest.java
@@ -51,7 +51,14 @@
 
     private long ask(TrafficClass kind, int priority, int attempt, HostId host, long now) {
         SlotRequest request = new SlotRequest(
-                "pay", "r", "team", kind, 2_000, nextToken, List.of(), new SlotTerms(priority, 500, attempt, "a"));
+                "pay",
+                "r",
+                "team",
+                kind,
+                2_000,
+                nextToken,
+                List.of(),
+                new SlotTerms(priority, 500, attempt, "a", List.of()));
         long token = nextToken++;
         take(dispatcher.request(request, host, token, now));
         return token;
@@ -187,6 +194,23 @@
         assertTrue(below < 0.05 * looks, "below the floor in " + below + " of " + looks + " ms");
     }
 
+    /** Guards against new connections to servers while another one that is as good is connected already. */
+    @Test
+    void amongServersOfEqualStandingAConnectedOneIsChosen() {
+        dispatcher.servers(servers(6, 4), 0);
+        // Until the floor of five servers is in use, each server is tried once; the order is free.
+        for (String connected : List.of("server-4", "server-2", "server-6", "server-1")) {
+            long token = nextToken++;
+            SlotTerms terms = new SlotTerms(1, 500, 1, "a", List.of(connected));
+            take(dispatcher.request(
+                    new SlotRequest("pay", "r", "team", TrafficClass.LOOKUP, 2_000, token, List.of(), terms),
+                    HOST,
+                    token,
+                    0));
+            assertEquals(connected, answers.get(token).server());
+        }
+    }
+
     @Test
     void higherRanksAndThoseThatCanStillBeInTimeGoFirst() {
         dispatcher.servers(servers(1, 1), 0);
