Bound the log, never wait for its reader, and explain a request by its id

- Each request has a line now, also one that was served.
Lines beyond 128 kB/s or a queue of 4,096 are left out: served requests first, failures last.
How many is a line of the log and a metric.
Before, a full queue held up the thread that logged.
- The host that dispatches a service logs each failed attempt with the time for which it avoids the server and the requests that wait.
- "auburnhoist explain ID FILE..." shows a request's lines from the logs of several hosts, what its host believed when it came, and what was seen of its servers and its team around it.

--- a/src/main/java/org/auburnhoist/cli/Commands.java
+++ b/src/main/java/org/auburnhoist/cli/Commands.java
@@ -16,6 +16,7 @@
                 new KeysIssueCommand(),
                 new KeysWithdrawCommand(),
                 new StatusCommand(),
+                new ExplainCommand(),
                 new HostsLeaveCommand(),
                 new HostsRebuildCommand(),
                 new ServeCommand(),
--- a/src/main/java/org/auburnhoist/core/dispatch/GrantTable.java
+++ b/src/main/java/org/auburnhoist/core/dispatch/GrantTable.java
@@ -64,6 +64,12 @@
                 .toList();
     }
 
+    /** The server of a grant in use, or an empty text. */
+    String serverOf(long id) {
+        Grant grant = grants.get(id);
+        return grant == null ? "" : grant.server();
+    }
+
     int size() {
         return grants.size();
     }
--- a/src/main/java/org/auburnhoist/core/dispatch/PriorityDispatcher.java
+++ b/src/main/java/org/auburnhoist/core/dispatch/PriorityDispatcher.java
@@ -126,6 +126,21 @@
         }
     }
 
+    /** The server of a grant in use, or an empty text. */
+    public String serverOf(long grantId) {
+        return grants.serverOf(grantId);
+    }
+
+    /** How many milliseconds a server is avoided from now on, 0 if it is not. */
+    public long avoidedMillis(String server, long nowNanos) {
+        return chooser.avoidedNanos(server, nowNanos) / MILLI;
+    }
+
+    /** Number of requests that wait for a slot. */
+    public int waiting() {
+        return queue.size();
+    }
+
     /** Lets time pass; to be called about every 100 ms while requests wait. */
     public List<SlotDecision> tick(long nowNanos) {
         tidiedAt = nowNanos;
--- a/src/main/java/org/auburnhoist/core/dispatch/RankedQueue.java
+++ b/src/main/java/org/auburnhoist/core/dispatch/RankedQueue.java
@@ -35,6 +35,10 @@
         return waiting.isEmpty();
     }
 
+    int size() {
+        return waiting.size();
+    }
+
     /** Number of waiting requests that rank at least as high. */
     int ahead(int priority) {
         int count = 0;
--- a/src/main/java/org/auburnhoist/core/dispatch/ServerChooser.java
+++ b/src/main/java/org/auburnhoist/core/dispatch/ServerChooser.java
@@ -116,6 +116,10 @@
         judge.observe(observation, grantedNanos, rate.latencySeconds(observation.trafficClass()), nowNanos);
     }
 
+    long avoidedNanos(String server, long nowNanos) {
+        return judge.avoidedNanos(server, nowNanos);
+    }
+
     /** Takes in that a server was granted to a request. */
     void granted(UpstreamServer server, long nowNanos) {
         ServerUse use = servers.get(server.id());
--- a/src/main/java/org/auburnhoist/core/dispatch/SpellJudge.java
+++ b/src/main/java/org/auburnhoist/core/dispatch/SpellJudge.java
@@ -198,6 +198,12 @@
         return Standing.FAIR;
     }
 
+    /** For how long a server is avoided from now on, 0 if it is not. */
+    long avoidedNanos(String server, long nowNanos) {
+        Track track = tracks.get(server);
+        return track == null ? 0 : Math.max(0, track.avoidedUntil - nowNanos);
+    }
+
     /** Whether a host's own path to a server is in doubt. */
     boolean avoidsPath(HostId host, String server, long nowNanos) {
         PathTrack path = paths.get(new Path(host, server));
--- a/src/main/java/org/auburnhoist/gateway/GatewayHost.java
+++ b/src/main/java/org/auburnhoist/gateway/GatewayHost.java
@@ -43,6 +43,7 @@
 import org.auburnhoist.store.Store;
 import org.auburnhoist.support.Closer;
 import org.auburnhoist.support.Event;
+import org.auburnhoist.support.LogFormat;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -188,6 +189,7 @@
 
     private void begin() {
         metrics.gauge("requests_in_progress", proxy::requestsInProgress);
+        metrics.gauge("log_lines_left_out", LogFormat::linesLeftOut);
         metrics.gauge(
                 "configuration_version",
                 () -> knowledge.router().configuration().version());
--- a/src/main/java/org/auburnhoist/gateway/GatewayRecord.java
+++ b/src/main/java/org/auburnhoist/gateway/GatewayRecord.java
@@ -47,15 +47,18 @@
 
     /** The request was forwarded and has ended. */
     synchronized void finished(int status, @Nullable Refusal refusal, boolean complete, long durationMicros) {
-        if (status >= 200 && status < 300 && complete && attempts.size() <= 1) {
-            return;
-        }
+        boolean routine = status >= 200 && status < 300 && complete && attempts.size() <= 1;
         Event event = start().with("attempts", String.join(",", attempts)).with("status", status);
         if (refusal != null) {
             event.with("refusal", refusal.code())
                     .with("outcome", refusal.outcome().headerValue());
         }
-        event.with("complete", complete).with("micros", durationMicros).log();
+        event.with("complete", complete).with("micros", durationMicros);
+        if (routine) {
+            event.routine();
+        } else {
+            event.log();
+        }
     }
 
     private Event start() {
--- a/src/main/java/org/auburnhoist/gateway/SlotBroker.java
+++ b/src/main/java/org/auburnhoist/gateway/SlotBroker.java
@@ -26,6 +26,7 @@
 import org.auburnhoist.host.PeerCalls;
 import org.auburnhoist.host.Peers;
 import org.auburnhoist.peer.CallResult;
+import org.auburnhoist.support.Event;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -78,6 +79,23 @@
             return !replies.isEmpty();
         }
 
+        void release(SlotRelease release, HostId asking, long nowNanos) {
+            String server = dispatcher.serverOf(release.grantId());
+            complete(dispatcher.release(release, asking, nowNanos));
+            boolean failed =
+                    release.outcome() != AttemptOutcome.SUCCESS && release.outcome() != AttemptOutcome.ABANDONED;
+            if (failed && !server.isEmpty()) {
+                Event.named("server-failed")
+                        .with("service", release.service())
+                        .with("server", server)
+                        .with("outcome", release.outcome())
+                        .with("reported_by", asking.name())
+                        .with("avoided_millis", dispatcher.avoidedMillis(server, nowNanos))
+                        .with("waiting_requests", dispatcher.waiting())
+                        .log();
+            }
+        }
+
         void complete(List<SlotDecision> decisions) {
             for (SlotDecision decision : decisions) {
                 CompletableFuture<SlotAnswer> reply = replies.remove(decision.replyToken());
@@ -159,7 +177,7 @@
         if (dispatcher == null) {
             Dispatch local = localChoices.get(slot.service());
             if (local != null) {
-                local.complete(local.dispatcher.release(release, self, nowNanos));
+                local.release(release, self, nowNanos);
             }
         } else if (dispatcher.id().equals(self)) {
             released(release, self, nowNanos);
@@ -177,7 +195,7 @@
     void released(SlotRelease release, HostId asking, long nowNanos) {
         Dispatch dispatch = dispatches.get(release.service());
         if (dispatch != null) {
-            dispatch.complete(dispatch.dispatcher.release(release, asking, nowNanos));
+            dispatch.release(release, asking, nowNanos);
         }
     }
 
--- a/src/main/java/org/auburnhoist/support/Event.java
+++ b/src/main/java/org/auburnhoist/support/Event.java
@@ -34,6 +34,11 @@
         return this;
     }
 
+    /** Writes the line at level CONFIG, for routine work; such lines are the first to be left out under load. */
+    public void routine() {
+        write(Level.CONFIG);
+    }
+
     /** Writes the line at level INFO. */
     public void log() {
         write(Level.INFO);
--- a/src/main/java/org/auburnhoist/support/LogFormat.java
+++ b/src/main/java/org/auburnhoist/support/LogFormat.java
@@ -2,20 +2,27 @@
 
 import java.io.PrintWriter;
 import java.io.StringWriter;
+import java.time.Instant;
 import java.util.logging.Formatter;
 import java.util.logging.Handler;
+import java.util.logging.Level;
 import java.util.logging.LogRecord;
 import java.util.logging.Logger;
 
 /** Writes each log record as one line of key=value pairs. */
 public final class LogFormat extends Formatter {
+    /** A host that answers 200 requests a second writes about 60 kB/s with a line for each. */
+    private static final double BYTES_PER_SECOND = 128 * 1024;
+
     /** Makes the process log in this format. */
     public static void install() {
         Logger root = Logger.getLogger("");
         for (Handler standard : root.getHandlers()) {
             root.removeHandler(standard);
         }
-        Handler handler = new BufferedErrorHandler();
+        Handler handler = new BufferedErrorHandler(BYTES_PER_SECOND);
+        handler.setLevel(Level.CONFIG);
+        root.setLevel(Level.CONFIG);
         handler.setFormatter(new LogFormat());
         root.addHandler(handler);
     }
@@ -27,6 +34,20 @@
         }
     }
 
+    /** Lines of the log that were left out since the start because the log was too large or its reader too slow. */
+    public static long linesLeftOut() {
+        long count = 0;
+        for (Handler handler : Logger.getLogger("").getHandlers()) {
+            count += handler instanceof BufferedErrorHandler buffered ? buffered.leftOut() : 0;
+        }
+        return count;
+    }
+
+    /** The line of an event that the log itself reports. */
+    static String line(Event event) {
+        return "time=" + Instant.now() + " level=" + Level.WARNING + " " + event + "\n";
+    }
+
     @Override
     public String format(LogRecord logged) {
         String line = "time=" + logged.getInstant() + " level=" + logged.getLevel() + " " + formatMessage(logged);
--- /dev/null
+++ b/src/test/java/org/auburnhoist/cli/ExplainCommandTest.java
@@ -0,0 +1,68 @@
+package org.auburnhoist.cli;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.file.Path;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Guards against a request whose cause cannot be found from its id. */
+class ExplainCommandTest {
+    private static final String DAY = "time=2026-05-03T19:28:";
+
+    private final ProgramRun program;
+
+    ExplainCommandTest(@TempDir Path directory) {
+        program = new ProgramRun(directory, new FakeStore(), 7);
+        program.file(
+                "entry.log",
+                DAY + "10Z level=INFO event=configuration-adopted version=4 earlier=0 source=host-2\n"
+                        + DAY + "11Z level=INFO event=configuration-adopted version=5 earlier=4 source=host-2\n"
+                        + "collector: " + DAY + "20.500Z level=INFO event=request attempt=a-1 id=host-1-9 team=members"
+                        + " route=pay attempts=i-2:SERVER_ERROR:sent:900us status=500 complete=true micros=4000\n"
+                        + DAY + "30Z level=INFO event=request attempt=a-2 id=host-1-10 reason=\"no \\\"=\\\" here\"\n"
+                        + DAY + "40Z level=INFO event=configuration-adopted version=6 earlier=5 source=host-2\n");
+        program.file(
+                "dispatcher.log",
+                "a line of something else\n"
+                        + DAY + "20.501Z level=INFO event=server-failed server=i-2 outcome=SERVER_ERROR\n"
+                        + DAY + "20.502Z level=INFO event=server-failed server=i-3 outcome=TIMEOUT\n"
+                        + DAY + "29Z level=INFO event=server-failed server=i-2 outcome=TIMEOUT\n"
+                        + DAY + "21Z level=INFO event=team-claimed team=members by=host-3 given=true\n");
+    }
+
+    private List<String> lines(String command) {
+        assertEquals(ExitCode.DONE, program.run(command), program.err());
+        return program.out()
+                .lines()
+                .map(line -> line.replaceAll(" level=.* event=", " "))
+                .toList();
+    }
+
+    @Test
+    void aRequestIsShownWithWhatItsHostBelievedAndWhatItsServersDid() {
+        List<String> shown = lines("explain host-1-9 entry.log dispatcher.log");
+        assertEquals(4, shown.size(), shown.toString());
+        assertTrue(shown.get(0).startsWith("entry.log: " + DAY + "11Z configuration-adopted version=5"), shown.get(0));
+        assertTrue(shown.get(1).startsWith("entry.log: " + DAY + "20.500Z request attempt=a-1"), shown.get(1));
+        assertTrue(shown.get(2).startsWith("dispatcher.log: " + DAY + "20.501Z server-failed server=i-2"));
+        assertTrue(shown.get(3).contains("team-claimed team=members"));
+        assertEquals(shown, lines("explain a-1 entry.log dispatcher.log"), "the caller's id finds it as well");
+    }
+
+    @Test
+    void quotedValuesAreReadWhole() {
+        assertTrue(lines("explain a-2 entry.log").stream().anyMatch(line -> line.contains("no \\\"=\\\" here")));
+    }
+
+    @Test
+    void anUnknownIdAndAnUnreadableFileAreRefused() {
+        assertEquals(ExitCode.REFUSED, program.run("explain a-9 entry.log"));
+        assertTrue(program.err().contains("a-9: expected the id of a request in 1 files, found none"), program.err());
+        assertEquals(ExitCode.REFUSED, program.run("explain a-1 missing.log"));
+        assertTrue(program.err().contains("missing.log: expected a readable file"), program.err());
+        assertEquals(ExitCode.USAGE, program.run("explain a-1"));
+    }
+}
--- /dev/null
+++ b/src/test/java/org/auburnhoist/support/LogBudgetTest.java
@@ -0,0 +1,80 @@
+package org.auburnhoist.support;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.ByteArrayOutputStream;
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.logging.Level;
+import java.util.logging.LogRecord;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** Guards against a log without bounds, and against traffic that waits for a slow reader of the log. */
+@Timeout(60)
+class LogBudgetTest {
+    private static final long SECOND = 1_000_000_000L;
+
+    @Test
+    void noMoreBytesAreWrittenThanAllowed() {
+        LogBudget budget = new LogBudget(10_000, 0);
+        long written = 0;
+        for (long now = 0; now < 100 * SECOND; now += SECOND / 1_000) {
+            written += budget.tryTake(LogBudget.Kind.FAILURE, 250, now) ? 250 : 0;
+        }
+        assertTrue(written <= 10_000 * (100 + 4), "written " + written);
+        assertTrue(written >= 10_000 * 100, "written " + written);
+    }
+
+    @Test
+    void failuresAreStillWrittenWhenRoutineLinesAreLeftOut() {
+        LogBudget budget = new LogBudget(10_000, 0);
+        int failures = 0;
+        for (long now = 0; now < 20 * SECOND; now += SECOND / 1_000) {
+            budget.tryTake(LogBudget.Kind.ROUTINE, 250, now);
+            if (now % (SECOND / 10) == 0) {
+                failures += budget.tryTake(LogBudget.Kind.FAILURE, 250, now) ? 1 : 0;
+            }
+        }
+        assertEquals(200, failures);
+        Map<LogBudget.Kind, Long> leftOut = budget.takeLeftOut();
+        assertTrue(leftOut.getOrDefault(LogBudget.Kind.ROUTINE, 0L) > 15_000);
+        assertFalse(leftOut.containsKey(LogBudget.Kind.FAILURE));
+        assertTrue(budget.takeLeftOut().isEmpty());
+    }
+
+    @Test
+    void aReaderThatIsStuckNeverHoldsUpTheProcess() throws Exception {
+        CountDownLatch reading = new CountDownLatch(1);
+        ByteArrayOutputStream written = new ByteArrayOutputStream();
+        OutputStream stuck = new OutputStream() {
+            @Override
+            public void write(int value) {
+                throw new UnsupportedOperationException("lines are written whole");
+            }
+
+            @Override
+            public void write(byte[] bytes, int offset, int length) {
+                try {
+                    reading.await();
+                } catch (InterruptedException cause) {
+                    Thread.currentThread().interrupt();
+                }
+                written.write(bytes, offset, length);
+            }
+        };
+        BufferedErrorHandler handler = new BufferedErrorHandler(1e9, stuck);
+        handler.setFormatter(new LogFormat());
+        for (int line = 0; line < 20_000; line++) {
+            handler.publish(new LogRecord(Level.INFO, "event=line number=" + line));
+        }
+        assertTrue(handler.leftOut() > 10_000, "left out " + handler.leftOut());
+        reading.countDown();
+        handler.flush();
+        assertTrue(written.toString(StandardCharsets.UTF_8).contains("number=0"));
+    }
+}
