--- a/src/main/java/org/auburnhoist/platform/KvTransport.java
+++ b/src/main/java/org/auburnhoist/platform/KvTransport.java
@@ -5,6 +5,7 @@
 import com.fasterxml.jackson.databind.node.MissingNode;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.SocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
@@ -22,6 +23,7 @@
 import org.apache.hc.core5.http.nio.AsyncClientEndpoint;
 import org.apache.hc.core5.http.nio.AsyncRequestProducer;
 import org.apache.hc.core5.http.nio.entity.BasicAsyncEntityConsumer;
+import org.apache.hc.core5.http.nio.ssl.TlsStrategy;
 import org.apache.hc.core5.http.nio.support.AsyncRequestBuilder;
 import org.apache.hc.core5.http.nio.support.BasicResponseConsumer;
 import org.apache.hc.core5.http.protocol.HttpCoreContext;
@@ -32,6 +34,7 @@
 import org.apache.hc.core5.http.protocol.RequestTargetHost;
 import org.apache.hc.core5.io.CloseMode;
 import org.apache.hc.core5.reactor.IOReactorConfig;
+import org.apache.hc.core5.reactor.ssl.TransportSecurityLayer;
 import org.apache.hc.core5.util.Timeout;
 import org.jspecify.annotations.Nullable;
 
@@ -86,6 +89,7 @@
                         .setTcpKeepInterval(KEEP_ALIVE_SECONDS)
                         .setTcpKeepCount(KEEP_ALIVE_PROBES)
                         .build())
+                .setTlsStrategy(new NoTls())
                 .setMaxTotal(MOST_CONNECTIONS)
                 .setDefaultMaxPerRoute(MOST_CONNECTIONS)
                 .create();
@@ -97,6 +101,21 @@
         requester.start();
     }
 
+    /** The store is not spoken to over TLS; the library's default would read all certificates at each start. */
+    private static final class NoTls implements TlsStrategy {
+        @Override
+        @Deprecated
+        public boolean upgrade(
+                TransportSecurityLayer session,
+                HttpHost destination,
+                SocketAddress local,
+                SocketAddress remote,
+                Object attachment,
+                Timeout handshakeTimeout) {
+            return false;
+        }
+    }
+
     /** Makes a call; never completes exceptionally. */
     CompletableFuture<Reply> call(String method, String path, @Nullable JsonNode body, Duration limit) {
         CompletableFuture<Reply> reply = new CompletableFuture<>();
