Add the slack of further attempts to their share instead of taking the larger

The rule allows a share of the requests and a slack besides; the dispatcher took the larger of both, 46 in 10 s instead of 69.

Ruled out: more attempts a request (the route allows two).

--- a/src/main/java/org/auburnhoist/core/dispatch/PriorityDispatcher.java
+++ b/src/main/java/org/auburnhoist/core/dispatch/PriorityDispatcher.java
@@ -41,7 +41,7 @@
     public PriorityDispatcher(PriorityDispatcherSettings settings, RandomGenerator random) {
         this.grants = new GrantTable(random.nextLong());
         this.rate = new ServiceRate(settings.firstHoldTime());
-        this.budget = new RetryBudget(settings.retryShare(), settings.leastRetries());
+        this.budget = RetryBudget.withSlack(settings.retryShare(), settings.retrySlack());
         this.chooser = new ServerChooser(settings.floorShare(), grants, rate, served, random);
     }
 
--- a/src/main/java/org/auburnhoist/core/dispatch/RetryBudget.java
+++ b/src/main/java/org/auburnhoist/core/dispatch/RetryBudget.java
@@ -16,24 +16,30 @@
 
     private final double share;
     private final double leastPerWindow;
+    private final double slackPerWindow;
     private final long[] second = new long[SECONDS];
     private final int[] requests = new int[SECONDS];
     private final int[] retries = new int[SECONDS];
 
     /** A budget of a tenth of the requests. */
     public RetryBudget() {
-        this(SHARE, LEAST_PER_WINDOW);
+        this(SHARE, LEAST_PER_WINDOW, 0);
+    }
+
+    private RetryBudget(double share, double leastPerWindow, double slackPerWindow) {
+        this.share = share;
+        this.leastPerWindow = leastPerWindow;
+        this.slackPerWindow = slackPerWindow;
     }
 
     /**
-     * A budget.
+     * A budget with a part that does not depend on the traffic.
      *
      * @param share further attempts for each request of the last 10 s
-     * @param leastPerWindow further attempts allowed in 10 s whatever the traffic
+     * @param slack further attempts allowed in 10 s besides
      */
-    public RetryBudget(double share, double leastPerWindow) {
-        this.share = share;
-        this.leastPerWindow = leastPerWindow;
+    public static RetryBudget withSlack(double share, double slack) {
+        return new RetryBudget(share, 0, slack);
     }
 
     /** Counts a request's first attempt. */
@@ -70,7 +76,7 @@
                 recentRetries += retries[index];
             }
         }
-        if (recentRetries + 1 > Math.max(leastPerWindow, share * recentRequests)) {
+        if (recentRetries + 1 > Math.max(leastPerWindow, share * recentRequests + slackPerWindow)) {
             return false;
         }
         retries[slot]++;
--- a/src/main/java/org/auburnhoist/gateway/SlotBroker.java
+++ b/src/main/java/org/auburnhoist/gateway/SlotBroker.java
@@ -47,10 +47,12 @@
     private static final long REFUSED_RETRY_MILLIS = 300;
     /** Work times of the users' services are a few tenths of a second. */
     private static final Duration FIRST_HOLD_TIME = Duration.ofMillis(300);
-    /** Parts of the tolerated further attempts; the rest is left for a change of the dispatcher. */
+    /** Part of the tolerated further attempts for each request. */
     private static final double SHARE_OF_RETRIES = 0.8;
-
-    private static final double SHARE_OF_SLACK = 0.4;
+    /** Part of the tolerated slack of a dispatcher; the next one may use as much in the same window. */
+    private static final double DISPATCHER_SHARE_OF_SLACK = 0.45;
+    /** Part of the tolerated slack of all hosts together while they choose servers by themselves. */
+    private static final double LOCAL_SHARE_OF_SLACK = 0.25;
 
     private final FleetView fleet;
     private final Knowledge knowledge;
@@ -252,11 +254,11 @@
     }
 
     private Dispatch dispatch(String service, long nowNanos) {
-        return dispatches.computeIfAbsent(service, name -> create(name, SHARE_OF_SLACK, nowNanos));
+        return dispatches.computeIfAbsent(service, name -> create(name, DISPATCHER_SHARE_OF_SLACK, nowNanos));
     }
 
     private Dispatch localChoice(String service, long nowNanos) {
-        double share = SHARE_OF_SLACK / Math.max(1, fleet.members().size());
+        double share = LOCAL_SHARE_OF_SLACK / Math.max(1, fleet.members().size());
         return localChoices.computeIfAbsent(service, name -> create(name, share, nowNanos));
     }
 
