Get back to the store and to the other hosts after a cut

Two causes, each with a test that failed: - The store's client allowed 30 s for opening a connection, so six connections that could not be opened held its pool for as long. The limit of the call is the limit of connecting now; idle connections end after a second, which costs a host one connection for each renewal of its lease. - A host that heard of nobody for 1.6 s took itself for the coordinator and reported to nobody, so it never heard of anybody again. While nobody reports to it, it goes on trying the others in turn.

Also: experiments can write the hosts' log.

--- a/src/main/java/org/auburnhoist/cli/ExperimentCommand.java
+++ b/src/main/java/org/auburnhoist/cli/ExperimentCommand.java
@@ -21,6 +21,9 @@
     private static final Setting<Path> OUTPUT =
             Setting.path("output", "directory for a JSON and an HTML file of each experiment; must exist");
 
+    private static final Setting<Boolean> LOG =
+            Setting.flag("log", "whether the hosts write their log to standard error");
+
     @Override
     public String name() {
         return "experiment";
@@ -48,7 +51,7 @@
 
     @Override
     public List<Setting<?>> settings() {
-        return List.of(OUTPUT);
+        return List.of(OUTPUT, LOG);
     }
 
     @Override
@@ -80,8 +83,8 @@
         ExitCode code = ExitCode.DONE;
         try {
             for (Experiment experiment : experiments) {
-                ExperimentResult result =
-                        ExperimentRunner.run(experiment, line -> context.out().println(line));
+                ExperimentResult result = ExperimentRunner.run(
+                        experiment, settings.get(LOG), line -> context.out().println(line));
                 context.out().println(ExperimentReport.summary(result));
                 context.out().flush();
                 write(result, settings, context);
--- a/src/main/java/org/auburnhoist/gateway/FleetSync.java
+++ b/src/main/java/org/auburnhoist/gateway/FleetSync.java
@@ -1,10 +1,10 @@
 package org.auburnhoist.gateway;
 
 import java.time.Duration;
-import java.util.List;
 import java.util.function.BooleanSupplier;
 import java.util.random.RandomGenerator;
 import org.auburnhoist.core.HostId;
+import org.auburnhoist.core.membership.CoordinatorChoice;
 import org.auburnhoist.core.membership.FleetMember;
 import org.auburnhoist.core.membership.FleetView;
 import org.auburnhoist.core.message.StatusDigest;
@@ -20,9 +20,6 @@
  * to which others report reads the store for them, and all that it passes on carries versions.
  */
 final class FleetSync {
-    /** The duty's name in the placement of duties. */
-    private static final String DUTY = "coordinator";
-
     /** Three reports fit into the time within which a change must be in force. */
     private static final long REPORT_NANOS = Duration.ofMillis(500).toNanos();
 
@@ -42,12 +39,11 @@
     private final String selfName;
     private final BooleanSupplier ready;
     private final RandomGenerator random;
+    private final CoordinatorChoice choice;
     private long nextReport;
     private boolean reporting;
     private long reportedToAt;
     private boolean everReportedTo;
-    private String staleCoordinator = "";
-    private long staleUntil;
 
     FleetSync(
             FleetView fleet,
@@ -63,13 +59,17 @@
         this.selfName = selfName;
         this.ready = ready;
         this.random = random;
+        this.choice = new CoordinatorChoice(fleet, selfName);
         this.nextReport = nowNanos;
     }
 
     /** Whether this host reads the store for others. */
     boolean isCoordinator(long nowNanos) {
-        boolean reportedTo = everReportedTo && nowNanos - reportedToAt <= COORDINATES_NANOS;
-        return reportedTo || coordinator(nowNanos).id().name().equals(selfName);
+        return isReportedTo(nowNanos) || choice.isSelf(nowNanos);
+    }
+
+    private boolean isReportedTo(long nowNanos) {
+        return everReportedTo && nowNanos - reportedToAt <= COORDINATES_NANOS;
     }
 
     /** Answers another host's report. */
@@ -85,32 +85,14 @@
         if (reporting || nextReport - nowNanos > 0) {
             return;
         }
-        FleetMember coordinator = coordinator(nowNanos);
+        FleetMember coordinator = choice.reportTo(isReportedTo(nowNanos), nowNanos);
         long interval = knowledge.hasConfiguration() ? REPORT_NANOS : STARTING_REPORT_NANOS;
         nextReport = nowNanos + (long) (interval * (0.9 + 0.2 * random.nextDouble()));
-        if (!coordinator.id().name().equals(selfName)) {
+        if (coordinator != null) {
             report(coordinator, nowNanos);
         }
     }
 
-    private FleetMember coordinator(long nowNanos) {
-        List<FleetMember> order = fleet.order(DUTY);
-        FleetMember first = null;
-        for (FleetMember member : order) {
-            String name = member.id().name();
-            if (!fleet.isAlive(name, nowNanos)) {
-                continue;
-            }
-            if (first == null) {
-                first = member;
-            }
-            if (!name.equals(staleCoordinator) || staleUntil - nowNanos <= 0) {
-                return member;
-            }
-        }
-        return first == null ? fleet.firstAlive(DUTY, nowNanos) : first;
-    }
-
     private void report(FleetMember coordinator, long nowNanos) {
         reporting = true;
         String name = coordinator.id().name();
@@ -125,12 +107,11 @@
                         fleet.answered(name, nowNanos);
                         knowledge.digestReceived(digest, name, nowNanos, now);
                         if (digest.storeAgeMillis() < 0 || digest.storeAgeMillis() > STORE_TOO_OLD_MILLIS) {
-                            staleCoordinator = name;
-                            staleUntil = now + SUSPECT_NANOS;
+                            choice.passOver(name, now + SUSPECT_NANOS);
                         }
                     } else {
                         fleet.suspect(name, now + SUSPECT_NANOS);
-                        nextReport = now;
+                        nextReport = choice.isSelf(now) ? nextReport : now;
                     }
                 });
     }
--- a/src/main/java/org/auburnhoist/load/ExperimentRunner.java
+++ b/src/main/java/org/auburnhoist/load/ExperimentRunner.java
@@ -57,9 +57,22 @@
      */
     public static ExperimentResult run(Experiment experiment, Consumer<String> progress)
             throws IOException, InterruptedException {
+        return run(experiment, false, progress);
+    }
+
+    /**
+     * Runs an experiment.
+     *
+     * @param experiment what to run
+     * @param logged whether the hosts write their log
+     * @param progress receives one line for each step
+     * @throws IOException if the fleet cannot be started
+     */
+    public static ExperimentResult run(Experiment experiment, boolean logged, Consumer<String> progress)
+            throws IOException, InterruptedException {
         LocalFleet.Options options = new LocalFleet.Options(
                 experiment.hosts(), 0, SERVICE_TIME, experiment.addressValidity(), experiment.seed());
-        try (HealthRecord record = new HealthRecord();
+        try (HealthRecord record = new HealthRecord(logged);
                 LocalFleet fleet = LocalFleet.start(ExampleConfiguration.files(experiment.deployment()), options)) {
             checkNames(experiment, fleet.configuration());
             if (!fleet.awaitReady(READY_LIMIT)) {
--- a/src/main/java/org/auburnhoist/load/HealthRecord.java
+++ b/src/main/java/org/auburnhoist/load/HealthRecord.java
@@ -14,7 +14,7 @@
 
 /**
  * Reads the record that the hosts of this process write: changes in the judgement of servers, and how often each event
- * came. While it is open, the record goes nowhere else.
+ * came. While it is open, the record goes to the log only if that is wanted.
  */
 final class HealthRecord extends Handler implements AutoCloseable {
     private static final Pattern EVENT = Pattern.compile("event=(\\S+)");
@@ -33,9 +33,10 @@
      */
     record Change(long nanos, String server, String trafficClass, String kind, String reason) {}
 
-    HealthRecord() {
+    /** Opens the record; {@code logged} tells whether the lines go to the process's log as well. */
+    HealthRecord(boolean logged) {
         setLevel(Level.ALL);
-        logger.setUseParentHandlers(false);
+        logger.setUseParentHandlers(logged);
         logger.addHandler(this);
     }
 
--- a/src/main/java/org/auburnhoist/platform/KvTransport.java
+++ b/src/main/java/org/auburnhoist/platform/KvTransport.java
@@ -46,11 +46,6 @@
     private static final int KEEP_ALIVE_SECONDS = 1;
 
     private static final int KEEP_ALIVE_PROBES = 2;
-    /**
-     * The library takes this as the limit of connecting and of silence alike, so it is longer than a watch waits; calls
-     * are limited one by one.
-     */
-    private static final Timeout SILENCE_LIMIT = Timeout.ofSeconds(30);
     /** Stands for the status of a call without an answer. */
     private static final int NO_ANSWER = 0;
 
@@ -125,7 +120,10 @@
             builder.setEntity(body.toString().getBytes(StandardCharsets.UTF_8), ContentType.APPLICATION_JSON);
         }
         Exchange exchange = new Exchange(reply, builder.build());
-        Future<?> lease = requester.connect(host, SILENCE_LIMIT, null, exchange);
+        // The library takes this as the limit of connecting and of silence alike. A longer one would let connections
+        // that
+        // cannot be opened hold the whole pool after the path is back; so idle connections end after a second.
+        Future<?> lease = requester.connect(host, Timeout.of(limit), null, exchange);
         Future<?> expiry = timer.schedule(
                 () -> {
                     exchange.expire("no answer within " + limit.toMillis() + " ms");
--- /dev/null
+++ b/src/test/java/org/auburnhoist/core/membership/CoordinatorChoiceTest.java
@@ -0,0 +1,76 @@
+package org.auburnhoist.core.membership;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.auburnhoist.core.HostId;
+import org.junit.jupiter.api.Test;
+
+/** Guards against hosts that stay alone after a cut, and against a coordinator that lacks the store. */
+class CoordinatorChoiceTest {
+    private static final long SECOND = 1_000_000_000L;
+
+    private static FleetMember member(int number) {
+        HostId id = new HostId("host-" + number, 1);
+        return new FleetMember(id, "10.0.0." + number + ":1", "10.0.0." + number + ":2", "a", false, 1);
+    }
+
+    private static FleetView view(int own, int count) {
+        FleetView fleet = new FleetView(member(own));
+        List<FleetMember> members = new ArrayList<>();
+        for (int number = 1; number <= count; number++) {
+            members.add(member(number));
+        }
+        fleet.members(members, 0);
+        return fleet;
+    }
+
+    private static String name(FleetMember member) {
+        assertNotNull(member);
+        return member.id().name();
+    }
+
+    @Test
+    void aHostThatWasCutOffFindsTheOthersAgain() {
+        FleetView fleet = view(1, 5);
+        CoordinatorChoice choice = new CoordinatorChoice(fleet, "host-1");
+        assertTrue(choice.isSelf(10 * SECOND), "nobody was heard of for ten seconds");
+        Set<String> tried = new HashSet<>();
+        for (int report = 0; report < 4; report++) {
+            tried.add(name(choice.reportTo(false, 10 * SECOND)));
+        }
+        assertEquals(Set.of("host-2", "host-3", "host-4", "host-5"), tried);
+        fleet.answered("host-4", 11 * SECOND);
+        // Whichever of both comes first in the order, the one that answered is believed alive.
+        assertTrue(fleet.isAlive("host-4", 11 * SECOND));
+        FleetMember next = choice.reportTo(false, 11 * SECOND);
+        assertNotNull(next);
+    }
+
+    @Test
+    void aCoordinatorToWhichOthersReportTriesNobody() {
+        CoordinatorChoice choice = new CoordinatorChoice(view(1, 5), "host-1");
+        assertNull(choice.reportTo(true, 10 * SECOND));
+        CoordinatorChoice alone = new CoordinatorChoice(view(1, 1), "host-1");
+        assertNull(alone.reportTo(false, 10 * SECOND));
+    }
+
+    @Test
+    void aCoordinatorThatLacksTheStoreIsPassedOverForATime() {
+        CoordinatorChoice choice = new CoordinatorChoice(view(1, 5), "host-1");
+        String first = name(choice.coordinator(SECOND));
+        choice.passOver(first, 3 * SECOND);
+        assertFalse(name(choice.coordinator(SECOND)).equals(first));
+        FleetView later = view(1, 5);
+        CoordinatorChoice again = new CoordinatorChoice(later, "host-1");
+        again.passOver(first, SECOND);
+        assertEquals(first, name(again.coordinator(SECOND)));
+    }
+}
--- a/src/test/java/org/auburnhoist/platform/KvStoreTest.java
+++ b/src/test/java/org/auburnhoist/platform/KvStoreTest.java
@@ -10,8 +10,11 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -96,6 +99,66 @@
         }
     }
 
+    /**
+     * Guards against a store that stays out of reach after a cut: connections that could not be opened meanwhile must
+     * not keep later calls waiting.
+     */
+    @Test
+    void callsGetThroughSoonAfterConnectionsCouldNotBeOpened() throws Exception {
+        try (ServerSocket listener = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+                KvStore store = new KvStore(new InetSocketAddress("127.0.0.1", listener.getLocalPort()))) {
+            List<Socket> filling = new ArrayList<>();
+            // The system drops further opening packets while the queue of accepted connections is full.
+            for (int count = 0; count < 3; count++) {
+                Socket socket = new Socket();
+                filling.add(socket);
+                try {
+                    socket.connect(listener.getLocalSocketAddress(), 200);
+                } catch (SocketTimeoutException full) {
+                    break;
+                }
+            }
+            for (int call = 0; call < 8; call++) {
+                assertInstanceOf(ReadResult.Unavailable.class, store.get("a/b").join());
+            }
+            for (Socket socket : filling) {
+                socket.close();
+            }
+            Thread acceptor = new Thread(() -> answerAll(listener), "store-again");
+            acceptor.setDaemon(true);
+            acceptor.start();
+            long start = System.nanoTime();
+            while (!(store.get("a/b").join() instanceof ReadResult.Found)) {
+                assertTrue(System.nanoTime() - start < TimeUnit.SECONDS.toNanos(4), "still out of reach");
+            }
+        }
+    }
+
+    private static void answerAll(ServerSocket server) {
+        byte[] answer = "HTTP/1.1 404 Not Found\r\nContent-Length: 2\r\n\r\n{}".getBytes(StandardCharsets.US_ASCII);
+        while (!server.isClosed()) {
+            try {
+                Socket socket = server.accept();
+                Thread answering = new Thread(
+                        () -> {
+                            try (socket) {
+                                byte[] request = new byte[4_096];
+                                while (socket.getInputStream().read(request) > 0) {
+                                    socket.getOutputStream().write(answer);
+                                }
+                            } catch (IOException reset) {
+                                // A connection that the store's client has given up.
+                            }
+                        },
+                        "answering");
+                answering.setDaemon(true);
+                answering.start();
+            } catch (IOException stopped) {
+                return;
+            }
+        }
+    }
+
     /** Reads what comes and never answers; counts connections that the caller has closed. */
     private static void acceptAll(ServerSocket server, CountDownLatch closed) {
         while (!server.isClosed()) {
