Replace links between hosts that stay silent although requests are sent

After a cut a link waits for its next repetition, which comes seconds after the cut's end, and a connection may go silent for good. Calls then end with their time limit one after the other. A link on which requests were sent and nothing came for a second is closed now; the next call opens another one. Test: aLinkThatStaysSilentIsReplaced, failing before.

--- a/src/main/java/org/auburnhoist/peer/PeerLink.java
+++ b/src/main/java/org/auburnhoist/peer/PeerLink.java
@@ -15,6 +15,11 @@
 /** One link to a peer that this host opened: handshake, then requests with answers in any order. */
 final class PeerLink implements FrameChannel.FrameListener {
     private static final int MAXIMUM_PENDING = 20_000;
+    /**
+     * A link on which requests were sent and nothing came for this long is replaced; open connections may go silent for
+     * good, and after a cut a new one works sooner than one that waits for its next repetition.
+     */
+    private static final long SILENCE_NANOS = 1_000_000_000L;
 
     private final PeerSettings settings;
     private final FrameChannel channel;
@@ -28,6 +33,10 @@
     private long sentFrames;
     private long receivedFrames;
     private volatile long lastUsedNanos;
+    /** Whether a request was sent since the last frame came, and when the first one was. */
+    private boolean awaitsFrame;
+
+    private long awaitsSinceNanos;
 
     PeerLink(PeerSettings settings, AsynchronousSocketChannel socket, byte[] nonce, TrafficCounter traffic) {
         this.settings = settings;
@@ -72,9 +81,13 @@
                 waitingForHandshake.add(call);
             } else {
                 write(key, call);
+                if (!awaitsFrame) {
+                    awaitsFrame = true;
+                    awaitsSinceNanos = nowNanos;
+                }
             }
         }
-        return () -> forget(call);
+        return () -> forget(call, System.nanoTime());
     }
 
     boolean isClosed() {
@@ -159,6 +172,7 @@
         Call call;
         HostId from;
         synchronized (this) {
+            awaitsFrame = false;
             call = pending.remove(envelope.correlationId());
             from = peer;
         }
@@ -167,9 +181,11 @@
         }
     }
 
-    private void forget(Call call) {
+    private void forget(Call call, long nowNanos) {
         boolean wasWaiting;
+        boolean silent;
         synchronized (this) {
+            silent = awaitsFrame && nowNanos - awaitsSinceNanos > SILENCE_NANOS;
             wasWaiting = waitingForHandshake.remove(call);
             pending.remove(call.correlationId());
         }
@@ -178,5 +194,8 @@
         } else {
             call.result().complete(new CallResult.NoAnswer("time limit passed"));
         }
+        if (silent) {
+            close("silent although requests were sent");
+        }
     }
 }
--- a/src/test/java/org/auburnhoist/peer/PeerLinkTest.java
+++ b/src/test/java/org/auburnhoist/peer/PeerLinkTest.java
@@ -77,6 +77,24 @@
         assertInstanceOf(CallResult.NoAnswer.class, result);
     }
 
+    /** Guards against links that a cut has made silent for good. */
+    @Test
+    void aLinkThatStaysSilentIsReplaced() throws Exception {
+        PeerClient client = client("client", SECRET);
+        for (int call = 0; call < 3; call++) {
+            assertInstanceOf(
+                    CallResult.NoAnswer.class, call(client, new Acknowledgement(true), Duration.ofMillis(400)));
+        }
+        // The link is closed just after the call has ended.
+        long start = System.nanoTime();
+        do {
+            client.closeIdle(System.nanoTime());
+        } while (client.linkCount() > 0
+                && System.nanoTime() - start < Duration.ofSeconds(10).toNanos());
+        assertEquals(0, client.linkCount());
+        assertInstanceOf(CallResult.Answered.class, call(client, new TokenRequest("members", 0, 3), GENEROUS));
+    }
+
     @Test
     void aPeerThatRefusesConnectionsWasNotSentAnything() throws Exception {
         InetSocketAddress address = server.address();
