--- a/src/main/java/org/auburnhoist/cli/ExplainCommand.java
+++ b/src/main/java/org/auburnhoist/cli/ExplainCommand.java
@@ -124,7 +124,10 @@
 
     private static boolean isBelief(LogLine line) {
         String event = line.event();
-        return event.endsWith("-adopted") || event.startsWith("store-") || event.startsWith("host-");
+        return event.endsWith("-adopted")
+                || event.startsWith("configuration-")
+                || event.startsWith("store-")
+                || event.startsWith("host-");
     }
 
     private static boolean concerns(LogLine line, LogLine request, Set<String> servers, Instant begin, Instant end) {
