--- a/src/main/java/org/auburnhoist/gateway/GatewayHost.java
+++ b/src/main/java/org/auburnhoist/gateway/GatewayHost.java
@@ -111,8 +111,7 @@
         this.startNanos = now;
         this.fleet = new FleetView(member);
         this.startQueue = new StartQueue(control);
-        this.knowledge =
-                new Knowledge(binding, fleet, this::configurationChanged, this::serversChanged, this::membersChanged);
+        this.knowledge = new Knowledge(binding, fleet, startQueue::open, this::serversChanged, this::membersChanged);
         this.lease = new MembershipLease(store, control, member, random, now);
         this.feed = new StoreFeed(
                 store, control, binding, knowledge, fleet, settings.name(), this::ownEntryMissing, random, now);
@@ -308,10 +307,6 @@
         });
     }
 
-    private void configurationChanged() {
-        startQueue.open();
-    }
-
     private CompletionStage<Message> answerPeer(HostId from, Message request) {
         return control.answer((answer, now) -> answer(from, request, now, answer));
     }
--- a/src/main/java/org/auburnhoist/gateway/GatewayPolicy.java
+++ b/src/main/java/org/auburnhoist/gateway/GatewayPolicy.java
@@ -18,8 +18,8 @@
 final class GatewayPolicy implements RequestPolicy {
     private static final long MILLI = 1_000_000L;
     private static final long NO_ADVICE = -1;
-    /** A host that has just started reads its configuration within this time. */
-    private static final long STARTING_RETRY_MILLIS = 500;
+    /** A control thread with a full queue needs about this time to work it off. */
+    private static final long OVERLOADED_RETRY_MILLIS = 500;
     /** Used when neither the caller nor the route limits the time. */
     private static final long DEFAULT_MILLIS = 30_000;
 
@@ -38,9 +38,6 @@
         PlatformBinding.CallerTerms terms = binding.callerTerms(head);
         GatewayRecord record = new GatewayRecord(head.requestId(), terms.attemptId(), head.path());
         TrafficRouter router = parts.knowledge().router();
-        if (!parts.knowledge().hasConfiguration()) {
-            return refused(record, Refusal.HOST_ISOLATED, "this host has no configuration yet", STARTING_RETRY_MILLIS);
-        }
         if (terms.ambiguous()) {
             return refused(record, Refusal.MALFORMED_REQUEST, "a deciding header came more than once", NO_ADVICE);
         }
@@ -90,8 +87,8 @@
         });
         accepted.whenComplete((done, failure) -> {
             if (failure != null) {
-                result.complete(
-                        refusal(record, Refusal.SERVICE_OVERLOADED, "this host is overloaded", STARTING_RETRY_MILLIS));
+                result.complete(refusal(
+                        record, Refusal.SERVICE_OVERLOADED, "this host is overloaded", OVERLOADED_RETRY_MILLIS));
             }
         });
         return result;
--- a/src/main/java/org/auburnhoist/gateway/StartQueue.java
+++ b/src/main/java/org/auburnhoist/gateway/StartQueue.java
@@ -11,8 +11,8 @@
 import org.auburnhoist.proxy.Admission;
 
 /**
- * Requests that came while this host starts. They wait for the configuration, which comes within a second, for a part of
- * the time that their callers allow; sending the callers away would cost them more.
+ * Requests that came while this host starts. They wait for the configuration, which comes within a second, for a part
+ * of the time that their callers allow; sending the callers away would cost them more.
  */
 final class StartQueue {
     /** A start from the first accepted connection to the configuration takes about half a second. */
