--- a/src/main/java/org/auburnhoist/platform/KvTransport.java
+++ b/src/main/java/org/auburnhoist/platform/KvTransport.java
@@ -120,9 +120,8 @@
             builder.setEntity(body.toString().getBytes(StandardCharsets.UTF_8), ContentType.APPLICATION_JSON);
         }
         Exchange exchange = new Exchange(reply, builder.build());
-        // The library takes this as the limit of connecting and of silence alike. A longer one would let connections
-        // that
-        // cannot be opened hold the whole pool after the path is back; so idle connections end after a second.
+        // The library takes this as the limit of connecting and of silence alike. With a longer one, connections that
+        // cannot be opened would hold the whole pool after the path is back. So idle connections end after a second.
         Future<?> lease = requester.connect(host, Timeout.of(limit), null, exchange);
         Future<?> expiry = timer.schedule(
                 () -> {
