--- a/src/main/java/org/auburnhoist/cli/DemoCommand.java
+++ b/src/main/java/org/auburnhoist/cli/DemoCommand.java
@@ -1,6 +1,5 @@
 package org.auburnhoist.cli;
 
-import java.io.IOException;
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
@@ -54,21 +53,17 @@
                 SERVICE_TIME,
                 Duration.ofSeconds(10),
                 1);
-        try (LocalFleet fleet = LocalFleet.start(ExampleConfiguration.files(example), options)) {
-            if (!fleet.awaitReady(READY_LIMIT)) {
-                context.err().println("the hosts did not become ready within " + READY_LIMIT.toSeconds() + " s");
-                return ExitCode.UNAVAILABLE;
+        return StopSignal.serve(context, () -> {
+            try (LocalFleet fleet = LocalFleet.start(ExampleConfiguration.files(example), options)) {
+                if (!fleet.awaitReady(READY_LIMIT)) {
+                    context.err().println("the hosts did not become ready within " + READY_LIMIT.toSeconds() + " s");
+                    return ExitCode.UNAVAILABLE;
+                }
+                explain(example, fleet, context);
+                StopSignal.await(fleet::close);
+                return ExitCode.DONE;
             }
-            explain(example, fleet, context);
-            StopSignal.await(fleet::close);
-            return ExitCode.DONE;
-        } catch (IOException cause) {
-            context.err().println("could not start: " + cause.getMessage());
-            return ExitCode.REFUSED;
-        } catch (InterruptedException cause) {
-            Thread.currentThread().interrupt();
-            return ExitCode.DONE;
-        }
+        });
     }
 
     private static void explain(String example, LocalFleet fleet, CommandContext context) {
--- a/src/main/java/org/auburnhoist/cli/ServePlatformCommand.java
+++ b/src/main/java/org/auburnhoist/cli/ServePlatformCommand.java
@@ -32,22 +32,18 @@
     @Override
     public ExitCode run(Settings settings, CommandContext context) {
         Path file = settings.get(NODE_FILE);
-        try {
-            BootFile boot = BootFile.read(file);
-            PlatformHost host = PlatformHost.start(boot);
-            Signal.handle(new Signal("HUP"), signal -> checkAgain(file, boot));
-            StopSignal.await(() -> host.stop().join());
-            return ExitCode.DONE;
-        } catch (BootFile.InvalidBootFileException invalid) {
-            invalid.findings().forEach(finding -> context.err().println(finding.describe()));
-            return ExitCode.USAGE;
-        } catch (IOException cause) {
-            context.err().println("could not start: " + cause.getMessage());
-            return ExitCode.REFUSED;
-        } catch (InterruptedException cause) {
-            Thread.currentThread().interrupt();
-            return ExitCode.DONE;
-        }
+        return StopSignal.serve(context, () -> {
+            try {
+                BootFile boot = BootFile.read(file);
+                PlatformHost host = PlatformHost.start(boot);
+                Signal.handle(new Signal("HUP"), signal -> checkAgain(file, boot));
+                StopSignal.await(() -> host.stop().join());
+                return ExitCode.DONE;
+            } catch (BootFile.InvalidBootFileException invalid) {
+                invalid.findings().forEach(finding -> context.err().println(finding.describe()));
+                return ExitCode.USAGE;
+            }
+        });
     }
 
     /** A changed file takes effect with the next start; until then its faults are reported. */
--- a/src/main/java/org/auburnhoist/cli/StopSignal.java
+++ b/src/main/java/org/auburnhoist/cli/StopSignal.java
@@ -1,5 +1,6 @@
 package org.auburnhoist.cli;
 
+import java.io.IOException;
 import java.util.concurrent.CountDownLatch;
 import org.auburnhoist.support.LogFormat;
 
@@ -25,4 +26,27 @@
                         "stop-signal"));
         stopped.await();
     }
+
+    /** Something that runs until the stop signal. */
+    interface Serving {
+        /**
+         * Starts, waits for the signal and ends.
+         *
+         * @throws IOException if it cannot be started
+         */
+        ExitCode run() throws IOException, InterruptedException;
+    }
+
+    /** Runs until the signal and tells why it could not be started. */
+    static ExitCode serve(CommandContext context, Serving serving) {
+        try {
+            return serving.run();
+        } catch (IOException cause) {
+            context.err().println("could not start: " + cause.getMessage());
+            return ExitCode.REFUSED;
+        } catch (InterruptedException cause) {
+            Thread.currentThread().interrupt();
+            return ExitCode.DONE;
+        }
+    }
 }
--- a/src/main/java/org/auburnhoist/cli/StoreEmulatorCommand.java
+++ b/src/main/java/org/auburnhoist/cli/StoreEmulatorCommand.java
@@ -1,6 +1,5 @@
 package org.auburnhoist.cli;
 
-import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.List;
 import org.auburnhoist.emulator.StoreEmulator;
@@ -38,17 +37,13 @@
     @Override
     public ExitCode run(Settings settings, CommandContext context) {
         int port = settings.get(LISTEN).get(0).getPort();
-        try (StoreEmulator emulator = StoreEmulator.builder().port(port).start()) {
-            context.out().println("emulated store on " + emulator.address().getAuthority());
-            context.out().flush();
-            StopSignal.await(emulator::close);
-            return ExitCode.DONE;
-        } catch (IOException cause) {
-            context.err().println("could not start: " + cause.getMessage());
-            return ExitCode.REFUSED;
-        } catch (InterruptedException cause) {
-            Thread.currentThread().interrupt();
-            return ExitCode.DONE;
-        }
+        return StopSignal.serve(context, () -> {
+            try (StoreEmulator emulator = StoreEmulator.builder().port(port).start()) {
+                context.out().println("emulated store on " + emulator.address().getAuthority());
+                context.out().flush();
+                StopSignal.await(emulator::close);
+                return ExitCode.DONE;
+            }
+        });
     }
 }
--- a/src/main/java/org/auburnhoist/cli/UpstreamEmulatorCommand.java
+++ b/src/main/java/org/auburnhoist/cli/UpstreamEmulatorCommand.java
@@ -1,7 +1,6 @@
 package org.auburnhoist.cli;
 
 import io.vavr.control.Either;
-import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -82,17 +81,13 @@
     private static ExitCode run(List<UpstreamSpec> specs, CommandContext context) {
         UpstreamEmulator.Builder builder = UpstreamEmulator.builder();
         specs.forEach(builder::server);
-        try (UpstreamEmulator emulator = builder.start()) {
-            context.out().println(emulator.servers().size() + " emulated servers");
-            context.out().flush();
-            StopSignal.await(emulator::close);
-            return ExitCode.DONE;
-        } catch (IOException cause) {
-            context.err().println("could not start: " + cause.getMessage());
-            return ExitCode.REFUSED;
-        } catch (InterruptedException cause) {
-            Thread.currentThread().interrupt();
-            return ExitCode.DONE;
-        }
+        return StopSignal.serve(context, () -> {
+            try (UpstreamEmulator emulator = builder.start()) {
+                context.out().println(emulator.servers().size() + " emulated servers");
+                context.out().flush();
+                StopSignal.await(emulator::close);
+                return ExitCode.DONE;
+            }
+        });
     }
 }
--- a/src/main/java/org/auburnhoist/core/dispatch/RetryBudget.java
+++ b/src/main/java/org/auburnhoist/core/dispatch/RetryBudget.java
@@ -2,7 +2,7 @@
 
 import org.auburnhoist.core.TrafficClass;
 
-/** Limits a host's further attempts to a tenth of its recent requests. */
+/** Limits further attempts by the number of recent requests. */
 public final class RetryBudget {
     /** Most attempts after the first one. */
     public static final int MOST_RETRIES = 2;
@@ -21,7 +21,7 @@
     private final int[] requests = new int[SECONDS];
     private final int[] retries = new int[SECONDS];
 
-    /** A budget of a tenth of the requests. */
+    /** A host's own budget: a tenth of its recent requests. */
     public RetryBudget() {
         this(SHARE, LEAST_PER_WINDOW, 0);
     }
--- a/src/main/java/org/auburnhoist/core/limit/IsolatedAllowance.java
+++ b/src/main/java/org/auburnhoist/core/limit/IsolatedAllowance.java
@@ -26,14 +26,9 @@
      */
     public record Tolerance(double windowSeconds, double overrun, double slack) {}
 
-    private static final class Level {
-        double tokens;
-        long atNanos;
-    }
-
     private final Tolerance tolerance;
     private final RandomGenerator random;
-    private final Map<String, Level> levels = new HashMap<>();
+    private final Map<String, TokenLevel> levels = new HashMap<>();
 
     /** An allowance that has granted nothing yet. */
     public IsolatedAllowance(Tolerance tolerance, RandomGenerator random) {
@@ -44,21 +39,12 @@
     /** Takes one token if the allowance has one; {@code hosts} is the number of hosts in the fleet. */
     public boolean tryAcquire(TeamTerms team, int hosts, long nowNanos) {
         int count = Math.max(1, hosts);
-        Level level = levels.computeIfAbsent(team.name(), name -> {
-            Level created = new Level();
-            created.tokens = random.nextDouble() < FIRST_SHARE_OF_SLACK * tolerance.slack() / count ? 1 : 0;
-            created.atNanos = nowNanos;
-            return created;
+        TokenLevel level = levels.computeIfAbsent(team.name(), name -> {
+            boolean first = random.nextDouble() < FIRST_SHARE_OF_SLACK * tolerance.slack() / count;
+            return new TokenLevel(first ? 1 : 0, nowNanos);
         });
         double rate = ratePerSecond(team, count);
-        double elapsed = Math.max(0, nowNanos - level.atNanos) / 1e9;
-        level.tokens = Math.min(Math.max(1, rate), level.tokens + elapsed * rate);
-        level.atNanos = nowNanos;
-        if (level.tokens >= 1) {
-            level.tokens -= 1;
-            return true;
-        }
-        return false;
+        return level.tryTake(rate, Math.max(1, rate), nowNanos);
     }
 
     /** Requests a second that one of {@code hosts} hosts may admit by itself. */
--- a/src/main/java/org/auburnhoist/core/limit/QuotaOwnership.java
+++ b/src/main/java/org/auburnhoist/core/limit/QuotaOwnership.java
@@ -167,7 +167,8 @@
         return until != null && until - nowNanos > 0;
     }
 
-    private boolean isFirst(String team) {
+    /** Whether a team's limit falls to this host by the order, whoever decides about it at the moment. */
+    public boolean isFirst(String team) {
         FleetMember first = owner(team);
         return first != null && first.id().name().equals(selfName);
     }
--- a/src/main/java/org/auburnhoist/core/limit/TeamQuotas.java
+++ b/src/main/java/org/auburnhoist/core/limit/TeamQuotas.java
@@ -20,16 +20,14 @@
     /** By then every host in contact has learned of a new owner and the earlier one has stopped. */
     static final long TAKEOVER_NANOS = 2_500_000_000L;
 
+    /** A team with hardly any rate is told to come back after this time. */
+    private static final double MOST_RETRY_SECONDS = 1_000;
+
     private final IsolatedAllowance.Tolerance tolerance;
-    private final Map<String, Level> levels = new HashMap<>();
+    private final Map<String, TokenLevel> levels = new HashMap<>();
     private final Map<String, Long> earlierOwnerEnds = new HashMap<>();
     private long lastChangeEnds;
 
-    private static final class Level {
-        double tokens;
-        long atNanos;
-    }
-
     /** Buckets of a host that has just started; another host may own any team for a while yet. */
     public TeamQuotas(IsolatedAllowance.Tolerance tolerance, long nowNanos) {
         this.tolerance = tolerance;
@@ -75,19 +73,12 @@
     public TokenDecision acquire(TeamTerms team, long nowNanos) {
         double rate = Math.max(Double.MIN_NORMAL, team.ratePerSecond());
         double capacity = Math.max(1, team.burst() + SHARE_OF_SLACK * tolerance.slack());
-        Level level = levels.computeIfAbsent(team.name(), name -> {
-            Level first = new Level();
-            first.tokens = Math.min(capacity, FIRST_SHARE_OF_SLACK * tolerance.slack());
-            first.atNanos = earlierOwnerEnds(name);
-            return first;
-        });
-        double elapsed = Math.max(0, nowNanos - level.atNanos) / 1e9;
-        level.tokens = Math.min(capacity, level.tokens + elapsed * rate);
-        level.atNanos = nowNanos;
-        if (level.tokens >= 1) {
-            level.tokens -= 1;
+        double first = Math.min(capacity, FIRST_SHARE_OF_SLACK * tolerance.slack());
+        TokenLevel level = levels.computeIfAbsent(team.name(), name -> new TokenLevel(first, earlierOwnerEnds(name)));
+        if (level.tryTake(rate, capacity, nowNanos)) {
             return TokenDecision.Spend.INSTANCE;
         }
-        return new TokenDecision.Refuse((long) Math.ceil(Math.min(1e6, (1 - level.tokens) / rate * 1_000)));
+        double seconds = Math.min(MOST_RETRY_SECONDS, level.secondsUntilToken(rate));
+        return new TokenDecision.Refuse((long) Math.ceil(seconds * 1_000));
     }
 }
--- a/src/main/java/org/auburnhoist/gateway/GatewayForwarding.java
+++ b/src/main/java/org/auburnhoist/gateway/GatewayForwarding.java
@@ -153,8 +153,8 @@
 
     private List<String> connectedServers() {
         Set<String> idle = parts.idleUpstreams().get();
-        return parts.knowledge().servers().stream()
-                .filter(server -> server.service().equals(request.service()) && idle.contains(server.address()))
+        return parts.knowledge().serversOf(request.service()).stream()
+                .filter(server -> idle.contains(server.address()))
                 .map(UpstreamServer::id)
                 .limit(MOST_CONNECTED_TOLD)
                 .toList();
--- a/src/main/java/org/auburnhoist/gateway/Knowledge.java
+++ b/src/main/java/org/auburnhoist/gateway/Knowledge.java
@@ -5,7 +5,10 @@
 import java.util.Arrays;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Map;
 import java.util.Objects;
+import java.util.function.Function;
+import java.util.stream.Collectors;
 import org.auburnhoist.core.membership.FleetDocuments;
 import org.auburnhoist.core.membership.FleetMember;
 import org.auburnhoist.core.membership.FleetView;
@@ -34,6 +37,8 @@
     private volatile TrafficRouter router = TrafficRouter.of(TrafficConfiguration.NONE);
     private byte[] configuration = NOTHING;
     private List<UpstreamServer> servers = List.of();
+    private Map<String, UpstreamServer> serversById = Map.of();
+    private Map<String, List<UpstreamServer>> serversByService = Map.of();
     private byte[] serversDocument = NOTHING;
     private long serversRevision;
     private long serversReadRevision;
@@ -69,6 +74,17 @@
         return servers;
     }
 
+    /** A registered server, or null. */
+    @Nullable
+    UpstreamServer server(String id) {
+        return serversById.get(id);
+    }
+
+    /** The registered servers of a service. */
+    List<UpstreamServer> serversOf(String service) {
+        return serversByService.getOrDefault(service, List.of());
+    }
+
     /** Nanoseconds since the servers were last read from the store, by this host or by one that told it. */
     long storeAgeNanos(long nowNanos) {
         return everRead ? nowNanos - readAtNanos : Long.MAX_VALUE;
@@ -115,6 +131,8 @@
     private void adoptServers(List<UpstreamServer> next, byte[] document, long revision, String source) {
         logServers(next, revision, source);
         servers = List.copyOf(next);
+        serversById = next.stream().collect(Collectors.toMap(UpstreamServer::id, Function.identity(), (a, b) -> a));
+        serversByService = next.stream().collect(Collectors.groupingBy(UpstreamServer::service));
         serversDocument = document;
         serversRevision = revision;
         serversReadRevision = Math.max(serversReadRevision, revision);
--- a/src/main/java/org/auburnhoist/gateway/QuotaBroker.java
+++ b/src/main/java/org/auburnhoist/gateway/QuotaBroker.java
@@ -146,8 +146,7 @@
             handler.accept(grantHere(team, nowNanos), nowNanos);
         } else if (!givenTo.isEmpty()) {
             ask(givenTo, "", team, handler);
-        } else if (owner == null
-                || Peers.textOf(Peers.addressOf(owner.peerAddress())).equals(selfAddress)) {
+        } else if (owner == null || ownership.isFirst(name)) {
             claimThen(name, nowNanos, now -> {
                 boolean decides = ownership.decides(name, now);
                 handler.accept(decides ? grantHere(team, now) : grantIsolated(team, now), now);
--- a/src/main/java/org/auburnhoist/gateway/SlotBroker.java
+++ b/src/main/java/org/auburnhoist/gateway/SlotBroker.java
@@ -1,7 +1,6 @@
 package org.auburnhoist.gateway;
 
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -205,7 +204,7 @@
         for (Map<String, Dispatch> kind : List.of(dispatches, localChoices)) {
             Map.copyOf(kind)
                     .forEach((service, dispatch) ->
-                            dispatch.complete(dispatch.dispatcher.servers(serversOf(service), nowNanos)));
+                            dispatch.complete(dispatch.dispatcher.servers(knowledge.serversOf(service), nowNanos)));
         }
     }
 
@@ -235,13 +234,9 @@
 
     /** Whether a registered server may still get work; the request may have waited since it was chosen. */
     boolean isUsable(String server) {
-        for (UpstreamServer known : knowledge.servers()) {
-            if (known.id().equals(server)) {
-                return !known.leaving();
-            }
-        }
+        UpstreamServer known = knowledge.server(server);
         // The dispatcher may know of a server before this host does.
-        return true;
+        return known == null || !known.leaving();
     }
 
     private CompletableFuture<SlotAnswer> ask(Dispatch dispatch, SlotRequest request, HostId asking, long nowNanos) {
@@ -269,20 +264,10 @@
                 settings.floorShare(),
                 FIRST_HOLD_TIME);
         Dispatch created = new Dispatch(new PriorityDispatcher(dispatcherSettings, random));
-        created.dispatcher.servers(serversOf(service), nowNanos);
+        created.dispatcher.servers(knowledge.serversOf(service), nowNanos);
         return created;
     }
 
-    private List<UpstreamServer> serversOf(String service) {
-        List<UpstreamServer> result = new ArrayList<>();
-        for (UpstreamServer server : knowledge.servers()) {
-            if (server.service().equals(service)) {
-                result.add(server);
-            }
-        }
-        return result;
-    }
-
     private void askNext(long id, Pending wanted, long nowNanos) {
         wanted.asked++;
         wanted.generation++;
