Let serve end like the other commands that serve

The last of five copies of how a serving process reports that it could not be started. HostProcessTest, EmulatorCommandsTest and OperatingPageTest passed; the platform path is not touched.

--- a/src/main/java/org/auburnhoist/cli/ServeCommand.java
+++ b/src/main/java/org/auburnhoist/cli/ServeCommand.java
@@ -1,7 +1,6 @@
 package org.auburnhoist.cli;
 
 import io.vavr.control.Either;
-import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.URI;
 import java.net.URISyntaxException;
@@ -101,18 +100,14 @@
             context.err().println("store: " + opened.getLeft());
             return ExitCode.UNAVAILABLE;
         }
-        try (Store store = opened.get()) {
-            HostProcess process = HostProcess.start(hostSettings(settings), store);
-            Runtime.getRuntime().addShutdownHook(new Thread(() -> stopAndExit(process), "planned-stop"));
-            process.awaitStop();
-            return ExitCode.DONE;
-        } catch (IOException cause) {
-            context.err().println("could not start: " + cause.getMessage());
-            return ExitCode.REFUSED;
-        } catch (InterruptedException cause) {
-            Thread.currentThread().interrupt();
-            return ExitCode.DONE;
-        }
+        return StopSignal.serve(context, () -> {
+            try (Store store = opened.get()) {
+                HostProcess process = HostProcess.start(hostSettings(settings), store);
+                Runtime.getRuntime().addShutdownHook(new Thread(() -> stopAndExit(process), "planned-stop"));
+                process.awaitStop();
+                return ExitCode.DONE;
+            }
+        });
     }
 
     /** Ends the process with status 0, because a planned stop is not a failure; the default after SIGTERM is 143. */
