Run lookups that callers send ahead at the same time, and answer them in order

Cause: one exchange ran at a time on a caller's connection, so a lookup sent behind a slow one waited without need and its time counted only from then on. Up to eight requests of a connection run now (pipelinedRequests). Answers are held until the earlier ones have been sent. Bookings and downloads behind others are passed on only when they are first: an answer that announces the end of the connection tells callers that nothing behind it was read, and large answers would hold their servers. Only the last accepted request announces the end, also in a planned stop.

Ruled out: the library's delayed channel for later answers, which counts an answer without a body as written before those ahead of it.

--- a/src/main/java/org/auburnhoist/proxy/CallerConnection.java
+++ b/src/main/java/org/auburnhoist/proxy/CallerConnection.java
@@ -4,7 +4,9 @@
 import java.nio.ByteBuffer;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.SocketChannel;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
 import java.util.List;
 import org.apache.hc.core5.io.CloseMode;
 import org.apache.hc.core5.reactor.IOEventHandler;
@@ -13,7 +15,11 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * One caller's connection: its time limits, and the rule that one exchange runs at a time.
+ * One caller's connection: its time limits, and the exchanges that run on it.
+ *
+ * <p>A caller may send further requests before the first is answered. A bounded number of them run at the same time;
+ * each is answered when those before it have been. Only the last one announces the end of the connection, because
+ * callers send again what they sent behind such an answer.
  *
  * <p>Before the server closes a connection after an answer, it stops sending and reads on for {@link #LINGER_NANOS};
  * otherwise unread bytes would reset the connection and destroy the answer on its way.
@@ -24,9 +30,16 @@
     private final IOSession session;
     private final ProxyServer server;
     private volatile @Nullable IOEventHandler handler;
-    private volatile @Nullable CallerExchange exchange;
     private volatile boolean wake;
-    private boolean exchangeRunning;
+    /** Exchanges in the order of their requests, each until both of its messages are complete. */
+    private final Deque<CallerExchange> running = new ArrayDeque<>();
+
+    private @Nullable CallerExchange last;
+    /** Whether a complete head was read for which no exchange has started yet. */
+    private boolean headReserved;
+    /** Whether no further request is read. */
+    private boolean ending;
+
     private boolean closing;
     private boolean sendingStopped;
     private boolean headStarted;
@@ -55,8 +68,46 @@
         return session;
     }
 
+    /** Whether the head of a further request may be read now. */
+    synchronized boolean mayReadHead() {
+        if (running.isEmpty()) {
+            return true;
+        }
+        return !ending && !server.isStopping() && running.size() < server.settings().pipelinedRequests;
+    }
+
     synchronized boolean isExchangeRunning() {
-        return exchangeRunning;
+        return !running.isEmpty();
+    }
+
+    /** Reserves the next place for a request whose head is complete; false if no further request is accepted. */
+    synchronized boolean reserveExchange() {
+        headReserved = !ending;
+        return headReserved;
+    }
+
+    /** Whether all earlier requests have been answered. */
+    synchronized boolean isFirst(CallerExchange exchange) {
+        return running.peekFirst() == exchange;
+    }
+
+    /** Whether no further request is read. */
+    synchronized boolean isEnding() {
+        return ending;
+    }
+
+    /** No request after those that are running is read. */
+    synchronized void endAfterRunning() {
+        ending = true;
+    }
+
+    /** Reads no request after an exchange; false if a later one has been accepted. */
+    synchronized boolean endAfter(CallerExchange exchange) {
+        if (last != exchange || headReserved) {
+            return false;
+        }
+        ending = true;
+        return true;
     }
 
     synchronized boolean isClosing() {
@@ -75,13 +126,15 @@
     }
 
     synchronized void exchangeStarted(CallerExchange started) {
-        exchange = started;
-        exchangeRunning = true;
+        running.addLast(started);
+        last = started;
+        headReserved = false;
         headStarted = false;
     }
 
-    /** No further request is accepted on this connection. */
+    /** The last answer ends the connection. */
     synchronized void startClosing() {
+        ending = true;
         if (!closing) {
             closing = true;
             since = server.now();
@@ -97,13 +150,17 @@
     }
 
     /** Called when both messages of the exchange are complete; the end of the answer may not be written yet. */
-    void exchangeEnded() {
+    void exchangeEnded(CallerExchange ended) {
+        CallerExchange next;
         synchronized (this) {
-            exchange = null;
-            exchangeRunning = false;
+            running.remove(ended);
+            next = running.peekFirst();
             since = server.now();
             unflushed++;
         }
+        if (next != null) {
+            next.becameFirst();
+        }
         wake();
     }
 
@@ -111,7 +168,7 @@
     private void flushed() {
         boolean stop;
         synchronized (this) {
-            stop = closing && !sendingStopped && !awaitingFlush.isEmpty();
+            stop = closing && !sendingStopped && last != null && awaitingFlush.contains(last);
             if (stop) {
                 sendingStopped = true;
                 since = server.now();
@@ -168,10 +225,7 @@
 
     /** Applies the time limits; called now and then on a timer thread. */
     void checkTime(long now) {
-        CallerExchange running = exchange;
-        if (running != null) {
-            running.checkTime(now);
-        }
+        running().forEach(exchange -> exchange.checkTime(now));
         boolean close = false;
         boolean expire = false;
         synchronized (this) {
@@ -181,10 +235,10 @@
                         ? LINGER_NANOS
                         : server.settings().answerIdleTimeout.toNanos();
                 close = waited > limit;
-            } else if (!exchangeRunning && headStarted) {
+            } else if (running.isEmpty() && headStarted) {
                 expire = !headExpired && waited > server.settings().headTimeout.toNanos();
                 headExpired |= expire;
-            } else if (!exchangeRunning) {
+            } else if (running.isEmpty()) {
                 close = waited > server.settings().callerIdleTimeout.toNanos();
             }
         }
@@ -195,6 +249,10 @@
         }
     }
 
+    private synchronized List<CallerExchange> running() {
+        return List.copyOf(running);
+    }
+
     private void stopSending() {
         if (session.channel() instanceof SocketChannel channel) {
             try {
@@ -259,9 +317,8 @@
 
     @Override
     public void exception(IOSession ignored, Exception cause) {
-        CallerExchange running = exchange;
         try {
-            if (running == null || running.isWritten()) {
+            if (running().stream().allMatch(CallerExchange::isWritten)) {
                 confirmWritten();
             }
         } catch (IOException broken) {
--- a/src/main/java/org/auburnhoist/proxy/CallerExchange.java
+++ b/src/main/java/org/auburnhoist/proxy/CallerExchange.java
@@ -18,6 +18,7 @@
 import org.apache.hc.core5.http.nio.ResponseChannel;
 import org.apache.hc.core5.http.protocol.HttpContext;
 import org.auburnhoist.core.Refusal;
+import org.auburnhoist.core.TrafficClass;
 import org.auburnhoist.core.message.RecordedAnswer;
 import org.jspecify.annotations.Nullable;
 
@@ -39,6 +40,11 @@
     private volatile @Nullable BodySource answerBody;
     private @Nullable ResponseChannel responses;
     private @Nullable RequestHead head;
+    /** An answer that waits for those to earlier requests. */
+    private @Nullable HeldAnswer heldAnswer;
+    /** A forwarding that waits until earlier requests have been answered. */
+    private @Nullable ForwardedExchange heldForwarding;
+
     private long bodyBytes;
     private volatile long lastBodyNanos;
     private volatile long lastWriteNanos;
@@ -49,6 +55,9 @@
     private boolean closeAfterAnswer;
     private boolean left;
 
+    /** The head of an answer with the source of its body. */
+    private record HeldAnswer(BasicHttpResponse response, long length, BodySource body) {}
+
     CallerExchange(CallerConnection connection) {
         this.connection = connection;
         this.server = connection.server();
@@ -68,12 +77,15 @@
             requestBody.end();
         }
         if (request instanceof RejectedRequest rejected) {
-            connection.startClosing();
+            connection.endAfterRunning();
             refuse(rejected.refusal(), rejected.detail(), -1, List.of());
             return;
         }
         RequestHead received = receivedHead(request, entity);
         head = received;
+        if (closeRequested()) {
+            connection.endAfterRunning();
+        }
         if (received.contentLength() > server.settings().maxBodyBytes) {
             refuseTooLarge();
             return;
@@ -82,7 +94,7 @@
             server.policy(connection.session().getLocalAddress())
                     .admit(received, server.now())
                     .whenComplete(this::admitted);
-        } catch (RuntimeException cause) {
+        } catch (RuntimeException | Error cause) {
             admitted(null, cause);
         }
     }
@@ -120,10 +132,16 @@
         ForwardedExchange started = new ForwardedExchange(server, this, received, forwarding);
         boolean gone;
         boolean broken;
+        boolean held;
         synchronized (this) {
             forwarded = started;
             gone = left;
             broken = committed || bodyBroken;
+            held = !gone && !broken && !mayRunBehindOthers(forwarding) && !connection.isFirst(this);
+            heldForwarding = held ? started : null;
+        }
+        if (held) {
+            return;
         }
         if (HeaderRules.hasToken(received.headers(), "Expect", "100-continue")) {
             sendContinue();
@@ -134,6 +152,33 @@
         }
     }
 
+    /**
+     * Whether a request may be passed on before earlier ones have been answered. An answer that ends the connection
+     * tells the caller that nothing behind it was read, so nothing may run there that must not run twice. Large answers
+     * would hold their servers while they wait.
+     */
+    private static boolean mayRunBehindOthers(Forwarding forwarding) {
+        return forwarding.trafficClass() == TrafficClass.LOOKUP;
+    }
+
+    /** Called when all earlier requests on the connection have been answered. */
+    void becameFirst() {
+        HeldAnswer answer;
+        ForwardedExchange forwarding;
+        synchronized (this) {
+            answer = heldAnswer;
+            heldAnswer = null;
+            forwarding = heldForwarding;
+            heldForwarding = null;
+            if (answer != null && !left) {
+                send(answer);
+            }
+        }
+        if (forwarding != null) {
+            forwarding.start();
+        }
+    }
+
     private synchronized void sendContinue() {
         if (requestComplete || committed || left || responses == null) {
             return;
@@ -197,21 +242,11 @@
                 return false;
             }
             committed = true;
-            if (!requestComplete || server.isStopping() || connection.isClosing() || closeRequested()) {
-                response.setHeader("Connection", "close");
-                closeAfterAnswer = true;
-            }
-            lastWriteNanos = server.now();
-            boolean withBody = length > 0 || length == CHUNKED;
-            answerBody = withBody ? body : null;
-            try {
-                EntityDetails details = withBody ? new BasicEntityDetails(length, null) : null;
-                responses.sendResponse(response, details, null);
-                if (!withBody) {
-                    written();
-                }
-            } catch (HttpException | IOException cause) {
-                connection.abort();
+            HeldAnswer answer = new HeldAnswer(response, length, body);
+            if (connection.isFirst(this)) {
+                send(answer);
+            } else {
+                heldAnswer = answer;
             }
         }
         if (forwarded == null) {
@@ -220,6 +255,31 @@
         return true;
     }
 
+    /** Called with the lock held, when all earlier answers have been sent. */
+    private void send(HeldAnswer answer) {
+        ResponseChannel channel = responses;
+        if (channel == null) {
+            return;
+        }
+        boolean ends = !requestComplete || server.isStopping() || connection.isEnding();
+        if (ends && connection.endAfter(this)) {
+            answer.response().setHeader("Connection", "close");
+            closeAfterAnswer = true;
+        }
+        lastWriteNanos = server.now();
+        boolean withBody = answer.length() > 0 || answer.length() == CHUNKED;
+        answerBody = withBody ? answer.body() : null;
+        try {
+            EntityDetails details = withBody ? new BasicEntityDetails(answer.length(), null) : null;
+            channel.sendResponse(answer.response(), details, null);
+            if (!withBody) {
+                written();
+            }
+        } catch (HttpException | IOException cause) {
+            connection.abort();
+        }
+    }
+
     private boolean closeRequested() {
         return head != null && HeaderRules.hasToken(head.headers(), "Connection", "close");
     }
@@ -287,7 +347,7 @@
             requestComplete = true;
         }
         if (trailers == CallerBodyDecoder.MALFORMED) {
-            connection.startClosing();
+            connection.endAfterRunning();
             breakBody(Refusal.MALFORMED_REQUEST, "The body of the request is malformed.");
         } else if (!bodyBroken) {
             requestBody.end();
@@ -394,6 +454,6 @@
         if (!isWritten()) {
             callerLeft();
         }
-        connection.exchangeEnded();
+        connection.exchangeEnded(this);
     }
 }
--- a/src/main/java/org/auburnhoist/proxy/ForwardedExchange.java
+++ b/src/main/java/org/auburnhoist/proxy/ForwardedExchange.java
@@ -78,8 +78,11 @@
     }
 
     synchronized void start() {
-        deadlineTimer = server.schedule(this::deadlineReached, forwarding.deadlineNanos() - server.now());
-        requestBodyReady();
+        // The caller may have left, or the body broken, while the request waited for earlier answers.
+        if (state == State.COLLECTING_BODY) {
+            deadlineTimer = server.schedule(this::deadlineReached, forwarding.deadlineNanos() - server.now());
+            requestBodyReady();
+        }
     }
 
     /** Whether the request body is being sent or was sent, as opposed to being read ahead. */
@@ -178,7 +181,7 @@
         lastAnswerNanos = firstByteNanos;
         status = code;
         answerHeaders = headers;
-        AttemptOutcome outcome = outcome();
+        AttemptOutcome outcome = server.settings().wireRules.outcome(code, headers);
         boolean rejected = outcome == AttemptOutcome.REJECTED || outcome == AttemptOutcome.MISDIRECTED;
         boolean again = false;
         if (outcome != AttemptOutcome.SUCCESS && (rejected ? keptBody != null : isRepeatable(source)) && !callerGone) {
@@ -269,10 +272,6 @@
         return server.now() - deadlineNanos() < 0;
     }
 
-    private AttemptOutcome outcome() {
-        return server.settings().wireRules.outcome(status, answerHeaders);
-    }
-
     synchronized void answerData(UpstreamAttempt source, ByteBuffer data) {
         if (source != attempt || state != State.ANSWERING) {
             data.position(data.limit());
@@ -296,7 +295,7 @@
         if (source != attempt || state != State.ANSWERING) {
             return;
         }
-        report(source, outcome());
+        report(source, server.settings().wireRules.outcome(status, answerHeaders));
         if (!idempotent) {
             recorded = record.complete(status, answerHeaders);
         }
--- a/src/main/java/org/auburnhoist/proxy/ProxySettings.java
+++ b/src/main/java/org/auburnhoist/proxy/ProxySettings.java
@@ -30,6 +30,7 @@
     final Duration bodyTimeout;
     final Duration callerIdleTimeout;
     final int maxCallerConnections;
+    final int pipelinedRequests;
     final Duration connectTimeout;
     final Duration upstreamIdleExpiry;
     final Duration answerIdleTimeout;
@@ -49,6 +50,7 @@
         bodyTimeout = builder.bodyTimeout;
         callerIdleTimeout = builder.callerIdleTimeout;
         maxCallerConnections = builder.maxCallerConnections;
+        pipelinedRequests = builder.pipelinedRequests;
         connectTimeout = builder.connectTimeout;
         upstreamIdleExpiry = builder.upstreamIdleExpiry;
         answerIdleTimeout = builder.answerIdleTimeout;
@@ -75,6 +77,7 @@
         private Duration bodyTimeout = Duration.ofSeconds(30);
         private Duration callerIdleTimeout = Duration.ofSeconds(60);
         private int maxCallerConnections = 4096;
+        private int pipelinedRequests = 8;
         private Duration connectTimeout = Duration.ofSeconds(1);
         private Duration upstreamIdleExpiry = Duration.ofSeconds(30);
         private Duration answerIdleTimeout = Duration.ofSeconds(30);
@@ -101,6 +104,12 @@
             return this;
         }
 
+        /** Requests of one connection that may run at the same time; further ones wait unread for an answer. */
+        public Builder pipelinedRequests(int value) {
+            pipelinedRequests = atLeastOne("pipelinedRequests", value);
+            return this;
+        }
+
         /** Threads for caller connections and for upstream connections. */
         public Builder ioThreads(int caller, int upstream) {
             callerThreads = atLeastOne("caller", caller);
--- a/src/main/java/org/auburnhoist/proxy/RequestHeadParser.java
+++ b/src/main/java/org/auburnhoist/proxy/RequestHeadParser.java
@@ -13,7 +13,7 @@
 import org.auburnhoist.core.Refusal;
 import org.jspecify.annotations.Nullable;
 
-/** Reads the heads of a caller's requests, one exchange at a time. */
+/** Reads the heads of a caller's requests, a bounded number ahead of the answers. */
 final class RequestHeadParser implements NHttpMessageParser<HttpRequest> {
     /** A caller that sends further requests ahead is not read beyond this many bytes. */
     private static final int READ_AHEAD_BYTES = 16 * 1024;
@@ -39,7 +39,8 @@
 
     @Override
     public @Nullable HttpRequest parse(SessionInputBuffer buffer, boolean endOfStream) throws IOException {
-        if (connection.isExchangeRunning()) {
+        boolean behindAnother = connection.isExchangeRunning();
+        if (!connection.mayReadHead() || (behindAnother && endOfStream)) {
             waitForExchange(buffer, endOfStream);
             return null;
         }
@@ -48,15 +49,21 @@
             return null;
         }
         if (connection.isHeadExpired()) {
-            return new RejectedRequest(Refusal.REQUEST_TIMEOUT, "The head of the request did not arrive in time.");
+            return accepted(
+                    new RejectedRequest(Refusal.REQUEST_TIMEOUT, "The head of the request did not arrive in time."));
         }
         try {
-            return parseHead(buffer, endOfStream);
+            return accepted(parseHead(buffer, endOfStream));
         } catch (MalformedHeadException cause) {
-            return new RejectedRequest(cause.refusal(), cause.detail());
+            return accepted(new RejectedRequest(cause.refusal(), cause.detail()));
         }
     }
 
+    /** A request behind an answer that has just announced the end of the connection counts as not read. */
+    private @Nullable HttpRequest accepted(@Nullable HttpRequest request) {
+        return request != null && connection.reserveExchange() ? request : null;
+    }
+
     private void waitForExchange(SessionInputBuffer buffer, boolean endOfStream) throws IOException {
         if (endOfStream) {
             throw new ConnectionClosedException("caller left");
