Survive errors in control tasks, time checks and decisions

Cause: only runtime exceptions were caught. An Error (a stack overflow, a class that cannot be loaded) ended the periodic task of the control thread or the check of time limits for good while the process went on, left requests waiting for a decision that never came, and reset the caller's connection. ControlThreadTest and ProxyServerTest.anErrorInADecisionRefusesThatRequestOnly failed before.

The test of a server that dies of a request failed three times on a busy machine: a thread that waits in accept may still be given a connection that came after the close of its listener, so the stand-in server answered once more. It resets such a connection now; the checks are as they were.

--- a/src/main/java/org/auburnhoist/host/ControlThread.java
+++ b/src/main/java/org/auburnhoist/host/ControlThread.java
@@ -158,7 +158,7 @@
     private static <T> void completeWith(CompletableFuture<T> result, LongFunction<T> task) {
         try {
             result.complete(task.apply(System.nanoTime()));
-        } catch (RuntimeException cause) {
+        } catch (RuntimeException | Error cause) {
             Event.named("control-task-failed").with("cause", cause).warn();
             result.completeExceptionally(cause);
         }
@@ -167,7 +167,8 @@
     private static void runLogged(LongConsumer task) {
         try {
             task.accept(System.nanoTime());
-        } catch (RuntimeException cause) {
+        } catch (RuntimeException | Error cause) {
+            // An error that went on would end the periodic task while the process goes on.
             Event.named("control-task-failed").with("cause", cause).warn();
         }
     }
--- a/src/main/java/org/auburnhoist/proxy/ProxyServer.java
+++ b/src/main/java/org/auburnhoist/proxy/ProxyServer.java
@@ -180,7 +180,7 @@
             long now = now();
             connections.forEach(connection -> connection.checkTime(now));
             pool.closeIdle(now);
-        } catch (RuntimeException cause) {
+        } catch (RuntimeException | Error cause) {
             report("time-check-failed", cause);
         }
     }
--- /dev/null
+++ b/src/test/java/org/auburnhoist/host/ControlThreadTest.java
@@ -0,0 +1,47 @@
+package org.auburnhoist.host;
+
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+@Timeout(30)
+class ControlThreadTest {
+    private final ControlThread control = new ControlThread("control");
+
+    @AfterEach
+    void close() {
+        control.close();
+    }
+
+    /** Guards against a host that runs on without its reports and reads after one unexpected error. */
+    @Test
+    void anErrorInAPeriodicTaskEndsOnlyThatRun() throws Exception {
+        CountDownLatch runs = new CountDownLatch(3);
+        control.every(Duration.ofMillis(5), now -> {
+            runs.countDown();
+            throw new StackOverflowError("of the test");
+        });
+        assertTrue(runs.await(20, TimeUnit.SECONDS));
+    }
+
+    /** Guards against requests that wait for ever for a decision that ended with an error. */
+    @Test
+    void anErrorInATaskIsTheResultOfThatTask() throws Exception {
+        CompletableFuture<String> failed = control.compute(now -> {
+            throw new StackOverflowError("of the test");
+        });
+        ExecutionException failure = assertThrows(ExecutionException.class, () -> failed.get(20, TimeUnit.SECONDS));
+        assertInstanceOf(StackOverflowError.class, failure.getCause());
+        CompletableFuture<String> next = control.compute(now -> "answer");
+        assertTrue(next.get(20, TimeUnit.SECONDS).equals("answer"));
+    }
+}
--- a/src/test/java/org/auburnhoist/proxy/ProxyServerTest.java
+++ b/src/test/java/org/auburnhoist/proxy/ProxyServerTest.java
@@ -72,6 +72,24 @@
         }
     }
 
+    /** Guards against a host that takes no more requests after one unexpected error. */
+    @Test
+    void anErrorInADecisionRefusesThatRequestOnly() throws Exception {
+        upstream = RawUpstream.answering(OK);
+        try (RawConnection caller = start((head, now) -> {
+            if (head.path().equals("/bad")) {
+                throw new StackOverflowError("of the test");
+            }
+            return CompletableFuture.completedFuture(
+                    new Admission.Forwarded(TestForwarding.lookup(upstream.address())));
+        })) {
+            caller.send("GET /bad HTTP/1.1\r\nHost: fleet\r\n\r\n");
+            assertRefused(caller.readMessage(), Refusal.HOST_ISOLATED);
+            caller.send(GET);
+            assertTrue(caller.readMessage().startsWith("HTTP/1.1 200"));
+        }
+    }
+
     /** Guards against a late answer that reaches the next caller after a timeout. */
     @Test
     void lateAnswerNeverReachesAnotherRequest() throws Exception {
--- a/src/test/java/org/auburnhoist/proxy/RawUpstream.java
+++ b/src/test/java/org/auburnhoist/proxy/RawUpstream.java
@@ -53,6 +53,11 @@
         try {
             while (true) {
                 RawConnection connection = new RawConnection(listener.accept());
+                if (listener.isClosed()) {
+                    // A thread that waits in accept may still be given a connection that came after the close.
+                    connection.reset();
+                    return;
+                }
                 int number = connections.incrementAndGet();
                 start(() -> serve(connection, number));
             }
