Try failed servers only where the floor needs it, and return to servers that rejected a request

Spells last about nine seconds, so most trials lost their booking. Failed servers are now tried for the floor only when all others together are fewer than it needs, the one that failed longest ago first.

A request that its route's servers have all rejected, and that none of them ran, returns to one of these (at most four times, within the service's budget and the request's time); it was refused after the second rejection.

Grants are indexed by server: a choice looked through all grants of the service for each server.

--- a/src/main/java/org/auburnhoist/core/dispatch/GrantTable.java
+++ b/src/main/java/org/auburnhoist/core/dispatch/GrantTable.java
@@ -1,6 +1,7 @@
 package org.auburnhoist.core.dispatch;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.List;
@@ -13,7 +14,7 @@
 /** All grants in use, with exact counts per server, class and fingerprint. */
 final class GrantTable {
     private final Map<Long, Grant> grants = new HashMap<>();
-    private final Map<String, Integer> byServer = new HashMap<>();
+    private final Map<String, Map<Long, Grant>> byServer = new HashMap<>();
     private final Map<String, Map<TrafficClass, Integer>> byServerAndClass = new HashMap<>();
     private final Map<TrafficClass, Integer> byClass = new EnumMap<>(TrafficClass.class);
     private final Map<Long, Integer> byFingerprint = new HashMap<>();
@@ -35,6 +36,7 @@
                 nowNanos,
                 expiresNanos);
         grants.put(grant.id(), grant);
+        byServer.computeIfAbsent(server, name -> new HashMap<>()).put(grant.id(), grant);
         count(grant, 1);
         return grant;
     }
@@ -47,21 +49,20 @@
             return null;
         }
         grants.remove(id);
-        count(grant, -1);
+        removed(grant);
         return grant;
     }
 
     List<Grant> removeIf(Predicate<Grant> condition) {
         List<Grant> removed = new ArrayList<>();
         grants.values().removeIf(grant -> condition.test(grant) && removed.add(grant));
-        removed.forEach(grant -> count(grant, -1));
+        removed.forEach(this::removed);
         return removed;
     }
 
-    List<Grant> onServer(String server) {
-        return grants.values().stream()
-                .filter(grant -> grant.server().equals(server))
-                .toList();
+    /** The grants in use on a server; a view that changes with the table. */
+    Collection<Grant> onServer(String server) {
+        return byServer.getOrDefault(server, Map.of()).values();
     }
 
     /** The server of a grant in use, or an empty text. */
@@ -75,7 +76,7 @@
     }
 
     int used(String server) {
-        return byServer.getOrDefault(server, 0);
+        return byServer.getOrDefault(server, Map.of()).size();
     }
 
     int used(String server, TrafficClass trafficClass) {
@@ -90,8 +91,15 @@
         return byFingerprint.getOrDefault(fingerprint, 0);
     }
 
+    private void removed(Grant grant) {
+        byServer.computeIfPresent(grant.server(), (server, held) -> {
+            held.remove(grant.id());
+            return held.isEmpty() ? null : held;
+        });
+        count(grant, -1);
+    }
+
     private void count(Grant grant, int change) {
-        add(byServer, grant.server(), change);
         add(byClass, grant.trafficClass(), change);
         add(byFingerprint, grant.fingerprint(), change);
         Map<TrafficClass, Integer> classes =
--- a/src/main/java/org/auburnhoist/core/dispatch/PriorityDispatcher.java
+++ b/src/main/java/org/auburnhoist/core/dispatch/PriorityDispatcher.java
@@ -201,7 +201,7 @@
 
     private boolean cannotBeAnswered(WaitingRequest waiting, long nowNanos) {
         double hold = rate.holdSeconds(waiting.request().trafficClass());
-        return !chooser.hasServers() || (waiting.deadlineNanos() - nowNanos) / 1e9 < hold;
+        return !chooser.mayServe(waiting.request()) || (waiting.deadlineNanos() - nowNanos) / 1e9 < hold;
     }
 
     private void refuseOverloaded(WaitingRequest waiting, double excess, List<SlotDecision> decisions, long nowNanos) {
--- a/src/main/java/org/auburnhoist/core/dispatch/ServerChooser.java
+++ b/src/main/java/org/auburnhoist/core/dispatch/ServerChooser.java
@@ -72,7 +72,8 @@
         }
     }
 
-    private record Candidate(ServerRank rank, int distance, boolean connected, int used, long silentNanos) {}
+    private record Candidate(
+            ServerRank rank, int distance, boolean connected, int used, long silentNanos, long failedForNanos) {}
 
     /**
      * A chooser without servers.
@@ -107,10 +108,6 @@
         judge.retain(servers.keySet());
     }
 
-    boolean hasServers() {
-        return !servers.isEmpty();
-    }
-
     /** Takes in how the attempt of a grant ended. */
     void observe(Observation observation, long grantedNanos, long nowNanos) {
         judge.observe(observation, grantedNanos, rate.latencySeconds(observation.trafficClass()), nowNanos);
@@ -146,20 +143,17 @@
     @Nullable
     UpstreamServer choose(WaitingRequest waiting, Set<String> barred, long nowNanos) {
         SlotRequest request = waiting.request();
-        boolean spread = isSpreading(nowNanos);
+        Floor floor = floor(nowNanos);
         boolean pressed = waitedSeconds(waiting, nowNanos) >= LAST_RESORT_SHARE * targetSeconds(request);
         ServerUse best = null;
         Candidate bestCandidate = null;
         for (ServerUse use : servers.values()) {
             UpstreamServer server = use.server;
             int used = grants.used(server.id());
-            if (server.leaving()
-                    || used >= server.slots()
-                    || request.excludedServers().contains(server.id())
-                    || barred.contains(server.id())) {
+            if (used >= server.slots() || !isAllowed(request, server) || barred.contains(server.id())) {
                 continue;
             }
-            Candidate candidate = candidate(waiting, use, spread, pressed, nowNanos);
+            Candidate candidate = candidate(waiting, use, floor, pressed, nowNanos);
             if (candidate != null && (bestCandidate == null || isBetter(candidate, bestCandidate))) {
                 best = use;
                 bestCandidate = candidate;
@@ -170,6 +164,19 @@
         return wait || best == null ? null : best.server;
     }
 
+    private static boolean isAllowed(SlotRequest request, UpstreamServer server) {
+        List<String> returnsTo = request.terms().returnsTo();
+        return !server.leaving()
+                && !request.excludedServers().contains(server.id())
+                && (returnsTo.isEmpty() || returnsTo.contains(server.id()));
+    }
+
+    /** Whether there is any server for a request, with or without room. */
+    boolean mayServe(SlotRequest request) {
+        boolean anyServer = request.terms().returnsTo().isEmpty();
+        return servers.values().stream().anyMatch(use -> anyServer || isAllowed(request, use.server));
+    }
+
     /**
      * Whether a slot on a proven server will be free so soon that a request that cannot be repeated had better wait.
      * Answers are worth the same within their target, so a small part of it may be spent on waiting.
@@ -201,8 +208,8 @@
 
     /** A server's suitability for a request, or null if it must not get it. */
     private @Nullable Candidate candidate(
-            WaitingRequest waiting, ServerUse use, boolean spread, boolean pressed, long nowNanos) {
-        ServerRank rank = rank(waiting, use, spread, pressed, nowNanos);
+            WaitingRequest waiting, ServerUse use, Floor floor, boolean pressed, long nowNanos) {
+        ServerRank rank = rank(waiting, use, floor, pressed, nowNanos);
         if (rank == null) {
             return null;
         }
@@ -211,30 +218,31 @@
                 sameDataCentre(waiting, use) ? 0 : 1,
                 waiting.request().terms().connected().contains(use.server.id()),
                 grants.used(use.server.id()),
-                silentNanos(use, nowNanos));
+                silentNanos(use, nowNanos),
+                judge.failedForNanos(use.server.id(), nowNanos));
     }
 
     private @Nullable ServerRank rank(
-            WaitingRequest waiting, ServerUse use, boolean spread, boolean pressed, long nowNanos) {
+            WaitingRequest waiting, ServerUse use, Floor floor, boolean pressed, long nowNanos) {
         String id = use.server.id();
         boolean idle = grants.used(id) == 0;
         if (judge.avoidsPath(waiting.asking(), id, nowNanos)) {
             return pressed ? ServerRank.DOUBTFUL_PATH : null;
         }
-        SpellJudge.Standing standing = judge.standing(id, longestAvoidance(spread, nowNanos), nowNanos);
+        SpellJudge.Standing standing = judge.standing(id, longestAvoidance(floor.isShort(), nowNanos), nowNanos);
         if (standing == SpellJudge.Standing.AVOIDED) {
             return pressed && idle ? ServerRank.AVOIDED : null;
         }
         if (standing == SpellJudge.Standing.ON_TRIAL && !idle) {
             return null;
         }
-        boolean neededForFloor = spread && nowNanos - use.lastGrantNanos > IN_USE_NANOS;
+        boolean neededForFloor = floor.isShort() && nowNanos - use.lastGrantNanos > IN_USE_NANOS;
+        if (standing == SpellJudge.Standing.ON_TRIAL) {
+            return neededForFloor && floor.needsTrials() ? ServerRank.DUE_ON_TRIAL : ServerRank.ON_TRIAL;
+        }
         if (neededForFloor || isIntroductionDue(use, nowNanos)) {
             return ServerRank.DUE;
         }
-        if (standing == SpellJudge.Standing.ON_TRIAL) {
-            return ServerRank.ON_TRIAL;
-        }
         if (standing == SpellJudge.Standing.SLOW || isOverdue(id, nowNanos)) {
             return ServerRank.SLOW;
         }
@@ -257,6 +265,10 @@
         if (candidate.rank() != best.rank()) {
             return candidate.rank().compareTo(best.rank()) < 0;
         }
+        // The longer ago a server failed, the more likely its spell is over.
+        if (candidate.rank().isTrial() && candidate.failedForNanos() != best.failedForNanos()) {
+            return candidate.failedForNanos() > best.failedForNanos();
+        }
         if (candidate.distance() != best.distance()) {
             return candidate.distance() < best.distance();
         }
@@ -308,16 +320,38 @@
         return false;
     }
 
-    private boolean isSpreading(long nowNanos) {
+    /**
+     * How the floor of servers in use is kept at a time.
+     *
+     * @param needed number of servers that must be in use
+     * @param inUse number of sound servers in use
+     * @param fair number of servers against which nothing speaks
+     */
+    private record Floor(int needed, int inUse, int fair) {
+        boolean isShort() {
+            return inUse < needed;
+        }
+
+        /** Whether servers that have failed must be tried, since all others together are too few. */
+        boolean needsTrials() {
+            return fair < needed;
+        }
+    }
+
+    private Floor floor(long nowNanos) {
         int sound = 0;
         int inUse = 0;
+        int fair = 0;
         for (ServerUse use : servers.values()) {
-            if (!use.server.leaving() && !judge.hasFailedSince(use.server.id(), nowNanos - SOUND_AGAIN_NANOS)) {
-                sound++;
-                inUse += use.everGranted && nowNanos - use.lastGrantNanos <= IN_USE_NANOS ? 1 : 0;
+            String id = use.server.id();
+            if (use.server.leaving() || judge.hasFailedSince(id, nowNanos - SOUND_AGAIN_NANOS)) {
+                continue;
             }
+            sound++;
+            inUse += use.everGranted && nowNanos - use.lastGrantNanos <= IN_USE_NANOS ? 1 : 0;
+            fair += judge.isFailing(id) ? 0 : 1;
         }
-        return inUse < Math.ceil(sound * Math.min(1, floorShare + FLOOR_MARGIN));
+        return new Floor((int) Math.ceil(sound * Math.min(1, floorShare + FLOOR_MARGIN)), inUse, fair);
     }
 
     /** Slots of the servers that are not avoided. */
--- a/src/main/java/org/auburnhoist/core/dispatch/SpellJudge.java
+++ b/src/main/java/org/auburnhoist/core/dispatch/SpellJudge.java
@@ -215,4 +215,16 @@
         Track track = tracks.get(server);
         return track != null && track.everFailed && track.lastFailure - sinceNanos >= 0;
     }
+
+    /** Whether no request has succeeded at a server since it last failed. */
+    boolean isFailing(String server) {
+        Track track = tracks.get(server);
+        return track != null && track.failed;
+    }
+
+    /** Nanoseconds since a server last failed, 0 if it never did. */
+    long failedForNanos(String server, long nowNanos) {
+        Track track = tracks.get(server);
+        return track == null || !track.everFailed ? 0 : nowNanos - track.lastFailure;
+    }
 }
--- a/src/main/java/org/auburnhoist/gateway/GatewayForwarding.java
+++ b/src/main/java/org/auburnhoist/gateway/GatewayForwarding.java
@@ -1,12 +1,12 @@
 package org.auburnhoist.gateway;
 
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import org.auburnhoist.core.Refusal;
 import org.auburnhoist.core.TrafficClass;
+import org.auburnhoist.core.dispatch.AttemptPlan;
 import org.auburnhoist.core.message.AttemptOutcome;
 import org.auburnhoist.core.message.RecordedAnswer;
 import org.auburnhoist.core.message.SlotRequest;
@@ -24,8 +24,6 @@
     private static final long MILLI = 1_000_000L;
     /** An attempt that can't get an answer in less time than this is not made. */
     private static final long LEAST_ATTEMPT_NANOS = 20 * MILLI;
-    /** Attempts of which nothing was sent do not count as attempts; this bounds them. */
-    private static final int MOST_UNSENT = 3;
     /** A body that is on its way when the time is up gets this much longer. */
     private static final long ANSWER_GRACE_NANOS = 50 * MILLI;
 
@@ -38,12 +36,9 @@
 
     private final Request request;
     private final GatewayParts parts;
-    private final List<String> failedServers = new ArrayList<>();
+    private final AttemptPlan plan;
     private volatile long fingerprint;
     private SlotBroker.@Nullable Slot slot;
-    private int attempts;
-    private int unsent;
-    private boolean maybeRun;
 
     /**
      * An admitted request.
@@ -70,6 +65,9 @@
     GatewayForwarding(Request request, GatewayParts parts) {
         this.request = request;
         this.parts = parts;
+        this.plan = new AttemptPlan(
+                request.route().maximumAttempts(),
+                request.route().trafficClass().isIdempotent());
         this.fingerprint = Fingerprint.of(request.head(), request.head().path(), request.team());
     }
 
@@ -136,9 +134,10 @@
         SlotTerms terms = new SlotTerms(
                 request.priority(),
                 target == 0 ? 0 : Math.max(1, target - elapsedMillis),
-                attempts + 1,
+                plan.nextNumber(),
                 parts.settings().dataCentre(),
-                connectedServers());
+                connectedServers(),
+                plan.returnsTo());
         SlotRequest wanted = new SlotRequest(
                 request.service(),
                 request.route().name(),
@@ -146,7 +145,7 @@
                 trafficClass(),
                 millisLeft,
                 fingerprint,
-                failedServers,
+                plan.excluded(),
                 terms);
         parts.slots().acquire(wanted, nowNanos, (slotResult, now) -> decided(slotResult, now, result));
     }
@@ -184,23 +183,12 @@
             return false;
         }
         slot = null;
-        boolean notRun = !sent || outcome == AttemptOutcome.REJECTED || outcome == AttemptOutcome.MISDIRECTED;
-        if (sent) {
-            attempts++;
-        } else {
-            unsent++;
-        }
-        maybeRun |= !notRun;
-        failedServers.add(used.server());
+        plan.ended(used.server(), outcome, sent);
         request.record().attempt(used.server(), outcome, sent, latencyMicros);
         parts.metrics().attemptEnded(outcome);
         parts.control().execute(now -> parts.slots().release(used, outcome, latencyMicros, now));
         boolean failed = outcome != AttemptOutcome.SUCCESS && outcome != AttemptOutcome.ABANDONED;
-        return failed
-                && attempts < request.route().maximumAttempts()
-                && unsent <= MOST_UNSENT
-                && (!maybeRun || trafficClass().isIdempotent())
-                && request.deadlineNanos() - nowNanos > LEAST_ATTEMPT_NANOS;
+        return failed && plan.mayGoOn() && request.deadlineNanos() - nowNanos > LEAST_ATTEMPT_NANOS;
     }
 
     @Override
--- a/src/main/java/org/auburnhoist/peer/MessageFormat.java
+++ b/src/main/java/org/auburnhoist/peer/MessageFormat.java
@@ -262,6 +262,7 @@
         packer.packInt(terms.priority()).packLong(terms.targetMillis());
         packer.packInt(terms.attempt()).packString(terms.dataCentre());
         writeStrings(packer, terms.connected());
+        writeStrings(packer, terms.returnsTo());
     }
 
     private static SlotRequest readSlotRequest(MessageUnpacker in) throws IOException {
@@ -273,7 +274,13 @@
                 in.unpackLong(),
                 in.unpackLong(),
                 readStrings(in),
-                new SlotTerms(in.unpackInt(), in.unpackLong(), in.unpackInt(), in.unpackString(), readStrings(in)));
+                new SlotTerms(
+                        in.unpackInt(),
+                        in.unpackLong(),
+                        in.unpackInt(),
+                        in.unpackString(),
+                        readStrings(in),
+                        readStrings(in)));
     }
 
     private static void writeStatusDigest(StatusDigest message, MessagePacker packer) throws IOException {
--- a/src/test/java/org/auburnhoist/peer/MessageCodecTest.java
+++ b/src/test/java/org/auburnhoist/peer/MessageCodecTest.java
@@ -48,7 +48,7 @@
                     1500,
                     42,
                     List.of(),
-                    new SlotTerms(3, 800, 2, "cypress", List.of("i-1", "i-2"))),
+                    new SlotTerms(3, 800, 2, "cypress", List.of("i-1", "i-2"), List.of("i-3"))),
             new SlotAnswer(SlotVerdict.GRANTED, "ledger-2", "10.0.0.1:80", 9, 0),
             new StatusReport(true, 12, 77, 78),
             new SlotRelease("ledger", 9, AttemptOutcome.TIMEOUT, 1_500_000),
