Give watches connections of their own

Cause: a connection keeps the time limit of the call for which it was opened. A watch that took the idle connection of a call with a limit of one second was cut after that; half a second later the configuration was read with a range call and the next watch began. Long calls are pooled by themselves now, at most two at a time, since a watch that is no longer wanted holds its connection until it is answered.

KvStoreTest.aWatchGoesOnWhileNothingChanges failed before.

Tried and dropped: naming only half of the hosts of a data centre to callers, so that requests find connections open more often.

--- a/src/main/java/org/auburnhoist/platform/KvTransport.java
+++ b/src/main/java/org/auburnhoist/platform/KvTransport.java
@@ -42,6 +42,7 @@
 final class KvTransport implements AutoCloseable {
     private static final ObjectMapper MAPPER = new ObjectMapper();
     private static final int MOST_CONNECTIONS = 6;
+    private static final int MOST_LONG_CALLS = 2;
     /** Probes that find a connection silent within three seconds, the time after which a host counts as cut off. */
     private static final int KEEP_ALIVE_SECONDS = 1;
 
@@ -49,7 +50,11 @@
     /** Stands for the status of a call without an answer. */
     private static final int NO_ANSWER = 0;
 
+    /** Name under which the connections of long calls are pooled; it is not looked up. */
+    private static final String LONG_CALLS = "long-calls";
+
     private final HttpHost host;
+    private final HttpHost longCallsHost;
     private final HttpAsyncRequester requester;
     private final ScheduledExecutorService timer;
 
@@ -70,6 +75,7 @@
         // Without the text form the library would look the address's name up.
         this.host =
                 new HttpHost("http", address.getAddress(), address.getAddress().getHostAddress(), address.getPort());
+        this.longCallsHost = new HttpHost("http", address.getAddress(), LONG_CALLS, address.getPort());
         // The library's own processor would ask for "100 Continue", which the store does not send.
         HttpProcessor processor = HttpProcessorBuilder.create()
                 .addAll(RequestTargetHost.INSTANCE, RequestContent.INSTANCE, RequestConnControl.INSTANCE)
@@ -85,9 +91,11 @@
                         .setTcpKeepCount(KEEP_ALIVE_PROBES)
                         .build())
                 .setTlsStrategy(new NoTls())
-                .setMaxTotal(MOST_CONNECTIONS)
+                .setMaxTotal(MOST_CONNECTIONS + MOST_LONG_CALLS)
                 .setDefaultMaxPerRoute(MOST_CONNECTIONS)
                 .create();
+        // A watch that is no longer wanted holds its connection until it is answered.
+        requester.setMaxPerRoute(longCallsHost, MOST_LONG_CALLS);
         this.timer = Executors.newSingleThreadScheduledExecutor(task -> {
             Thread thread = new Thread(task, "store-timer");
             thread.setDaemon(true);
@@ -113,6 +121,19 @@
 
     /** Makes a call; never completes exceptionally. */
     CompletableFuture<Reply> call(String method, String path, @Nullable JsonNode body, Duration limit) {
+        return call(host, method, path, body, limit);
+    }
+
+    /**
+     * Makes a call that may wait for its answer. A connection keeps the time limit of the call for which it was opened,
+     * so long calls have connections of their own.
+     */
+    CompletableFuture<Reply> longCall(String path, Duration limit) {
+        return call(longCallsHost, "GET", path, null, limit);
+    }
+
+    private CompletableFuture<Reply> call(
+            HttpHost pool, String method, String path, @Nullable JsonNode body, Duration limit) {
         CompletableFuture<Reply> reply = new CompletableFuture<>();
         AsyncRequestBuilder builder =
                 AsyncRequestBuilder.create(method).setHttpHost(host).setPath(path);
@@ -122,7 +143,7 @@
         Exchange exchange = new Exchange(reply, builder.build());
         // The library takes this as the limit of connecting and of silence alike. With a longer one, connections that
         // cannot be opened would hold the whole pool after the path is back. So idle connections end after a second.
-        Future<?> lease = requester.connect(host, Timeout.of(limit), null, exchange);
+        Future<?> lease = requester.connect(pool, Timeout.of(limit), null, exchange);
         Future<?> expiry = timer.schedule(
                 () -> {
                     exchange.expire("no answer within " + limit.toMillis() + " ms");
--- a/src/test/java/org/auburnhoist/platform/KvStoreTest.java
+++ b/src/test/java/org/auburnhoist/platform/KvStoreTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
@@ -246,4 +247,38 @@
             assertTrue(watch != null);
         }
     }
+
+    /** Guards against a watch that takes the connection of a shorter call and is cut by the time limit of that call. */
+    @Test
+    void aWatchGoesOnWhileNothingChanges() throws Exception {
+        platform.put("op/config", "1");
+        BlockingQueue<String> seen = new LinkedBlockingQueue<>();
+        WatchListener listener = new WatchListener() {
+            @Override
+            public void changed(Entry entry) {
+                seen.add(new String(entry.value(), StandardCharsets.UTF_8));
+            }
+
+            @Override
+            public void deleted(String key) {
+                seen.add("deleted");
+            }
+
+            @Override
+            public void interrupted() {
+                seen.add("interrupted");
+            }
+        };
+        assertInstanceOf(ReadResult.Found.class, store.get("op/config").get(5, TimeUnit.SECONDS));
+        try (AutoCloseable watch = store.watch("op/config", listener)) {
+            assertEquals("1", seen.poll(5, TimeUnit.SECONDS));
+            assertNull(seen.poll(2_500, TimeUnit.MILLISECONDS));
+            assertEquals(
+                    1,
+                    platform.calls().stream()
+                            .filter(call -> call.equals("GET /api/kv-watch"))
+                            .count());
+            assertTrue(watch != null);
+        }
+    }
 }
