Test half and second answers on connections with requests sent ahead

Both hold as they are: an answer that breaks off ends the connection before the next answer, and the second copy of an answer closes the server's connection.

--- a/src/test/java/org/auburnhoist/proxy/PipelinedRequestsTest.java
+++ b/src/test/java/org/auburnhoist/proxy/PipelinedRequestsTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
@@ -248,4 +249,46 @@
             assertAnswer("/book", caller);
         }
     }
+
+    /** Guards against an answer that breaks off halfway and looks complete because another one follows it. */
+    @Test
+    void nothingFollowsAnAnswerThatBreaksOff() throws Exception {
+        CountDownLatch others = new CountDownLatch(1);
+        upstream = new RawUpstream((connection, index) -> {
+            String path = connection.readHead().split(" ")[1];
+            if (path.equals("/half")) {
+                assertTrue(others.await(30, TimeUnit.SECONDS));
+                connection.send("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf");
+            } else {
+                connection.send(OK);
+                others.countDown();
+            }
+        });
+        try (RawConnection caller = start(lookups(upstream.address()))) {
+            caller.send(get("/half") + get("/a"));
+            assertTrue(caller.readHead().startsWith("HTTP/1.1 200"));
+            assertThrows(IOException.class, () -> caller.readBytes(10));
+        }
+    }
+
+    /** Guards against a second copy of an answer that reaches the caller in the place of the next one. */
+    @Test
+    void aSecondCopyOfAnAnswerReachesNoLaterRequest() throws Exception {
+        upstream = new RawUpstream((connection, index) -> {
+            String head;
+            while ((head = connection.readHead()) != null) {
+                String path = head.split(" ")[1];
+                String answer = "HTTP/1.1 200 OK\r\nContent-Length: " + path.length() + "\r\n\r\n" + path;
+                connection.send(answer + answer);
+            }
+        });
+        try (RawConnection caller = start(lookups(upstream.address(), upstream.address(), upstream.address()))) {
+            for (int round = 0; round < 10; round++) {
+                caller.send(get("/a" + round) + get("/b" + round) + get("/c" + round));
+                for (String path : List.of("/a" + round, "/b" + round, "/c" + round)) {
+                    assertAnswer(path, caller);
+                }
+            }
+        }
+    }
 }
