Keep what is known of members in one list instead of three maps

Cause: twice a second each host takes over the silences of all members, and the coordinator makes as many lists as there are hosts; each entry cost up to five map lookups by name, so the work of the fleet grew with the square of its size.

--- a/src/main/java/org/auburnhoist/gateway/FleetSync.java
+++ b/src/main/java/org/auburnhoist/gateway/FleetSync.java
@@ -36,7 +36,6 @@
     private final FleetView fleet;
     private final Knowledge knowledge;
     private final PeerCalls peers;
-    private final String selfName;
     private final BooleanSupplier ready;
     private final RandomGenerator random;
     private final CoordinatorChoice choice;
@@ -56,7 +55,6 @@
         this.fleet = fleet;
         this.knowledge = knowledge;
         this.peers = peers;
-        this.selfName = selfName;
         this.ready = ready;
         this.random = random;
         this.choice = new CoordinatorChoice(fleet, selfName);
@@ -77,7 +75,7 @@
         everReportedTo = true;
         reportedToAt = nowNanos;
         fleet.heard(from.name(), report.ready(), nowNanos);
-        return knowledge.digestFor(report, ready.getAsBoolean(), selfName, nowNanos);
+        return knowledge.digestFor(report, ready.getAsBoolean(), nowNanos);
     }
 
     /** Sends the next report when it is due; to be called about every 50 ms. */
--- a/src/main/java/org/auburnhoist/gateway/Knowledge.java
+++ b/src/main/java/org/auburnhoist/gateway/Knowledge.java
@@ -2,7 +2,6 @@
 
 import java.io.IOException;
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
@@ -26,8 +25,6 @@
  */
 final class Knowledge {
     private static final byte[] NOTHING = new byte[0];
-    private static final long SILENCE_UNIT_NANOS = 50_000_000L;
-    private static final int MOST_SILENCE = 255;
 
     private final PlatformBinding binding;
     private final FleetView fleet;
@@ -42,6 +39,7 @@
     private byte[] serversDocument = NOTHING;
     private long serversRevision;
     private long serversReadRevision;
+    private List<FleetMember> members = List.of();
     private byte[] membersDocument = NOTHING;
     private long membersRevision;
     private long membersReadRevision;
@@ -157,9 +155,8 @@
         membersReadRevision = revision;
         List<FleetMember> sorted = new ArrayList<>(read);
         sorted.sort(Comparator.comparing(member -> member.id().name()));
-        byte[] document = FleetDocuments.members(sorted);
-        if (!Arrays.equals(document, membersDocument)) {
-            adoptMembers(sorted, document, revision, source, nowNanos);
+        if (!sorted.equals(members)) {
+            adoptMembers(sorted, FleetDocuments.members(sorted), revision, source, nowNanos);
         }
     }
 
@@ -169,6 +166,7 @@
                 .with("revision", revision)
                 .with("source", source)
                 .log();
+        members = List.copyOf(next);
         membersDocument = document;
         membersRevision = revision;
         membersReadRevision = Math.max(membersReadRevision, revision);
@@ -182,15 +180,8 @@
     }
 
     /** What a reporting host does not know yet. */
-    StatusDigest digestFor(StatusReport report, boolean selfReady, String selfName, long nowNanos) {
+    StatusDigest digestFor(StatusReport report, boolean selfReady, long nowNanos) {
         long version = router.configuration().version();
-        List<FleetMember> members = fleet.members();
-        byte[] silences = new byte[members.size()];
-        for (int index = 0; index < silences.length; index++) {
-            String name = members.get(index).id().name();
-            boolean ready = name.equals(selfName) ? selfReady : fleet.isReady(name);
-            silences[index] = (byte) encodeSilence(ready, fleet.silence(name, nowNanos));
-        }
         return new StatusDigest(
                 everRead ? Math.max(0, (nowNanos - readAtNanos) / 1_000_000L) : -1,
                 version,
@@ -200,14 +191,7 @@
                 membersRevision,
                 report.membersRevision() < membersRevision ? membersDocument : NOTHING,
                 fleet.namesHash(),
-                silences);
-    }
-
-    private static int encodeSilence(boolean ready, @Nullable Long silenceNanos) {
-        if (!ready || silenceNanos == null) {
-            return 0;
-        }
-        return (int) Math.min(MOST_SILENCE, 1 + Math.max(0, silenceNanos) / SILENCE_UNIT_NANOS);
+                fleet.silences(selfReady, nowNanos));
     }
 
     /** Takes over what a coordinator knew when it was asked at {@code askedNanos}. */
@@ -238,22 +222,7 @@
         if (digest.storeAgeMillis() >= 0) {
             storeRead(askedNanos - digest.storeAgeMillis() * 1_000_000L);
         }
-        if (digest.memberNames() == fleet.namesHash()) {
-            adoptSilences(digest.silences(), askedNanos);
-        }
-    }
-
-    private void adoptSilences(byte[] silences, long askedNanos) {
-        List<FleetMember> members = fleet.members();
-        if (silences.length != members.size()) {
-            return;
-        }
-        for (int index = 0; index < silences.length; index++) {
-            int code = silences[index] & 0xff;
-            if (code > 0) {
-                fleet.heard(members.get(index).id().name(), true, askedNanos - (code - 1) * SILENCE_UNIT_NANOS);
-            }
-        }
+        fleet.silencesTold(digest.memberNames(), digest.silences(), askedNanos);
     }
 
     private void storeRead(long readNanos) {
--- a/src/test/java/org/auburnhoist/core/membership/FleetViewTest.java
+++ b/src/test/java/org/auburnhoist/core/membership/FleetViewTest.java
@@ -1,5 +1,6 @@
 package org.auburnhoist.core.membership;
 
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertThrows;
@@ -77,6 +78,53 @@
         assertTrue(view.isAlive("host-1", 4 * SECOND));
     }
 
+    /** Guards against hosts that are passed over although another host has heard of them, or kept although gone. */
+    @Test
+    void aHostLearnsFromAnotherWhoWasHeardOf() {
+        FleetView teller = viewOf(4, 0);
+        FleetView learner = viewOf(4, 1);
+        teller.heard("host-2", true, 3 * SECOND);
+        teller.heard("host-3", false, 3 * SECOND);
+        byte[] told = teller.silences(true, 4 * SECOND);
+        assertArrayEquals(new byte[] {1, 0, 21, 0}, told);
+        learner.silencesTold(teller.namesHash(), told, 4 * SECOND);
+        assertEquals(List.of("host-0", "host-1", "host-2"), names(learner.callerHosts(true, 64, 4 * SECOND)));
+        assertEquals(List.of("host-0", "host-1"), names(learner.callerHosts(true, 64, 5 * SECOND)));
+        assertFalse(learner.isAlive("host-3", 4 * SECOND));
+    }
+
+    /** Guards against what another host heard replacing what this one heard later. */
+    @Test
+    void whatWasHeardLaterIsKept() {
+        FleetView teller = viewOf(3, 0);
+        FleetView learner = viewOf(3, 1);
+        teller.heard("host-2", true, 3 * SECOND);
+        learner.heard("host-2", false, 4 * SECOND);
+        learner.silencesTold(teller.namesHash(), teller.silences(true, 4 * SECOND), 4 * SECOND);
+        assertEquals(List.of("host-0", "host-1"), names(learner.callerHosts(true, 64, 4 * SECOND)));
+        assertTrue(learner.isAlive("host-2", 5 * SECOND));
+    }
+
+    /** Guards against silences that are counted for other members than were meant. */
+    @Test
+    void silencesOfOtherMembersAreNotTakenOver() {
+        FleetView teller = viewOf(3, 0);
+        teller.heard("host-2", true, 9 * SECOND);
+        for (FleetView learner : List.of(viewOf(4, 1), viewOf(2, 1))) {
+            learner.silencesTold(teller.namesHash(), teller.silences(true, 9 * SECOND), 9 * SECOND);
+            assertEquals(List.of("host-1"), names(learner.callerHosts(true, 64, 9 * SECOND)));
+        }
+        FleetView learner = viewOf(3, 1);
+        learner.silencesTold(teller.namesHash(), new byte[2], 9 * SECOND);
+        assertEquals(List.of("host-1"), names(learner.callerHosts(true, 64, 9 * SECOND)));
+    }
+
+    private static FleetView viewOf(int count, int self) {
+        FleetView view = new FleetView(members(count).get(self));
+        view.members(members(count), 0);
+        return view;
+    }
+
     private static List<String> names(List<FleetMember> members) {
         return members.stream().map(member -> member.id().name()).toList();
     }
