--- a/src/main/java/org/auburnhoist/core/HostId.java
+++ b/src/main/java/org/auburnhoist/core/HostId.java
@@ -1,5 +1,7 @@
 package org.auburnhoist.core;
 
+import org.jspecify.annotations.Nullable;
+
 /**
  * One run of an entry host process.
  *
@@ -15,6 +17,17 @@
         return byName != 0 ? byName : Long.compare(incarnation, other.incarnation);
     }
 
+    // Spelled out, because what a record generates is linked at the first use and delays the start of a process.
+    @Override
+    public boolean equals(@Nullable Object other) {
+        return other instanceof HostId that && incarnation == that.incarnation && name.equals(that.name);
+    }
+
+    @Override
+    public int hashCode() {
+        return 31 * name.hashCode() + Long.hashCode(incarnation);
+    }
+
     @Override
     public String toString() {
         return name + "@" + Long.toHexString(incarnation);
--- a/src/main/java/org/auburnhoist/peer/Handshake.java
+++ b/src/main/java/org/auburnhoist/peer/Handshake.java
@@ -5,6 +5,8 @@
 import java.nio.charset.StandardCharsets;
 import java.security.GeneralSecurityException;
 import java.security.MessageDigest;
+import java.security.Provider;
+import java.security.Security;
 import java.util.Arrays;
 import javax.crypto.Mac;
 import javax.crypto.spec.SecretKeySpec;
@@ -25,6 +27,10 @@
     static final int NONCE_BYTES = 16;
 
     private static final String ALGORITHM = "HmacSHA256";
+    /** The provider in the usual Java runtimes; a search would load each provider before it. */
+    private static final String USUAL_PROVIDER = "SunJCE";
+
+    private static final Provider PROVIDER = provider();
     private static final int CODE_BYTES = 16;
     private static final int MAXIMUM_NAME_LENGTH = 255;
 
@@ -139,7 +145,7 @@
 
     private static Mac mac(byte[] key) {
         try {
-            Mac mac = Mac.getInstance(ALGORITHM);
+            Mac mac = Mac.getInstance(ALGORITHM, PROVIDER);
             mac.init(new SecretKeySpec(key, ALGORITHM));
             return mac;
         } catch (GeneralSecurityException cause) {
@@ -147,6 +153,18 @@
         }
     }
 
+    private static Provider provider() {
+        Provider usual = Security.getProvider(USUAL_PROVIDER);
+        if (usual != null && usual.getService("Mac", ALGORITHM) != null) {
+            return usual;
+        }
+        try {
+            return Mac.getInstance(ALGORITHM).getProvider();
+        } catch (GeneralSecurityException cause) {
+            throw new IllegalStateException(ALGORITHM + " is missing from this Java runtime", cause);
+        }
+    }
+
     static byte[] secretBytes(String secret) {
         return secret.getBytes(StandardCharsets.UTF_8);
     }
--- a/src/main/java/org/auburnhoist/platform/ConfigurationDecoder.java
+++ b/src/main/java/org/auburnhoist/platform/ConfigurationDecoder.java
@@ -1,7 +1,6 @@
 package org.auburnhoist.platform;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -19,13 +18,12 @@
 
 /** Reads the operators' configuration as it stands in the platform's store. */
 final class ConfigurationDecoder {
-    private static final ObjectMapper MAPPER = new ObjectMapper();
     private static final String VERSION_PREFIX = "r";
 
     private ConfigurationDecoder() {}
 
     static TrafficConfiguration decode(byte[] stored) throws IOException {
-        JsonNode root = MAPPER.readTree(stored);
+        JsonNode root = Json.read(stored);
         if (!root.isObject()) {
             throw new IOException("configuration: expected an object");
         }
--- a/src/main/java/org/auburnhoist/platform/KvBinding.java
+++ b/src/main/java/org/auburnhoist/platform/KvBinding.java
@@ -1,6 +1,5 @@
 package org.auburnhoist.platform;
 
-import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
@@ -26,7 +25,6 @@
     private static final String READINESS_PATH = "/api/readiness";
     private static final String AUTHORIZATION = "Authorization";
     private static final String KEY_SCHEME = "Token ";
-    private static final ObjectMapper MAPPER = new ObjectMapper();
 
     private final WireRules wireRules = new PlatformWireRules();
     private final RegistrationDecoder registrations = new RegistrationDecoder(SERVERS_PREFIX);
@@ -104,11 +102,11 @@
 
     @Override
     public RecordedAnswer addressAnswer(List<String> addresses, Duration validity) {
-        ObjectNode body = MAPPER.createObjectNode();
+        ObjectNode body = Json.object();
         ArrayNode list = body.putArray("addresses");
         addresses.forEach(list::add);
         body.put("ttl_s", validity.toMillis() / 1000.0);
-        byte[] bytes = body.toString().getBytes(StandardCharsets.UTF_8);
+        byte[] bytes = Json.write(body).getBytes(StandardCharsets.UTF_8);
         return new RecordedAnswer(200, List.of(Map.entry("Content-Type", "application/json")), bytes, true);
     }
 
--- a/src/main/java/org/auburnhoist/platform/KvStore.java
+++ b/src/main/java/org/auburnhoist/platform/KvStore.java
@@ -1,7 +1,6 @@
 package org.auburnhoist.platform;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
@@ -24,7 +23,6 @@
 
 /** The platform's store behind the product's interface. */
 final class KvStore implements Store {
-    private static final ObjectMapper MAPPER = new ObjectMapper();
     /** The store answers within milliseconds; fifty times slower, it still does so within this time. */
     private static final Duration CALL_LIMIT = Duration.ofSeconds(1);
     /** A waiting watch is one call, whatever its length; a broken connection shows by keep-alive probes. */
@@ -111,7 +109,7 @@
     }
 
     private static ObjectNode conditional(String key, long expectedRevision) {
-        ObjectNode body = MAPPER.createObjectNode();
+        ObjectNode body = Json.object();
         ArrayNode expected = body.putArray("expected_revision");
         expected.addObject().put("key", key).put("revision", expectedRevision);
         return body;
@@ -145,14 +143,14 @@
 
     @Override
     public CompletableFuture<LeaseResult> grantLease(Duration timeToLive) {
-        ObjectNode body = MAPPER.createObjectNode().put("ttl_ms", timeToLive.toMillis());
+        ObjectNode body = Json.object().put("ttl_ms", timeToLive.toMillis());
         return transport.call("POST", "/api/kv-lease", body, CALL_LIMIT).thenApply(reply -> leaseResult(reply, 0));
     }
 
     @Override
     public CompletableFuture<LeaseResult> keepAlive(long leaseId) {
         return transport
-                .call("POST", "/api/kv-keep/" + leaseId, MAPPER.createObjectNode(), CALL_LIMIT)
+                .call("POST", "/api/kv-keep/" + leaseId, Json.object(), CALL_LIMIT)
                 .thenApply(reply -> leaseResult(reply, leaseId));
     }
 
--- a/src/main/java/org/auburnhoist/platform/KvTransport.java
+++ b/src/main/java/org/auburnhoist/platform/KvTransport.java
@@ -1,7 +1,6 @@
 package org.auburnhoist.platform;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.MissingNode;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -40,7 +39,6 @@
 
 /** Sends JSON calls to the platform's store over kept connections. */
 final class KvTransport implements AutoCloseable {
-    private static final ObjectMapper MAPPER = new ObjectMapper();
     private static final int MOST_CONNECTIONS = 6;
     private static final int MOST_LONG_CALLS = 2;
     /** Probes that find a connection silent within three seconds, the time after which a host counts as cut off. */
@@ -138,7 +136,7 @@
         AsyncRequestBuilder builder =
                 AsyncRequestBuilder.create(method).setHttpHost(host).setPath(path);
         if (body != null) {
-            builder.setEntity(body.toString().getBytes(StandardCharsets.UTF_8), ContentType.APPLICATION_JSON);
+            builder.setEntity(Json.write(body).getBytes(StandardCharsets.UTF_8), ContentType.APPLICATION_JSON);
         }
         Exchange exchange = new Exchange(reply, builder.build());
         // The library takes this as the limit of connecting and of silence alike. With a longer one, connections that
@@ -243,7 +241,7 @@
             byte[] body = message.getBody();
             int status = message.getHead().getCode();
             try {
-                JsonNode parsed = body == null || body.length == 0 ? MissingNode.getInstance() : MAPPER.readTree(body);
+                JsonNode parsed = body == null || body.length == 0 ? MissingNode.getInstance() : Json.read(body);
                 exchange.end(new Reply(status, parsed, ""), true);
             } catch (IOException malformed) {
                 exchange.end(
--- a/src/main/java/org/auburnhoist/platform/RegistrationDecoder.java
+++ b/src/main/java/org/auburnhoist/platform/RegistrationDecoder.java
@@ -1,7 +1,6 @@
 package org.auburnhoist.platform;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
 import java.util.HashMap;
 import java.util.Map;
@@ -13,7 +12,6 @@
 
 /** Reads servers' registrations; entries of other writers name no server. */
 final class RegistrationDecoder {
-    private static final ObjectMapper MAPPER = new ObjectMapper();
     private static final int MOST_REPORTED = 1_000;
 
     private final String prefix;
@@ -27,7 +25,7 @@
     UpstreamServer decode(Entry entry) {
         JsonNode root;
         try {
-            root = MAPPER.readTree(entry.value());
+            root = Json.read(entry.value());
         } catch (IOException cause) {
             return unusable(entry, "not readable");
         }
