Let few hosts own the shares of all teams' limits

Cause: each team's share had an order of its own, so the owners of 90 teams were nearly all of 143 hosts. A host that serves three requests a second opened a link, with a handshake, to another host for most of them, and kept it; an order of all members for each share was also the largest part of memory that docs/CAPACITY.md lists as not carried. Teams now fall into eight groups, and each of the three shares of a group is one duty: 24 owners at most. Weighed: groups by the number of hosts or teams (owners would change for all teams at once while hosts disagree about the number), 64 groups (at 143 hosts as many owners as before). An owner's death touches an eighth of the teams. Hosts of this and the earlier release disagree about owners, so limits may be exceeded while both run.

--- a/src/main/java/org/auburnhoist/core/limit/QuotaOwnership.java
+++ b/src/main/java/org/auburnhoist/core/limit/QuotaOwnership.java
@@ -174,6 +174,6 @@
     }
 
     private List<FleetMember> order(String team) {
-        return fleet.order("team/" + team);
+        return fleet.order(TeamShares.dutyOf(team));
     }
 }
--- a/src/main/java/org/auburnhoist/core/limit/TeamShares.java
+++ b/src/main/java/org/auburnhoist/core/limit/TeamShares.java
@@ -15,6 +15,12 @@
     /** With three shares, two thirds of the limit are left while one host is away. */
     public static final int COUNT = 3;
 
+    /**
+     * Groups of teams whose shares have the same owners. Each host keeps a link to every owner that it asks, so few
+     * owners mean few links, while many mean little work for each; at 400 requests/s each owner answers 17 a second.
+     */
+    private static final int GROUPS = 8;
+
     private static final char SEPARATOR = '#';
 
     private TeamShares() {}
@@ -45,6 +51,12 @@
         return namesOf(teamOf(share)).indexOf(share);
     }
 
+    /** The duty of deciding about a share; the shares of one team belong to different duties. */
+    public static String dutyOf(String share) {
+        String team = teamOf(share);
+        return "team-shares/" + Math.floorMod(StableHash.of(team), (long) GROUPS) + share.substring(team.length());
+    }
+
     /** The share that a host asks first, so that hosts spread their questions over a team's owners. */
     public static int firstFor(String team, String host) {
         return (int) Math.floorMod(StableHash.of(host + '\n' + team), (long) COUNT);
--- a/src/test/java/org/auburnhoist/core/limit/TeamSharesTest.java
+++ b/src/test/java/org/auburnhoist/core/limit/TeamSharesTest.java
@@ -4,10 +4,15 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Random;
 import java.util.Set;
+import org.auburnhoist.core.HostId;
+import org.auburnhoist.core.membership.FleetMember;
+import org.auburnhoist.core.membership.FleetView;
 import org.auburnhoist.core.routing.TeamTerms;
 import org.junit.jupiter.api.Test;
 
@@ -53,6 +58,31 @@
         assertEquals(-1, TeamShares.indexOf("members#7"));
     }
 
+    /** Guards against a fleet in which nearly each request opens a link to yet another host. */
+    @Test
+    void fewHostsOwnTheSharesOfManyTeams() {
+        List<FleetMember> members = new ArrayList<>();
+        for (int host = 0; host < 143; host++) {
+            HostId id = new HostId("host-" + host, 1);
+            members.add(new FleetMember(id, "10.0.0.1:1", "10.0.0.1:2", "a", false, 0.3 + 0.45 * (host % 2)));
+        }
+        FleetView fleet = new FleetView(members.get(0));
+        fleet.members(members, 0);
+        Map<String, Integer> shares = new HashMap<>();
+        for (int team = 0; team < 2_000; team++) {
+            Set<String> duties = new HashSet<>();
+            for (String share : TeamShares.namesOf("team-" + team)) {
+                String duty = TeamShares.dutyOf(share);
+                duties.add(duty);
+                shares.merge(fleet.order(duty).get(0).id().name(), 1, Integer::sum);
+            }
+            assertEquals(TeamShares.COUNT, duties.size());
+        }
+        assertTrue(shares.size() <= 24, shares.size() + " owners");
+        assertTrue(shares.size() >= 18, shares.size() + " owners");
+        shares.forEach((host, count) -> assertTrue(count <= 6_000 / 6, host + " owns " + count));
+    }
+
     @Test
     void hostsSpreadTheirQuestionsOverTheShares() {
         int[] first = new int[TeamShares.COUNT];
