--- a/src/main/java/org/auburnhoist/gateway/StoreFeed.java
+++ b/src/main/java/org/auburnhoist/gateway/StoreFeed.java
@@ -51,6 +51,7 @@
     private boolean readingServers;
     private boolean readingConfiguration;
     private boolean readingMembers;
+    private boolean readingForItself;
     private @Nullable AutoCloseable watch;
     private final StoreOutage outage = new StoreOutage();
 
@@ -93,7 +94,9 @@
             storeRead(nowNanos - age);
         }
         watch(coordinator);
-        if (!coordinator && (!tooOld || waitUntil - nowNanos > 0)) {
+        boolean readsForItself = !coordinator && tooOld && waitUntil - nowNanos <= 0;
+        logReading(readsForItself, age);
+        if (!coordinator && !readsForItself) {
             return;
         }
         if (nextServers - nowNanos <= 0 && !readingServers) {
@@ -107,6 +110,18 @@
         }
     }
 
+    /** The calls of hosts that read for themselves are most of the store's load in a cut, so the log tells of them. */
+    private void logReading(boolean readsForItself, long ageNanos) {
+        if (readsForItself && !readingForItself) {
+            Event.named("reads-for-itself")
+                    .with("knowledge_age_millis", ageNanos == Long.MAX_VALUE ? -1 : ageNanos / 1_000_000L)
+                    .log();
+        } else if (!readsForItself && readingForItself) {
+            Event.named("reads-no-more-for-itself").log();
+        }
+        readingForItself = readsForItself;
+    }
+
     /** Ends the watch. */
     void close() {
         watch(false);
