Give connections to the store an idle limit of their own

Cause: the library keeps the time limit of the call that opened a connection as the connection's limit of silence, one second. Connections that had been idle for longer stayed in the pool until the next look at limits, and a call that was sent on one at the moment of that look failed with 'SocketTimeoutException: 1 SECONDS'. The new test fails without the change in its second round. Ruled out: lost answers (the store was well until 4 s). Long calls no longer need a pool of their own, since the connection's limit is no longer that of its first call.

--- a/src/main/java/org/auburnhoist/platform/KvStore.java
+++ b/src/main/java/org/auburnhoist/platform/KvStore.java
@@ -224,7 +224,7 @@
             }
             String path = "/api/kv-watch?path_prefix=" + encode(prefix) + "&after=" + revision + "&wait_ms="
                     + WATCH_WAIT.toMillis();
-            transport.longCall(path, WATCH_WAIT.plus(CALL_LIMIT)).thenAccept(reply -> {
+            transport.call("GET", path, null, WATCH_WAIT.plus(CALL_LIMIT)).thenAccept(reply -> {
                 if (closed) {
                     return;
                 }
--- a/src/main/java/org/auburnhoist/platform/KvTransport.java
+++ b/src/main/java/org/auburnhoist/platform/KvTransport.java
@@ -33,14 +33,20 @@
 import org.apache.hc.core5.http.protocol.RequestTargetHost;
 import org.apache.hc.core5.io.CloseMode;
 import org.apache.hc.core5.reactor.IOReactorConfig;
+import org.apache.hc.core5.reactor.IOSession;
+import org.apache.hc.core5.reactor.IOSessionListener;
 import org.apache.hc.core5.reactor.ssl.TransportSecurityLayer;
 import org.apache.hc.core5.util.Timeout;
 import org.jspecify.annotations.Nullable;
 
 /** Sends JSON calls to the platform's store over kept connections. */
 final class KvTransport implements AutoCloseable {
-    private static final int MOST_CONNECTIONS = 6;
-    private static final int MOST_LONG_CALLS = 2;
+    /** Three reads, the lease, a watch and one that is no longer wanted but still waits for its answer. */
+    private static final int MOST_CONNECTIONS = 8;
+    /** With a longer one, connections that cannot be opened would hold the whole pool after the path is back. */
+    private static final Timeout CONNECT_LIMIT = Timeout.ofSeconds(1);
+    /** Longer than a watch waits and than any two calls of a host are apart; calls have limits of their own. */
+    private static final Timeout IDLE_LIMIT = Timeout.ofSeconds(30);
     /** Probes that find a connection silent within three seconds, the time after which a host counts as cut off. */
     private static final int KEEP_ALIVE_SECONDS = 1;
 
@@ -48,11 +54,7 @@
     /** Stands for the status of a call without an answer. */
     private static final int NO_ANSWER = 0;
 
-    /** Name under which the connections of long calls are pooled; it is not looked up. */
-    private static final String LONG_CALLS = "long-calls";
-
     private final HttpHost host;
-    private final HttpHost longCallsHost;
     private final HttpAsyncRequester requester;
     private final ScheduledExecutorService timer;
 
@@ -73,7 +75,6 @@
         // Without the text form the library would look the address's name up.
         this.host =
                 new HttpHost("http", address.getAddress(), address.getAddress().getHostAddress(), address.getPort());
-        this.longCallsHost = new HttpHost("http", address.getAddress(), LONG_CALLS, address.getPort());
         // The library's own processor would ask for "100 Continue", which the store does not send.
         HttpProcessor processor = HttpProcessorBuilder.create()
                 .addAll(RequestTargetHost.INSTANCE, RequestContent.INSTANCE, RequestConnControl.INSTANCE)
@@ -89,11 +90,10 @@
                         .setTcpKeepCount(KEEP_ALIVE_PROBES)
                         .build())
                 .setTlsStrategy(new NoTls())
-                .setMaxTotal(MOST_CONNECTIONS + MOST_LONG_CALLS)
+                .setIOSessionListener(new IdleLimit())
+                .setMaxTotal(MOST_CONNECTIONS)
                 .setDefaultMaxPerRoute(MOST_CONNECTIONS)
                 .create();
-        // A watch that is no longer wanted holds its connection until it is answered.
-        requester.setMaxPerRoute(longCallsHost, MOST_LONG_CALLS);
         this.timer = Executors.newSingleThreadScheduledExecutor(task -> {
             Thread thread = new Thread(task, "store-timer");
             thread.setDaemon(true);
@@ -117,21 +117,34 @@
         }
     }
 
-    /** Makes a call; never completes exceptionally. */
-    CompletableFuture<Reply> call(String method, String path, @Nullable JsonNode body, Duration limit) {
-        return call(host, method, path, body, limit);
-    }
+    /** Gives each connection a limit of its own in the place of that of the call for which it was opened. */
+    private static final class IdleLimit implements IOSessionListener {
+        @Override
+        public void connected(IOSession session) {
+            session.setSocketTimeout(IDLE_LIMIT);
+        }
 
-    /**
-     * Makes a call that may wait for its answer. A connection keeps the time limit of the call for which it was opened,
-     * so long calls have connections of their own.
-     */
-    CompletableFuture<Reply> longCall(String path, Duration limit) {
-        return call(longCallsHost, "GET", path, null, limit);
+        @Override
+        public void startTls(IOSession session) {}
+
+        @Override
+        public void inputReady(IOSession session) {}
+
+        @Override
+        public void outputReady(IOSession session) {}
+
+        @Override
+        public void timeout(IOSession session) {}
+
+        @Override
+        public void exception(IOSession session, Exception cause) {}
+
+        @Override
+        public void disconnected(IOSession session) {}
     }
 
-    private CompletableFuture<Reply> call(
-            HttpHost pool, String method, String path, @Nullable JsonNode body, Duration limit) {
+    /** Makes a call, which may wait for its answer; never completes exceptionally. */
+    CompletableFuture<Reply> call(String method, String path, @Nullable JsonNode body, Duration limit) {
         CompletableFuture<Reply> reply = new CompletableFuture<>();
         AsyncRequestBuilder builder =
                 AsyncRequestBuilder.create(method).setHttpHost(host).setPath(path);
@@ -139,9 +152,7 @@
             builder.setEntity(Json.write(body).getBytes(StandardCharsets.UTF_8), ContentType.APPLICATION_JSON);
         }
         Exchange exchange = new Exchange(reply, builder.build());
-        // The library takes this as the limit of connecting and of silence alike. With a longer one, connections that
-        // cannot be opened would hold the whole pool after the path is back. So idle connections end after a second.
-        Future<?> lease = requester.connect(pool, Timeout.of(limit), null, exchange);
+        Future<?> lease = requester.connect(host, CONNECT_LIMIT, null, exchange);
         Future<?> expiry = timer.schedule(
                 () -> {
                     exchange.expire("no answer within " + limit.toMillis() + " ms");
--- a/src/test/java/org/auburnhoist/platform/KvStoreTest.java
+++ b/src/test/java/org/auburnhoist/platform/KvStoreTest.java
@@ -17,6 +17,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -269,4 +270,20 @@
             seen.add("interrupted");
         }
     }
+
+    /** Guards against calls that fail because the connection on which they are sent has been idle for a while. */
+    @Test
+    void callsAfterAPauseHaveTheirAnswers() throws Exception {
+        platform.put("op/config", "v");
+        for (int round = 0; round < 6; round++) {
+            // Of the two connections that this leaves, the next single call uses one only.
+            List<CompletableFuture<ReadResult>> both = List.of(store.get("op/config"), store.get("op/config"));
+            for (CompletableFuture<ReadResult> call : both) {
+                assertInstanceOf(ReadResult.Found.class, call.join(), "round " + round);
+            }
+            Thread.sleep(600);
+            assertInstanceOf(ReadResult.Found.class, store.get("op/config").join(), "round " + round);
+            Thread.sleep(600);
+        }
+    }
 }
