Do not bring back servers and keys from a host with older knowledge

Operators of similar systems told of servers that had left, and of withdrawn keys, in use again after a restart. It could happen here in two ways, each with a test that fails without the change: - A host that had just started took over what the coordinator knew however long that one had not read the store. It now reads the store first, at once, and uses old knowledge only if it cannot read the store itself. - A host that had read the servers or members without finding a change kept the revision of the last change, so that a list which another host had adopted in between counted as newer and was taken over. The revision of the last read counts now, also in what a host reports. Ruled out: the configuration of a running host, whose version is compared itself.

--- a/src/main/java/org/auburnhoist/gateway/Knowledge.java
+++ b/src/main/java/org/auburnhoist/gateway/Knowledge.java
@@ -24,6 +24,9 @@
  * so that nothing older ever replaces it. Belongs to the control thread, but for the router.
  */
 final class Knowledge {
+    /** A host whose knowledge is older than this reads the store itself; a bound on leaving servers is two seconds. */
+    static final long TOO_OLD_NANOS = 1_250_000_000L;
+
     private static final byte[] NOTHING = new byte[0];
 
     private final PlatformBinding binding;
@@ -45,6 +48,8 @@
     private long membersReadRevision;
     private boolean everRead;
     private long readAtNanos;
+    private boolean ownReadFailed;
+    private boolean oldDigestPassedOver;
 
     Knowledge(
             PlatformBinding binding,
@@ -88,6 +93,16 @@
         return everRead ? nowNanos - readAtNanos : Long.MAX_VALUE;
     }
 
+    /** This host could not read the store, so that what others know is the best that there is. */
+    void ownReadFailed() {
+        ownReadFailed = true;
+    }
+
+    /** Whether another host told this one, which knew nothing, only what it had read too long ago. */
+    boolean hasPassedOverOldDigest() {
+        return oldDigestPassedOver;
+    }
+
     /** Takes over a configuration if it is newer than the present one. */
     void configurationRead(byte[] stored, String source) {
         TrafficConfiguration read;
@@ -176,7 +191,8 @@
 
     /** What this host tells a coordinator. */
     StatusReport report(boolean ready) {
-        return new StatusReport(ready, router.configuration().version(), serversRevision, membersRevision);
+        // What was read later without a change is newer than what another host adopted in between.
+        return new StatusReport(ready, router.configuration().version(), serversReadRevision, membersReadRevision);
     }
 
     /** What a reporting host does not know yet. */
@@ -196,11 +212,16 @@
 
     /** Takes over what a coordinator knew when it was asked at {@code askedNanos}. */
     void digestReceived(StatusDigest digest, String from, long askedNanos, long nowNanos) {
+        if (isTooOldForAStart(digest)) {
+            logPassedOver(digest, from);
+            oldDigestPassedOver = true;
+            return;
+        }
         try {
             if (digest.configuration().length > 0) {
                 configurationRead(FleetDocuments.inflate(digest.configuration()), from);
             }
-            if (digest.members().length > 0 && digest.membersRevision() > membersRevision) {
+            if (digest.members().length > 0 && digest.membersRevision() > membersReadRevision) {
                 adoptMembers(
                         FleetDocuments.members(digest.members()),
                         digest.members(),
@@ -208,7 +229,7 @@
                         from,
                         nowNanos);
             }
-            if (digest.servers().length > 0 && digest.serversRevision() > serversRevision) {
+            if (digest.servers().length > 0 && digest.serversRevision() > serversReadRevision) {
                 adoptServers(
                         FleetDocuments.servers(digest.servers()), digest.servers(), digest.serversRevision(), from);
             }
@@ -225,6 +246,25 @@
         fleet.silencesTold(digest.memberNames(), digest.silences(), askedNanos);
     }
 
+    /**
+     * Whether this host has just started and the other one has not read the store for long. The process that ran here
+     * before may have seen a key withdrawn or a server leave that the other host still knows, so the store is read
+     * first.
+     */
+    private boolean isTooOldForAStart(StatusDigest digest) {
+        return !everRead && !ownReadFailed && digest.storeAgeMillis() > TOO_OLD_NANOS / 1_000_000L;
+    }
+
+    private void logPassedOver(StatusDigest digest, String from) {
+        if (!oldDigestPassedOver) {
+            Event.named("digest-too-old")
+                    .with("from", from)
+                    .with("store_age_millis", digest.storeAgeMillis())
+                    .with("configuration_version", digest.configurationVersion())
+                    .log();
+        }
+    }
+
     private void storeRead(long readNanos) {
         if (!everRead || readNanos - readAtNanos > 0) {
             everRead = true;
--- a/src/main/java/org/auburnhoist/gateway/StoreFeed.java
+++ b/src/main/java/org/auburnhoist/gateway/StoreFeed.java
@@ -31,8 +31,6 @@
 
     private static final long CONFIGURATION_NANOS = Duration.ofSeconds(1).toNanos();
     private static final long MEMBERS_NANOS = Duration.ofMillis(1_500).toNanos();
-    /** A host whose knowledge is older than this reads the store itself. */
-    private static final long TOO_OLD_NANOS = Duration.ofMillis(1_250).toNanos();
     /** A coordinator answers a new host's first report within this time. */
     private static final long START_WAIT_NANOS = Duration.ofSeconds(1).toNanos();
 
@@ -88,13 +86,14 @@
     /** Reads what is due; to be called about every 50 ms. */
     void tick(boolean coordinator, long nowNanos) {
         long age = knowledge.storeAgeNanos(nowNanos);
-        boolean tooOld = age > TOO_OLD_NANOS || !knowledge.hasConfiguration();
+        boolean tooOld = age > Knowledge.TOO_OLD_NANOS || !knowledge.hasConfiguration();
         if (age != Long.MAX_VALUE) {
             // Another host may have read the store since this one last tried.
             storeRead(nowNanos - age);
         }
         watch(coordinator);
-        boolean readsForItself = !coordinator && tooOld && waitUntil - nowNanos <= 0;
+        boolean waits = waitUntil - nowNanos > 0 && !knowledge.hasPassedOverOldDigest();
+        boolean readsForItself = !coordinator && tooOld && !waits;
         logReading(readsForItself, age);
         if (!coordinator && !readsForItself) {
             return;
@@ -261,6 +260,7 @@
     }
 
     private long failed(String what, ReadResult result, long nowNanos) {
+        knowledge.ownReadFailed();
         if (outage.failed(nowNanos)) {
             Event.named("store-lost").with("read", what).with("result", result).warn();
         }
--- /dev/null
+++ b/src/test/java/org/auburnhoist/gateway/KnowledgeTest.java
@@ -0,0 +1,157 @@
+package org.auburnhoist.gateway;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.auburnhoist.core.HostId;
+import org.auburnhoist.core.membership.FleetMember;
+import org.auburnhoist.core.membership.FleetView;
+import org.auburnhoist.core.message.RecordedAnswer;
+import org.auburnhoist.core.message.StatusDigest;
+import org.auburnhoist.core.routing.TrafficConfiguration;
+import org.auburnhoist.core.routing.UpstreamServer;
+import org.auburnhoist.proxy.RequestHead;
+import org.auburnhoist.proxy.WireRules;
+import org.auburnhoist.store.Entry;
+import org.jspecify.annotations.Nullable;
+import org.junit.jupiter.api.Test;
+
+/** Guards against a withdrawn key or a server that has left being used again after the restart of a process. */
+class KnowledgeTest {
+    private static final long SECOND = 1_000_000_000L;
+    private static final UpstreamServer SERVER =
+            new UpstreamServer("i-1", 5, "ledger", "10.0.0.9:80", "a", 6, false, 0);
+
+    /** Reads a configuration that consists of its version. */
+    private static final class VersionOnly implements PlatformBinding {
+        @Override
+        public WireRules wireRules() {
+            throw new UnsupportedOperationException("no request is made");
+        }
+
+        @Override
+        public CallerTerms callerTerms(RequestHead head) {
+            return new CallerTerms("", null, false, "", -1);
+        }
+
+        @Override
+        public String configurationKey() {
+            return "configuration";
+        }
+
+        @Override
+        public String serversPrefix() {
+            return "servers/";
+        }
+
+        @Override
+        public TrafficConfiguration configuration(byte[] stored) {
+            long version = Long.parseLong(new String(stored, StandardCharsets.UTF_8));
+            return new TrafficConfiguration(version, List.of(), Set.of(), Map.of(), Map.of());
+        }
+
+        @Override
+        public @Nullable UpstreamServer server(Entry registration) {
+            return null;
+        }
+
+        @Override
+        public boolean isAddressQuery(RequestHead head) {
+            return false;
+        }
+
+        @Override
+        public String dataCentreOfQuery(RequestHead head) {
+            return "";
+        }
+
+        @Override
+        public RecordedAnswer addressAnswer(List<String> addresses, Duration validity) {
+            return new RecordedAnswer(200, List.of(), new byte[0], true);
+        }
+
+        @Override
+        public boolean isReadinessQuery(RequestHead head) {
+            return false;
+        }
+    }
+
+    private static Knowledge started(String name) {
+        FleetMember self = new FleetMember(new HostId(name, 1), "10.0.0.1:1", "10.0.0.1:2", "a", false, 1);
+        return new Knowledge(new VersionOnly(), new FleetView(self), () -> {}, () -> {}, () -> {});
+    }
+
+    private static byte[] configuration(long version) {
+        return Long.toString(version).getBytes(StandardCharsets.UTF_8);
+    }
+
+    /** What a host tells that read version 4 and a server at second 10. */
+    private static StatusDigest toldAt(long nowNanos, Knowledge asking) {
+        Knowledge coordinator = started("host-1");
+        coordinator.configurationRead(configuration(4), "store");
+        coordinator.serversRead(List.of(SERVER), 40, 10 * SECOND, "store");
+        return coordinator.digestFor(asking.report(false), true, nowNanos);
+    }
+
+    @Test
+    void aStartingHostLearnsFromAHostThatReadsTheStore() {
+        Knowledge starting = started("host-2");
+        starting.digestReceived(toldAt(11 * SECOND, starting), "host-1", 11 * SECOND, 11 * SECOND);
+        assertEquals(4, starting.router().configuration().version());
+        assertEquals(List.of(SERVER), starting.servers());
+        assertEquals(SECOND, starting.storeAgeNanos(11 * SECOND));
+    }
+
+    @Test
+    void aStartingHostDoesNotLearnFromAHostThatIsCutOffFromTheStore() {
+        Knowledge starting = started("host-2");
+        starting.digestReceived(toldAt(20 * SECOND, starting), "host-1", 20 * SECOND, 20 * SECOND);
+        assertFalse(starting.hasConfiguration());
+        assertEquals(List.of(), starting.servers());
+        assertTrue(starting.hasPassedOverOldDigest());
+        starting.configurationRead(configuration(5), "store");
+        starting.serversRead(List.of(), 50, 20 * SECOND, "store");
+        starting.digestReceived(toldAt(21 * SECOND, starting), "host-1", 21 * SECOND, 21 * SECOND);
+        assertEquals(5, starting.router().configuration().version());
+        assertEquals(List.of(), starting.servers());
+    }
+
+    /** Guards against a server that another host saw for a while and that this one has read to be gone since. */
+    @Test
+    void whatWasReadLaterIsKeptAlsoIfItWasNoChange() {
+        Knowledge running = started("host-2");
+        running.serversRead(List.of(), 30, 5 * SECOND, "store");
+        StatusDigest early = toldAt(11 * SECOND, running);
+        running.serversRead(List.of(), 50, 11 * SECOND, "store");
+        running.digestReceived(early, "host-1", 11 * SECOND, 12 * SECOND);
+        assertEquals(List.of(), running.servers());
+        assertEquals(0, toldAt(12 * SECOND, running).servers().length);
+    }
+
+    /** Guards against hosts that serve nobody while the store is away for all. */
+    @Test
+    void whatOthersKnowIsUsedWhereTheStoreCannotBeRead() {
+        Knowledge starting = started("host-2");
+        starting.ownReadFailed();
+        starting.digestReceived(toldAt(20 * SECOND, starting), "host-1", 20 * SECOND, 20 * SECOND);
+        assertEquals(4, starting.router().configuration().version());
+        assertEquals(List.of(SERVER), starting.servers());
+    }
+
+    /** Guards against a running host that loses touch with the store and then learns nothing from others. */
+    @Test
+    void aRunningHostTakesOverWhatIsNewerThanItsOwn() {
+        Knowledge running = started("host-2");
+        running.configurationRead(configuration(3), "store");
+        running.serversRead(List.of(), 30, 5 * SECOND, "store");
+        running.digestReceived(toldAt(20 * SECOND, running), "host-1", 20 * SECOND, 20 * SECOND);
+        assertEquals(4, running.router().configuration().version());
+        assertEquals(List.of(SERVER), running.servers());
+    }
+}
