--- a/src/main/java/org/auburnhoist/gateway/MembershipLease.java
+++ b/src/main/java/org/auburnhoist/gateway/MembershipLease.java
@@ -146,7 +146,8 @@
                         revision = 0;
                         nextActionNanos = now;
                     } else {
-                        failed("lease-not-renewed", result, now);
+                        long left = validUntilNanos - SAFETY_NANOS - now;
+                        failed("lease-not-renewed", result, now, delay.nextNanos(left));
                     }
                 }));
     }
@@ -157,8 +158,12 @@
     }
 
     private void failed(String event, Object result, long nowNanos) {
+        failed(event, result, nowNanos, delay.nextNanos());
+    }
+
+    private void failed(String event, Object result, long nowNanos, long waitNanos) {
         busy = false;
-        nextActionNanos = nowNanos + delay.nextNanos();
+        nextActionNanos = nowNanos + waitNanos;
         Event.named(event).with("result", result).warn();
     }
 }
