Look at the servers once for all waiting requests that are alike

For each grant, release and tick it searched all 203 servers anew for each waiting request, counted the floor and the busy proven servers each time, and built a key with a generated hash for each path. Now the floor and the busy servers are counted once for a look through the queue, a request like one that found no server and has waited no longer is passed over, nothing is searched where no server has room, and paths are kept by host. What is granted stays the same but for the order in which random numbers are drawn. Ruled out: the sorting of the queue (the searches are 30 times as much).

--- a/src/main/java/org/auburnhoist/core/dispatch/PriorityDispatcher.java
+++ b/src/main/java/org/auburnhoist/core/dispatch/PriorityDispatcher.java
@@ -154,12 +154,13 @@
     }
 
     private void grantWaiting(List<SlotDecision> decisions, long nowNanos) {
-        while (!queue.isEmpty()) {
+        while (!queue.isEmpty() && chooser.hasRoom()) {
             ServerChoice choice = new ServerChoice();
-            RankedQueue.Waiting next = queue.poll(rate.holdSeconds(), nowNanos, waiting -> {
-                choice.server = chooseServer(waiting.request(), nowNanos);
-                return choice.server != null;
-            });
+            FruitlessSearches fruitless = chooser.search(nowNanos);
+            RankedQueue.Waiting next = queue.poll(
+                    rate.holdSeconds(),
+                    nowNanos,
+                    waiting -> findServer(waiting.request(), choice, fruitless, nowNanos));
             UpstreamServer server = choice.server;
             if (next == null || server == null) {
                 return;
@@ -168,6 +169,19 @@
         }
     }
 
+    private boolean findServer(
+            WaitingRequest waiting, ServerChoice choice, FruitlessSearches fruitless, long nowNanos) {
+        if (fruitless.include(waiting)) {
+            return false;
+        }
+        choice.server = chooseServer(waiting, nowNanos);
+        if (choice.server == null
+                && quarantine.diedWith(waiting.request().fingerprint()).isEmpty()) {
+            fruitless.add(waiting);
+        }
+        return choice.server != null;
+    }
+
     /** The server found while the queue looks for a request that can be granted. */
     private static final class ServerChoice {
         @Nullable
--- a/src/main/java/org/auburnhoist/core/dispatch/ServerChooser.java
+++ b/src/main/java/org/auburnhoist/core/dispatch/ServerChooser.java
@@ -55,6 +55,18 @@
     private final SpellJudge judge = new SpellJudge();
     private final Map<String, ServerUse> servers = new LinkedHashMap<>();
     private final RandomGenerator random;
+    /** What is the same for all requests that are looked at together; null once a server's use has changed. */
+    private @Nullable Standings standings;
+
+    /**
+     * What all servers together are like at a time.
+     *
+     * @param atNanos the time
+     * @param grants number of grants in use then
+     * @param floor how the floor is kept
+     * @param provenBusy slots in use on servers that count as proven
+     */
+    private record Standings(long atNanos, int grants, Floor floor, int provenBusy) {}
 
     private static final class ServerUse {
         UpstreamServer server;
@@ -105,12 +117,14 @@
         }
         servers.clear();
         servers.putAll(next);
+        standings = null;
         judge.retain(servers.keySet());
     }
 
     /** Takes in how the attempt of a grant ended. */
     void observe(Observation observation, long grantedNanos, long nowNanos) {
         judge.observe(observation, grantedNanos, rate.latencySeconds(observation.trafficClass()), nowNanos);
+        standings = null;
     }
 
     long avoidedNanos(String server, long nowNanos) {
@@ -130,6 +144,7 @@
         }
         use.lastGrantNanos = nowNanos;
         use.everGranted = true;
+        standings = null;
     }
 
     /**
@@ -143,7 +158,7 @@
     @Nullable
     UpstreamServer choose(WaitingRequest waiting, Set<String> barred, long nowNanos) {
         SlotRequest request = waiting.request();
-        Floor floor = floor(nowNanos);
+        Floor floor = standings(nowNanos).floor();
         boolean pressed = waitedSeconds(waiting, nowNanos) >= LAST_RESORT_SHARE * targetSeconds(request);
         ServerUse best = null;
         Candidate bestCandidate = null;
@@ -164,6 +179,21 @@
         return wait || best == null ? null : best.server;
     }
 
+    /** Begins a look through the queue. */
+    FruitlessSearches search(long nowNanos) {
+        return new FruitlessSearches(judge, nowNanos);
+    }
+
+    /** Whether any server has a free slot. */
+    boolean hasRoom() {
+        for (ServerUse use : servers.values()) {
+            if (!use.server.leaving() && grants.used(use.server.id()) < use.server.slots()) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     private static boolean isAllowed(SlotRequest request, UpstreamServer server) {
         List<String> returnsTo = request.terms().returnsTo();
         return !server.leaving()
@@ -188,12 +218,7 @@
         }
         double allowedSeconds = WAITING_SHARE * targetSeconds(request);
         double waitedSeconds = waitedSeconds(waiting, nowNanos);
-        int provenBusy = 0;
-        for (ServerUse use : servers.values()) {
-            if (!use.server.leaving() && silentNanos(use, nowNanos) < PROVEN_NANOS) {
-                provenBusy += grants.used(use.server.id());
-            }
-        }
+        int provenBusy = standings(nowNanos).provenBusy();
         return provenBusy > 0 && waitedSeconds + rate.holdSeconds(request.trafficClass()) / provenBusy < allowedSeconds;
     }
 
@@ -338,6 +363,26 @@
         }
     }
 
+    /** Looks at all servers once for all requests that wait, instead of once for each of them. */
+    private Standings standings(long nowNanos) {
+        Standings present = standings;
+        if (present == null || present.atNanos() != nowNanos || present.grants() != grants.size()) {
+            present = new Standings(nowNanos, grants.size(), floor(nowNanos), provenBusy(nowNanos));
+            standings = present;
+        }
+        return present;
+    }
+
+    private int provenBusy(long nowNanos) {
+        int busy = 0;
+        for (ServerUse use : servers.values()) {
+            if (!use.server.leaving() && silentNanos(use, nowNanos) < PROVEN_NANOS) {
+                busy += grants.used(use.server.id());
+            }
+        }
+        return busy;
+    }
+
     private Floor floor(long nowNanos) {
         int sound = 0;
         int inUse = 0;
--- a/src/main/java/org/auburnhoist/core/dispatch/SpellJudge.java
+++ b/src/main/java/org/auburnhoist/core/dispatch/SpellJudge.java
@@ -72,21 +72,22 @@
         long unreachedAt;
     }
 
-    private record Path(HostId host, String server) {}
-
     private static final class PathTrack {
         long avoidedUntil;
         int failures;
     }
 
     private final Map<String, Track> tracks = new HashMap<>();
-    private final Map<Path, PathTrack> paths = new HashMap<>();
+    /** By host and server. */
+    private final Map<HostId, Map<String, PathTrack>> paths = new HashMap<>();
+
     private double avoidanceNanos = FIRST_AVOIDANCE_NANOS;
 
     /** Forgets servers that are gone. */
     void retain(Set<String> servers) {
         tracks.keySet().retainAll(servers);
-        paths.keySet().removeIf(path -> !servers.contains(path.server()));
+        paths.values().forEach(ofHost -> ofHost.keySet().retainAll(servers));
+        paths.values().removeIf(Map::isEmpty);
     }
 
     /**
@@ -126,7 +127,10 @@
         track.lastSuccess = nowNanos;
         track.avoidedUntil = nowNanos;
         track.unreachedBy = null;
-        paths.remove(new Path(observation.host(), observation.server()));
+        paths.computeIfPresent(observation.host(), (host, ofHost) -> {
+            ofHost.remove(observation.server());
+            return ofHost.isEmpty() ? null : ofHost;
+        });
     }
 
     private static void judgeLatency(Track track, Observation observation, double usualSeconds, long nowNanos) {
@@ -154,8 +158,8 @@
     }
 
     private void unreached(Track track, Observation observation, long nowNanos) {
-        PathTrack path =
-                paths.computeIfAbsent(new Path(observation.host(), observation.server()), key -> new PathTrack());
+        PathTrack path = paths.computeIfAbsent(observation.host(), host -> new HashMap<>())
+                .computeIfAbsent(observation.server(), server -> new PathTrack());
         path.avoidedUntil = nowNanos + (PATH_AVOIDANCE_NANOS << Math.min(path.failures, MOST_PATH_DOUBLINGS));
         path.failures++;
         HostId earlier = track.unreachedBy;
@@ -206,10 +210,16 @@
 
     /** Whether a host's own path to a server is in doubt. */
     boolean avoidsPath(HostId host, String server, long nowNanos) {
-        PathTrack path = paths.get(new Path(host, server));
+        Map<String, PathTrack> ofHost = paths.get(host);
+        PathTrack path = ofHost == null ? null : ofHost.get(server);
         return path != null && path.avoidedUntil - nowNanos > 0;
     }
 
+    /** Whether any of a host's own paths may be in doubt. */
+    boolean doubtsPathsOf(HostId host) {
+        return paths.containsKey(host);
+    }
+
     /** Whether a server has failed at or after a time. */
     boolean hasFailedSince(String server, long sinceNanos) {
         Track track = tracks.get(server);
