Take over other hosts' lists of members by the revision of their last change again

Hosts keep members that they hear of without an entry in the store, so two lists of one revision may differ; a host that had read later was sent no list any more, stayed with its own, and could not use what it was told of silences, which need equal lists. For servers the revision of a read without a change counts only if nothing was added to what the store holds; it is kept apart from that of the last change, by which lists are sent. KnowledgeTest passes.

--- a/src/main/java/org/auburnhoist/gateway/Knowledge.java
+++ b/src/main/java/org/auburnhoist/gateway/Knowledge.java
@@ -40,7 +40,11 @@
     private Map<String, UpstreamServer> serversById = Map.of();
     private Map<String, List<UpstreamServer>> serversByService = Map.of();
     private byte[] serversDocument = NOTHING;
+    /** When the servers last changed. */
     private long serversRevision;
+    /** Up to when they are known not to have changed since. */
+    private long serversKnownRevision;
+
     private long serversReadRevision;
     private List<FleetMember> members = List.of();
     private byte[] membersDocument = NOTHING;
@@ -127,8 +131,12 @@
         }
     }
 
-    /** Takes over the servers that the store held at a revision, read at or after {@code readNanos}. */
-    void serversRead(List<UpstreamServer> read, long revision, long readNanos, String source) {
+    /**
+     * Takes over the servers that the store held at a revision, read at or after {@code readNanos}.
+     *
+     * @param complete whether these are the store's servers alone, without known ones that may only have lapsed
+     */
+    void serversRead(List<UpstreamServer> read, boolean complete, long revision, long readNanos, String source) {
         storeRead(readNanos);
         if (revision < serversReadRevision) {
             return;
@@ -138,6 +146,9 @@
         sorted.sort(Comparator.comparing(UpstreamServer::id));
         if (!isSameForUse(sorted, servers)) {
             adoptServers(sorted, FleetDocuments.servers(sorted), revision, source);
+        } else if (complete) {
+            // What was read later without a change is newer than what another host adopted in between.
+            serversKnownRevision = revision;
         }
     }
 
@@ -148,6 +159,7 @@
         serversByService = next.stream().collect(Collectors.groupingBy(UpstreamServer::service));
         serversDocument = document;
         serversRevision = revision;
+        serversKnownRevision = revision;
         serversReadRevision = Math.max(serversReadRevision, revision);
         serversChanged.run();
     }
@@ -191,8 +203,8 @@
 
     /** What this host tells a coordinator. */
     StatusReport report(boolean ready) {
-        // What was read later without a change is newer than what another host adopted in between.
-        return new StatusReport(ready, router.configuration().version(), serversReadRevision, membersReadRevision);
+        // Members that are heard of stay listed without an entry, so lists of one revision may differ between hosts.
+        return new StatusReport(ready, router.configuration().version(), serversKnownRevision, membersRevision);
     }
 
     /** What a reporting host does not know yet. */
@@ -221,7 +233,7 @@
             if (digest.configuration().length > 0) {
                 configurationRead(FleetDocuments.inflate(digest.configuration()), from);
             }
-            if (digest.members().length > 0 && digest.membersRevision() > membersReadRevision) {
+            if (digest.members().length > 0 && digest.membersRevision() > membersRevision) {
                 adoptMembers(
                         FleetDocuments.members(digest.members()),
                         digest.members(),
@@ -229,7 +241,7 @@
                         from,
                         nowNanos);
             }
-            if (digest.servers().length > 0 && digest.serversRevision() > serversReadRevision) {
+            if (digest.servers().length > 0 && digest.serversRevision() > serversKnownRevision) {
                 adoptServers(
                         FleetDocuments.servers(digest.servers()), digest.servers(), digest.serversRevision(), from);
             }
--- a/src/main/java/org/auburnhoist/gateway/StoreFeed.java
+++ b/src/main/java/org/auburnhoist/gateway/StoreFeed.java
@@ -155,8 +155,9 @@
                                 servers.add(server);
                             }
                         });
-                        knowledge.serversRead(
-                                withRegistrationsDue(servers, now), found.revision(), startedNanos, "store");
+                        List<UpstreamServer> due = withRegistrationsDue(servers, now);
+                        boolean complete = due.size() == servers.size();
+                        knowledge.serversRead(due, complete, found.revision(), startedNanos, "store");
                     } else {
                         nextServers = failed("servers", result, now);
                     }
--- a/src/test/java/org/auburnhoist/gateway/KnowledgeTest.java
+++ b/src/test/java/org/auburnhoist/gateway/KnowledgeTest.java
@@ -95,7 +95,7 @@
     private static StatusDigest toldAt(long nowNanos, Knowledge asking) {
         Knowledge coordinator = started("host-1");
         coordinator.configurationRead(configuration(4), "store");
-        coordinator.serversRead(List.of(SERVER), 40, 10 * SECOND, "store");
+        coordinator.serversRead(List.of(SERVER), true, 40, 10 * SECOND, "store");
         return coordinator.digestFor(asking.report(false), true, nowNanos);
     }
 
@@ -116,7 +116,7 @@
         assertEquals(List.of(), starting.servers());
         assertTrue(starting.hasPassedOverOldDigest());
         starting.configurationRead(configuration(5), "store");
-        starting.serversRead(List.of(), 50, 20 * SECOND, "store");
+        starting.serversRead(List.of(), true, 50, 20 * SECOND, "store");
         starting.digestReceived(toldAt(21 * SECOND, starting), "host-1", 21 * SECOND, 21 * SECOND);
         assertEquals(5, starting.router().configuration().version());
         assertEquals(List.of(), starting.servers());
@@ -126,9 +126,9 @@
     @Test
     void whatWasReadLaterIsKeptAlsoIfItWasNoChange() {
         Knowledge running = started("host-2");
-        running.serversRead(List.of(), 30, 5 * SECOND, "store");
+        running.serversRead(List.of(), true, 30, 5 * SECOND, "store");
         StatusDigest early = toldAt(11 * SECOND, running);
-        running.serversRead(List.of(), 50, 11 * SECOND, "store");
+        running.serversRead(List.of(), true, 50, 11 * SECOND, "store");
         running.digestReceived(early, "host-1", 11 * SECOND, 12 * SECOND);
         assertEquals(List.of(), running.servers());
         assertEquals(0, toldAt(12 * SECOND, running).servers().length);
@@ -149,7 +149,7 @@
     void aRunningHostTakesOverWhatIsNewerThanItsOwn() {
         Knowledge running = started("host-2");
         running.configurationRead(configuration(3), "store");
-        running.serversRead(List.of(), 30, 5 * SECOND, "store");
+        running.serversRead(List.of(), true, 30, 5 * SECOND, "store");
         running.digestReceived(toldAt(20 * SECOND, running), "host-1", 20 * SECOND, 20 * SECOND);
         assertEquals(4, running.router().configuration().version());
         assertEquals(List.of(SERVER), running.servers());
