Test that differing lists of members are replaced, and keep one copy of a request's wait

The time that a request has waited was computed in two classes; it is now a function of the request. Three comments named intervals of 50 and 100 ms at which ticks no longer come. Tests run: KnowledgeTest, FruitlessSearchesTest, LongQueueTest, PriorityDispatcherTest, FailingServersTest, all passed.

--- a/src/main/java/org/auburnhoist/core/dispatch/FruitlessSearches.java
+++ b/src/main/java/org/auburnhoist/core/dispatch/FruitlessSearches.java
@@ -46,11 +46,11 @@
     /** Whether a request like this one found no server. */
     boolean include(WaitingRequest waiting) {
         Long longest = longestWaits.get(kindOf(waiting));
-        return longest != null && waitedNanos(waiting) <= longest;
+        return longest != null && waiting.waitedNanos(nowNanos) <= longest;
     }
 
     void add(WaitingRequest waiting) {
-        longestWaits.merge(kindOf(waiting), waitedNanos(waiting), Math::max);
+        longestWaits.merge(kindOf(waiting), waiting.waitedNanos(nowNanos), Math::max);
     }
 
     private Kind kindOf(WaitingRequest waiting) {
@@ -63,8 +63,4 @@
                 request.terms().returnsTo(),
                 judge.doubtsPathsOf(waiting.asking()) ? waiting.asking() : null);
     }
-
-    private long waitedNanos(WaitingRequest waiting) {
-        return nowNanos - waiting.deadlineNanos() + waiting.request().deadlineMillis() * 1_000_000L;
-    }
 }
--- a/src/main/java/org/auburnhoist/core/dispatch/ServerChooser.java
+++ b/src/main/java/org/auburnhoist/core/dispatch/ServerChooser.java
@@ -159,7 +159,7 @@
     UpstreamServer choose(WaitingRequest waiting, Set<String> barred, long nowNanos) {
         SlotRequest request = waiting.request();
         Floor floor = standings(nowNanos).floor();
-        boolean pressed = waitedSeconds(waiting, nowNanos) >= LAST_RESORT_SHARE * targetSeconds(request);
+        boolean pressed = waiting.waitedNanos(nowNanos) / 1e9 >= LAST_RESORT_SHARE * targetSeconds(request);
         ServerUse best = null;
         Candidate bestCandidate = null;
         for (ServerUse use : servers.values()) {
@@ -217,7 +217,7 @@
             return false;
         }
         double allowedSeconds = WAITING_SHARE * targetSeconds(request);
-        double waitedSeconds = waitedSeconds(waiting, nowNanos);
+        double waitedSeconds = waiting.waitedNanos(nowNanos) / 1e9;
         int provenBusy = standings(nowNanos).provenBusy();
         return provenBusy > 0 && waitedSeconds + rate.holdSeconds(request.trafficClass()) / provenBusy < allowedSeconds;
     }
@@ -227,10 +227,6 @@
         return (target > 0 ? Math.min(target, request.deadlineMillis()) : request.deadlineMillis()) / 1e3;
     }
 
-    private static double waitedSeconds(WaitingRequest waiting, long nowNanos) {
-        return (nowNanos - waiting.deadlineNanos()) / 1e9 + waiting.request().deadlineMillis() / 1e3;
-    }
-
     /** A server's suitability for a request, or null if it must not get it. */
     private @Nullable Candidate candidate(
             WaitingRequest waiting, ServerUse use, Floor floor, boolean pressed, long nowNanos) {
--- a/src/main/java/org/auburnhoist/core/dispatch/WaitingRequest.java
+++ b/src/main/java/org/auburnhoist/core/dispatch/WaitingRequest.java
@@ -11,4 +11,11 @@
  * @param replyToken identifies it in its decision
  * @param deadlineNanos when a grant stops being of use
  */
-record WaitingRequest(SlotRequest request, HostId asking, long replyToken, long deadlineNanos) {}
+record WaitingRequest(SlotRequest request, HostId asking, long replyToken, long deadlineNanos) {
+    private static final long MILLI = 1_000_000L;
+
+    /** For how long it has waited, in nanoseconds. */
+    long waitedNanos(long nowNanos) {
+        return nowNanos - deadlineNanos + request.deadlineMillis() * MILLI;
+    }
+}
--- a/src/main/java/org/auburnhoist/gateway/FleetSync.java
+++ b/src/main/java/org/auburnhoist/gateway/FleetSync.java
@@ -78,7 +78,7 @@
         return knowledge.digestFor(report, ready.getAsBoolean(), nowNanos);
     }
 
-    /** Sends the next report when it is due; to be called about every 50 ms. */
+    /** Sends the next report when it is due; to be called a few times a second. */
     void tick(long nowNanos) {
         if (reporting || nextReport - nowNanos > 0) {
             return;
--- a/src/main/java/org/auburnhoist/gateway/MembershipLease.java
+++ b/src/main/java/org/auburnhoist/gateway/MembershipLease.java
@@ -57,7 +57,7 @@
         return registered && !member.leaving() && validUntilNanos - SAFETY_NANOS - nowNanos > 0;
     }
 
-    /** Registers or renews when it is time; to be called about every 100 ms. */
+    /** Registers or renews when it is time; to be called a few times a second. */
     void tick(long nowNanos) {
         if (busy || ended || nextActionNanos - nowNanos > 0) {
             return;
--- a/src/main/java/org/auburnhoist/gateway/StoreFeed.java
+++ b/src/main/java/org/auburnhoist/gateway/StoreFeed.java
@@ -83,7 +83,7 @@
         waitUntil = nowNanos + START_WAIT_NANOS;
     }
 
-    /** Reads what is due; to be called about every 50 ms. */
+    /** Reads what is due; to be called a few times a second. */
     void tick(boolean coordinator, long nowNanos) {
         long age = knowledge.storeAgeNanos(nowNanos);
         boolean tooOld = age > Knowledge.TOO_OLD_NANOS || !knowledge.hasConfiguration();
--- a/src/test/java/org/auburnhoist/gateway/KnowledgeTest.java
+++ b/src/test/java/org/auburnhoist/gateway/KnowledgeTest.java
@@ -82,9 +82,16 @@
         }
     }
 
+    private static FleetMember member(String name) {
+        return new FleetMember(new HostId(name, 1), "10.0.0.1:1", "10.0.0.1:2", "a", false, 1);
+    }
+
     private static Knowledge started(String name) {
-        FleetMember self = new FleetMember(new HostId(name, 1), "10.0.0.1:1", "10.0.0.1:2", "a", false, 1);
-        return new Knowledge(new VersionOnly(), new FleetView(self), () -> {}, () -> {}, () -> {});
+        return started(new FleetView(member(name)));
+    }
+
+    private static Knowledge started(FleetView fleet) {
+        return new Knowledge(new VersionOnly(), fleet, () -> {}, () -> {}, () -> {});
     }
 
     private static byte[] configuration(long version) {
@@ -134,6 +141,21 @@
         assertEquals(0, toldAt(12 * SECOND, running).servers().length);
     }
 
+    /** Guards against a list of members that stays another one, so that nothing is learned of who is heard of. */
+    @Test
+    void aListOfMembersThatDiffersIsReplacedAlsoAfterALaterReadWithoutAChange() {
+        FleetView fleet = new FleetView(member("host-2"));
+        Knowledge running = started(fleet);
+        Knowledge coordinator = started("host-1");
+        List<FleetMember> heardOf = List.of(member("host-1"), member("host-2"), member("host-3"));
+        running.membersRead(List.of(member("host-1"), member("host-2")), 30, "store", 5 * SECOND);
+        coordinator.membersRead(heardOf, 40, "store", 8 * SECOND);
+        running.membersRead(List.of(member("host-1"), member("host-2")), 50, "store", 11 * SECOND);
+        StatusDigest digest = coordinator.digestFor(running.report(true), true, 12 * SECOND);
+        running.digestReceived(digest, "host-1", 12 * SECOND, 12 * SECOND);
+        assertEquals(heardOf, fleet.members());
+    }
+
     /** Guards against hosts that serve nobody while the store is away for all. */
     @Test
     void whatOthersKnowIsUsedWhereTheStoreCannotBeRead() {
