--- a/src/main/java/org/auburnhoist/core/dispatch/PriorityDispatcher.java
+++ b/src/main/java/org/auburnhoist/core/dispatch/PriorityDispatcher.java
@@ -136,6 +136,16 @@
         return chooser.avoidedNanos(server, nowNanos) / MILLI;
     }
 
+    /** The further attempts of the last ten seconds against what is allowed. */
+    public RetryBudget.Usage retries(long nowNanos) {
+        return budget.usage(nowNanos);
+    }
+
+    /** How many sound servers are in use against the number that the floor needs. */
+    public FloorUse floorUse(long nowNanos) {
+        return chooser.floorUse(nowNanos);
+    }
+
     /** Number of requests that wait for a slot. */
     public int waiting() {
         return queue.size();
--- a/src/main/java/org/auburnhoist/core/dispatch/RetryBudget.java
+++ b/src/main/java/org/auburnhoist/core/dispatch/RetryBudget.java
@@ -67,6 +67,25 @@
     /** Decides about a further attempt by the recent traffic alone, and counts it if allowed. */
     public boolean tryFurtherAttempt(long nowNanos) {
         int slot = slot(nowNanos);
+        Usage usage = usage(nowNanos);
+        if (usage.retries() + 1 > usage.allowed()) {
+            return false;
+        }
+        retries[slot]++;
+        return true;
+    }
+
+    /**
+     * What was counted in the last 10 s.
+     *
+     * @param requests first attempts
+     * @param retries further attempts
+     * @param allowed most further attempts for these requests
+     */
+    public record Usage(int requests, int retries, double allowed) {}
+
+    /** What was counted in the last 10 s. */
+    public Usage usage(long nowNanos) {
         int recentRequests = 0;
         int recentRetries = 0;
         long present = Math.floorDiv(nowNanos, SECOND_NANOS);
@@ -76,11 +95,8 @@
                 recentRetries += retries[index];
             }
         }
-        if (recentRetries + 1 > Math.max(leastPerWindow, share * recentRequests + slackPerWindow)) {
-            return false;
-        }
-        retries[slot]++;
-        return true;
+        double allowed = Math.max(leastPerWindow, share * recentRequests + slackPerWindow);
+        return new Usage(recentRequests, recentRetries, allowed);
     }
 
     private int slot(long nowNanos) {
--- a/src/main/java/org/auburnhoist/core/dispatch/ServerChooser.java
+++ b/src/main/java/org/auburnhoist/core/dispatch/ServerChooser.java
@@ -395,6 +395,11 @@
         return new Floor((int) Math.ceil(sound * Math.min(1, floorShare + FLOOR_MARGIN)), inUse, fair);
     }
 
+    FloorUse floorUse(long nowNanos) {
+        Floor floor = floor(nowNanos);
+        return new FloorUse(floor.needed(), floor.inUse(), served.unservedShare(nowNanos));
+    }
+
     /** Slots of the servers that are not avoided. */
     int usableSlots(long nowNanos) {
         int slots = 0;
--- a/src/main/java/org/auburnhoist/gateway/SlotBroker.java
+++ b/src/main/java/org/auburnhoist/gateway/SlotBroker.java
@@ -9,8 +9,10 @@
 import java.util.function.BiConsumer;
 import java.util.random.RandomGenerator;
 import org.auburnhoist.core.HostId;
+import org.auburnhoist.core.dispatch.FloorUse;
 import org.auburnhoist.core.dispatch.PriorityDispatcher;
 import org.auburnhoist.core.dispatch.PriorityDispatcherSettings;
+import org.auburnhoist.core.dispatch.RetryBudget;
 import org.auburnhoist.core.dispatch.SlotDecision;
 import org.auburnhoist.core.membership.FleetMember;
 import org.auburnhoist.core.membership.FleetView;
@@ -41,6 +43,9 @@
     private static final long QUIET_NANOS = Duration.ofMillis(150).toNanos();
     private static final Duration PROBE_TIMEOUT = Duration.ofMillis(250);
     private static final long SUSPECT_NANOS = Duration.ofSeconds(2).toNanos();
+    /** How often the state of a service is logged at most. */
+    private static final long REPORT_NANOS = Duration.ofSeconds(1).toNanos();
+
     private static final Duration RELEASE_TIMEOUT = Duration.ofSeconds(2);
     private static final int MOST_DISPATCHERS_ASKED = 2;
     private static final long REFUSED_RETRY_MILLIS = 300;
@@ -69,11 +74,35 @@
 
     /** A dispatcher with the requests that wait for its decisions. */
     private static final class Dispatch {
+        final String service;
         final PriorityDispatcher dispatcher;
         final Map<Long, CompletableFuture<SlotAnswer>> replies = new HashMap<>();
+        private long reportedNanos;
 
-        Dispatch(PriorityDispatcher dispatcher) {
+        Dispatch(String service, PriorityDispatcher dispatcher, long nowNanos) {
+            this.service = service;
             this.dispatcher = dispatcher;
+            this.reportedNanos = nowNanos;
+        }
+
+        /** Logs, once a second while requests come, what the decisions together amount to. */
+        void report(long nowNanos) {
+            if (nowNanos - reportedNanos < REPORT_NANOS) {
+                return;
+            }
+            reportedNanos = nowNanos;
+            RetryBudget.Usage retries = dispatcher.retries(nowNanos);
+            FloorUse floor = dispatcher.floorUse(nowNanos);
+            Event.named("dispatch-state")
+                    .with("service", service)
+                    .with("requests", retries.requests())
+                    .with("retries", retries.retries())
+                    .with("retries_allowed", Math.round(retries.allowed()))
+                    .with("servers_needed", floor.needed())
+                    .with("servers_in_use", floor.inUse())
+                    .with("unserved_percent", Math.round(100 * floor.unservedShare()))
+                    .with("waiting_requests", dispatcher.waiting())
+                    .routine();
         }
 
         boolean isActive() {
@@ -245,25 +274,32 @@
         dispatch.replies.put(token, reply);
         startTicking();
         dispatch.complete(dispatch.dispatcher.request(request, asking, token, nowNanos));
+        dispatch.report(nowNanos);
         return reply;
     }
 
     private Dispatch dispatch(String service, long nowNanos) {
-        return dispatches.computeIfAbsent(service, name -> create(name, DISPATCHER_SHARE_OF_SLACK, nowNanos));
+        return dispatches.computeIfAbsent(service, name -> create(name, "dispatcher", DISPATCHER_SHARE_OF_SLACK, nowNanos));
     }
 
     private Dispatch localChoice(String service, long nowNanos) {
         double share = LOCAL_SHARE_OF_SLACK / Math.max(1, fleet.members().size());
-        return localChoices.computeIfAbsent(service, name -> create(name, share, nowNanos));
+        return localChoices.computeIfAbsent(service, name -> create(name, "local-choice", share, nowNanos));
     }
 
-    private Dispatch create(String service, double shareOfSlack, long nowNanos) {
+    private Dispatch create(String service, String kind, double shareOfSlack, long nowNanos) {
+        Event.named("dispatch-started")
+                .with("service", service)
+                .with("kind", kind)
+                .with("members", fleet.members().size())
+                .with("retry_slack", Math.round(shareOfSlack * settings.retrySlack()))
+                .log();
         PriorityDispatcherSettings dispatcherSettings = new PriorityDispatcherSettings(
                 SHARE_OF_RETRIES * settings.retryShare(),
                 shareOfSlack * settings.retrySlack(),
                 settings.floorShare(),
                 FIRST_HOLD_TIME);
-        Dispatch created = new Dispatch(new PriorityDispatcher(dispatcherSettings, random));
+        Dispatch created = new Dispatch(service, new PriorityDispatcher(dispatcherSettings, random), nowNanos);
         created.dispatcher.servers(knowledge.serversOf(service), nowNanos);
         return created;
     }
