--- a/src/main/java/org/auburnhoist/core/dispatch/PriorityDispatcher.java
+++ b/src/main/java/org/auburnhoist/core/dispatch/PriorityDispatcher.java
@@ -40,7 +40,7 @@
     public PriorityDispatcher(PriorityDispatcherSettings settings, RandomGenerator random) {
         this.grants = new GrantTable(random.nextLong());
         this.rate = new ServiceRate(settings.firstHoldTime());
-        this.chooser = new ServerChooser(settings.floorShare(), grants, rate, served, random);
+        this.chooser = new ServerChooser(settings.floor(), grants, rate, served, random);
     }
 
     /** Takes over the registered servers of the service. */
--- a/src/main/java/org/auburnhoist/core/dispatch/PriorityDispatcherSettings.java
+++ b/src/main/java/org/auburnhoist/core/dispatch/PriorityDispatcherSettings.java
@@ -5,7 +5,7 @@
 /**
  * Settings of a {@link PriorityDispatcher}.
  *
- * @param floorShare share of the sound servers that must stay in use while requests fail, from 0 to 1
+ * @param floor which part of the servers must stay in use
  * @param firstHoldTime assumed time that a request takes until the first one has ended
  */
-public record PriorityDispatcherSettings(double floorShare, Duration firstHoldTime) {}
+public record PriorityDispatcherSettings(FloorTerms floor, Duration firstHoldTime) {}
--- a/src/main/java/org/auburnhoist/core/dispatch/ServerChooser.java
+++ b/src/main/java/org/auburnhoist/core/dispatch/ServerChooser.java
@@ -49,6 +49,9 @@
     private static final long QUICK_FAILURE_NANOS = 60 * MILLI;
 
     private final double floorShare;
+    /** How long a server is taken as disturbed after the last sign of it. */
+    private final long disturbedNanos;
+
     private final GrantTable grants;
     private final ServiceRate rate;
     private final ServedShare served;
@@ -90,14 +93,15 @@
     /**
      * A chooser without servers.
      *
-     * @param floorShare share of the servers that is kept in use, from 0 to 1
+     * @param floor which part of the servers is kept in use
      * @param grants the service's grants in use
      * @param rate how long its requests take
      * @param served the share of its recent requests that were served
      * @param random breaks ties
      */
-    ServerChooser(double floorShare, GrantTable grants, ServiceRate rate, ServedShare served, RandomGenerator random) {
-        this.floorShare = floorShare;
+    ServerChooser(FloorTerms floor, GrantTable grants, ServiceRate rate, ServedShare served, RandomGenerator random) {
+        this.floorShare = floor.share();
+        this.disturbedNanos = floor.soundAfter().toNanos();
         this.grants = grants;
         this.rate = rate;
         this.served = served;
@@ -257,9 +261,11 @@
         if (standing == SpellJudge.Standing.ON_TRIAL && !idle) {
             return null;
         }
-        boolean neededForFloor = floor.isShort() && nowNanos - use.lastGrantNanos > IN_USE_NANOS;
+        boolean neededForFloor = floor.isShort()
+                && nowNanos - use.lastGrantNanos > IN_USE_NANOS
+                && (floor.needsDisturbed() || isUndisturbed(id, nowNanos));
         if (standing == SpellJudge.Standing.ON_TRIAL) {
-            return neededForFloor && floor.needsTrials() ? ServerRank.DUE_ON_TRIAL : ServerRank.ON_TRIAL;
+            return neededForFloor ? ServerRank.DUE_ON_TRIAL : ServerRank.ON_TRIAL;
         }
         if (neededForFloor || isIntroductionDue(use, nowNanos)) {
             return ServerRank.DUE;
@@ -344,18 +350,21 @@
     /**
      * How the floor of servers in use is kept at a time.
      *
-     * @param needed number of servers that must be in use
-     * @param inUse number of sound servers in use
-     * @param fair number of servers against which nothing speaks
+     * <p>Which of the disturbed servers count for the floor is not known here. So the undisturbed ones in use must be
+     * enough also if just those of the disturbed ones count that are not in use.
+     *
+     * @param needed number of undisturbed servers that must be in use
+     * @param inUse number of undisturbed servers in use
+     * @param undisturbed number of undisturbed servers
      */
-    private record Floor(int needed, int inUse, int fair) {
+    private record Floor(int needed, int inUse, int undisturbed) {
         boolean isShort() {
             return inUse < needed;
         }
 
-        /** Whether servers that have failed must be tried, since all others together are too few. */
-        boolean needsTrials() {
-            return fair < needed;
+        /** Whether disturbed servers must be used too, since all others together are too few. */
+        boolean needsDisturbed() {
+            return undisturbed < needed;
         }
     }
 
@@ -380,19 +389,28 @@
     }
 
     private Floor floor(long nowNanos) {
-        int sound = 0;
-        int inUse = 0;
-        int fair = 0;
+        int undisturbed = 0;
+        int undisturbedInUse = 0;
+        int disturbedUnused = 0;
         for (ServerUse use : servers.values()) {
             String id = use.server.id();
             if (use.server.leaving() || judge.hasFailedSince(id, nowNanos - SOUND_AGAIN_NANOS)) {
                 continue;
             }
-            sound++;
-            inUse += use.everGranted && nowNanos - use.lastGrantNanos <= IN_USE_NANOS ? 1 : 0;
-            fair += judge.isFailing(id) ? 0 : 1;
+            boolean inUse = use.everGranted && nowNanos - use.lastGrantNanos <= IN_USE_NANOS;
+            if (isUndisturbed(id, nowNanos)) {
+                undisturbed++;
+                undisturbedInUse += inUse ? 1 : 0;
+            } else {
+                disturbedUnused += inUse ? 0 : 1;
+            }
         }
-        return new Floor((int) Math.ceil(sound * Math.min(1, floorShare + FLOOR_MARGIN)), inUse, fair);
+        double share = Math.min(1, floorShare + FLOOR_MARGIN);
+        return new Floor((int) Math.ceil(share * (undisturbed + disturbedUnused)), undisturbedInUse, undisturbed);
+    }
+
+    private boolean isUndisturbed(String id, long nowNanos) {
+        return !judge.isFailing(id) && !judge.hadTroubleSince(id, nowNanos - disturbedNanos);
     }
 
     FloorUse floorUse(long nowNanos) {
--- a/src/main/java/org/auburnhoist/core/dispatch/SpellJudge.java
+++ b/src/main/java/org/auburnhoist/core/dispatch/SpellJudge.java
@@ -70,6 +70,13 @@
         HostId unreachedBy;
 
         long unreachedAt;
+        boolean everTroubled;
+        long lastTrouble;
+
+        void troubled(long nowNanos) {
+            everTroubled = true;
+            lastTrouble = nowNanos;
+        }
     }
 
     private static final class PathTrack {
@@ -139,6 +146,7 @@
             track.slowness += NEWEST_SLOWNESS * (Math.min(ratio, 10) - track.slowness);
             if (track.slowness > SLOW_FACTOR) {
                 track.slow = true;
+                track.troubled(nowNanos);
                 track.slowUntil = nowNanos + SLOW_NANOS;
             } else {
                 track.slow = false;
@@ -154,6 +162,7 @@
         track.failed = true;
         track.everFailed = true;
         track.lastFailure = nowNanos;
+        track.troubled(nowNanos);
         avoid(track, nowNanos + (long) avoidanceNanos);
     }
 
@@ -168,6 +177,7 @@
         boolean othersSucceed = track.succeeded && nowNanos - track.lastSuccess < SAME_TROUBLE_NANOS;
         track.unreachedBy = observation.host();
         track.unreachedAt = nowNanos;
+        track.troubled(nowNanos);
         // A lost connection was a working path a moment before, so it is the server's more likely than the path's.
         if (byAnother || !othersSucceed || observation.outcome() == AttemptOutcome.CONNECTION_LOST) {
             failed(track, nowNanos);
@@ -226,6 +236,12 @@
         return track != null && track.everFailed && track.lastFailure - sinceNanos >= 0;
     }
 
+    /** Whether a server has failed, been slow or not been reached by some host at or after a time. */
+    boolean hadTroubleSince(String server, long sinceNanos) {
+        Track track = tracks.get(server);
+        return track != null && track.everTroubled && track.lastTrouble - sinceNanos >= 0;
+    }
+
     /** Whether no request has succeeded at a server since it last failed. */
     boolean isFailing(String server) {
         Track track = tracks.get(server);
--- a/src/main/java/org/auburnhoist/gateway/GatewaySettings.java
+++ b/src/main/java/org/auburnhoist/gateway/GatewaySettings.java
@@ -2,6 +2,7 @@
 
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import org.auburnhoist.core.dispatch.FloorTerms;
 import org.auburnhoist.core.dispatch.RetryTolerance;
 import org.auburnhoist.core.limit.IsolatedAllowance;
 import org.jspecify.annotations.Nullable;
@@ -20,7 +21,7 @@
  * @param stopLimit time that a planned stop may take
  * @param quotaTolerance excess over teams' limits that the deployment tolerates
  * @param retryTolerance further attempts that each service tolerates over all hosts
- * @param floorShare share of the sound servers that must stay in use
+ * @param floor which part of the servers must stay in use
  * @param firstStart whether the whole fleet starts for the first time
  */
 public record GatewaySettings(
@@ -35,5 +36,5 @@
         Duration stopLimit,
         IsolatedAllowance.Tolerance quotaTolerance,
         RetryTolerance retryTolerance,
-        double floorShare,
+        FloorTerms floor,
         boolean firstStart) {}
--- a/src/main/java/org/auburnhoist/gateway/SlotBroker.java
+++ b/src/main/java/org/auburnhoist/gateway/SlotBroker.java
@@ -225,7 +225,7 @@
                 .with("members", fleet.members().size())
                 .log();
         PriorityDispatcherSettings dispatcherSettings =
-                new PriorityDispatcherSettings(settings.floorShare(), FIRST_HOLD_TIME);
+                new PriorityDispatcherSettings(settings.floor(), FIRST_HOLD_TIME);
         ServiceDispatch created =
                 new ServiceDispatch(service, new PriorityDispatcher(dispatcherSettings, random), nowNanos);
         created.servers(knowledge.serversOf(service), nowNanos);
--- a/src/main/java/org/auburnhoist/platform/BootFile.java
+++ b/src/main/java/org/auburnhoist/platform/BootFile.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import org.auburnhoist.core.configuration.NetworkAddress;
+import org.auburnhoist.core.dispatch.FloorTerms;
 import org.auburnhoist.core.dispatch.RetryTolerance;
 import org.auburnhoist.core.limit.IsolatedAllowance;
 import org.auburnhoist.gateway.GatewaySettings;
@@ -28,6 +29,8 @@
 public record BootFile(GatewaySettings settings, InetSocketAddress storeAddress) {
     /** Callers keep addresses up to three times as long; short answers let a stopping host drain in time. */
     private static final double LONGEST_ADDRESS_SECONDS = 2;
+    /** A server counts as sound this many contact times after a disturbance, as the rules of the platform say. */
+    private static final int CONTACTS_UNTIL_SOUND = 2;
 
     /**
      * A setting that cannot be used.
@@ -118,7 +121,8 @@
                     bound("quota_slack", 0, 1e6, 20));
             double retryShare = bound("retry_budget_ratio", 0, 10, 0.2);
             double retrySlack = bound("retry_budget_slack", 0, 1e6, 50);
-            double floor = bound("floor_share", 0, 1, 0.7);
+            double floorShare = bound("floor_share", 0, 1, 0.7);
+            double contactMillis = bound("contact_ms", 100, 60_000, 3_000);
             if (!findings.isEmpty() || front == null || store == null) {
                 return null;
             }
@@ -134,7 +138,7 @@
                     Duration.ofMillis((long) (grace * 1000)),
                     tolerance,
                     new RetryTolerance(retryShare, retrySlack),
-                    floor,
+                    new FloorTerms(floorShare, Duration.ofMillis((long) (CONTACTS_UNTIL_SOUND * contactMillis))),
                     Boolean.TRUE.equals(value("self.bootstrap")));
             return new BootFile(settings, store);
         }
--- a/src/test/java/org/auburnhoist/core/dispatch/LongQueueTest.java
+++ b/src/test/java/org/auburnhoist/core/dispatch/LongQueueTest.java
@@ -36,8 +36,9 @@
     /** At 235 bookings a second, on a host with three quarters of a core, this leaves half of it for all else. */
     private static final Duration ALLOWED = Duration.ofMillis(800);
 
-    private final PriorityDispatcher dispatcher =
-            new PriorityDispatcher(new PriorityDispatcherSettings(0.7, Duration.ofMillis(690)), new Random(3));
+    private final PriorityDispatcher dispatcher = new PriorityDispatcher(
+            new PriorityDispatcherSettings(new FloorTerms(0.7, Duration.ofSeconds(6)), Duration.ofMillis(690)),
+            new Random(3));
     private final Deque<Long> held = new ArrayDeque<>();
     private long nextToken;
 
--- a/src/test/java/org/auburnhoist/core/dispatch/PriorityDispatcherTest.java
+++ b/src/test/java/org/auburnhoist/core/dispatch/PriorityDispatcherTest.java
@@ -32,8 +32,9 @@
     private static final HostId HOST = new HostId("host-1", 1);
     private static final HostId OTHER = new HostId("host-2", 2);
 
-    private final PriorityDispatcher dispatcher =
-            new PriorityDispatcher(new PriorityDispatcherSettings(0.7, Duration.ofMillis(200)), new Random(3));
+    private final PriorityDispatcher dispatcher = new PriorityDispatcher(
+            new PriorityDispatcherSettings(new FloorTerms(0.7, Duration.ofSeconds(6)), Duration.ofMillis(200)),
+            new Random(3));
     private final Map<Long, SlotAnswer> answers = new HashMap<>();
     private long nextToken = 1;
 
--- a/src/test/java/org/auburnhoist/core/dispatch/ServiceSimulation.java
+++ b/src/test/java/org/auburnhoist/core/dispatch/ServiceSimulation.java
@@ -84,7 +84,8 @@
         Arrays.fill(grantedAt, Long.MIN_VALUE / 2);
         Arrays.fill(failedAt, Long.MIN_VALUE / 2);
         this.dispatcher = new PriorityDispatcher(
-                new PriorityDispatcherSettings(0.7, Duration.ofMillis(300)), new Random(seed + 1));
+                new PriorityDispatcherSettings(new FloorTerms(0.7, Duration.ofSeconds(6)), Duration.ofMillis(300)),
+                new Random(seed + 1));
         this.budget = new HostRetryBudget(new RetryTolerance(0.2, load.retrySlack()), -20_000 * MILLI, 0);
         List<UpstreamServer> servers = new ArrayList<>();
         for (int number = 0; number < load.servers(); number++) {
--- a/src/test/java/org/auburnhoist/gateway/SlotFleet.java
+++ b/src/test/java/org/auburnhoist/gateway/SlotFleet.java
@@ -16,6 +16,7 @@
 import org.auburnhoist.core.HostId;
 import org.auburnhoist.core.TrafficClass;
 import org.auburnhoist.core.dispatch.AttemptPlan;
+import org.auburnhoist.core.dispatch.FloorTerms;
 import org.auburnhoist.core.dispatch.RetryTolerance;
 import org.auburnhoist.core.limit.IsolatedAllowance;
 import org.auburnhoist.core.membership.FleetMember;
@@ -208,7 +209,7 @@
                 Duration.ofSeconds(5),
                 new IsolatedAllowance.Tolerance(5, 0.1, 20),
                 new RetryTolerance(load.retryShare(), load.retrySlack()),
-                0.7,
+                new FloorTerms(0.7, Duration.ofSeconds(6)),
                 true);
     }
 
--- a/src/test/java/org/auburnhoist/platform/PlatformHostTest.java
+++ b/src/test/java/org/auburnhoist/platform/PlatformHostTest.java
@@ -23,6 +23,7 @@
 import java.util.function.BooleanSupplier;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import org.auburnhoist.core.dispatch.FloorTerms;
 import org.auburnhoist.core.dispatch.RetryTolerance;
 import org.auburnhoist.core.limit.IsolatedAllowance;
 import org.auburnhoist.gateway.GatewaySettings;
@@ -99,7 +100,7 @@
                 Duration.ofSeconds(2),
                 new IsolatedAllowance.Tolerance(5, 0.1, 20),
                 new RetryTolerance(0.2, 60),
-                0.7,
+                new FloorTerms(0.7, Duration.ofSeconds(6)),
                 true);
     }
 
