--- a/src/main/java/org/auburnhoist/proxy/CallerConnection.java
+++ b/src/main/java/org/auburnhoist/proxy/CallerConnection.java
@@ -29,6 +29,7 @@
 
     private final IOSession session;
     private final ProxyServer server;
+    private final BodyGate bodyGate = new BodyGate();
     private volatile @Nullable IOEventHandler handler;
     private volatile boolean wake;
     /** Exchanges in the order of their requests, each until both of its messages are complete. */
@@ -60,6 +61,10 @@
         handler = value;
     }
 
+    BodyGate bodyGate() {
+        return bodyGate;
+    }
+
     ProxyServer server() {
         return server;
     }
--- a/src/main/java/org/auburnhoist/proxy/CallerConnectionFactory.java
+++ b/src/main/java/org/auburnhoist/proxy/CallerConnectionFactory.java
@@ -38,6 +38,7 @@
 
     private static final class Duplexer extends ServerHttp1StreamDuplexer {
         private final int maxTrailerBytes;
+        private final BodyGate gate;
 
         private Duplexer(ProtocolIOSession session, CallerConnection connection) {
             super(
@@ -60,6 +61,7 @@
                     null,
                     ProxyServer::ioFailure);
             this.maxTrailerBytes = connection.server().settings().maxHeadBytes;
+            this.gate = connection.bodyGate();
         }
 
         @Override
@@ -70,9 +72,9 @@
                 return null;
             }
             if (length == ContentLengthStrategy.CHUNKED) {
-                return new CallerBodyDecoder(new ChunkedDecoder(channel, buffer, maxTrailerBytes));
+                return new CallerBodyDecoder(new ChunkedDecoder(gate.guard(channel), buffer, maxTrailerBytes));
             }
-            return super.createContentDecoder(length, channel, buffer, metrics);
+            return super.createContentDecoder(length, gate.guard(channel), buffer, metrics);
         }
     }
 }
--- a/src/main/java/org/auburnhoist/proxy/CallerExchange.java
+++ b/src/main/java/org/auburnhoist/proxy/CallerExchange.java
@@ -69,6 +69,7 @@
     @Override
     public void handleRequest(
             HttpRequest request, @Nullable EntityDetails entity, ResponseChannel channel, HttpContext context) {
+        connection.bodyGate().open();
         connection.exchangeStarted(this);
         server.exchangeStarted();
         responses = channel;
@@ -334,7 +335,7 @@
 
     @Override
     public void updateCapacity(CapacityChannel channel) throws IOException {
-        requestBody.readerWaits(channel);
+        requestBody.readerWaits(connection.bodyGate().closeUntilUpdated(channel));
         bodyProgress();
     }
 
--- a/src/main/java/org/auburnhoist/proxy/UpstreamAttempt.java
+++ b/src/main/java/org/auburnhoist/proxy/UpstreamAttempt.java
@@ -182,7 +182,8 @@
 
     @Override
     public void updateCapacity(CapacityChannel channel) throws IOException {
-        exchange.answerReaderWaits(this, channel);
+        UpstreamConnection used = connection;
+        exchange.answerReaderWaits(this, used == null ? channel : used.closeUntilUpdated(channel));
     }
 
     @Override
--- a/src/main/java/org/auburnhoist/proxy/UpstreamConnection.java
+++ b/src/main/java/org/auburnhoist/proxy/UpstreamConnection.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import org.apache.hc.core5.http.nio.AsyncClientExchangeHandler;
+import org.apache.hc.core5.http.nio.CapacityChannel;
 import org.apache.hc.core5.http.nio.command.RequestExecutionCommand;
 import org.apache.hc.core5.http.protocol.HttpCoreContext;
 import org.apache.hc.core5.io.CloseMode;
@@ -30,6 +31,7 @@
     private final IOSession session;
     private final IOEventHandler handler;
     private final AnswerHeadParser parser;
+    private final BodyGate gate;
     private final UpstreamPool pool;
     Place place = Place.LEASED;
     long idleSinceNanos;
@@ -37,11 +39,17 @@
     private boolean used;
 
     UpstreamConnection(
-            String address, IOSession session, IOEventHandler handler, AnswerHeadParser parser, UpstreamPool pool) {
+            String address,
+            IOSession session,
+            IOEventHandler handler,
+            AnswerHeadParser parser,
+            BodyGate gate,
+            UpstreamPool pool) {
         this.address = address;
         this.session = session;
         this.handler = handler;
         this.parser = parser;
+        this.gate = gate;
         this.pool = pool;
         this.idleLimitNanos = pool.standardIdleNanos();
     }
@@ -82,9 +90,15 @@
         if (parser.hasLeftover() || session.channel().read(ByteBuffer.allocate(1)) != 0) {
             throw new IOException("connection: expected no bytes and no end before a request");
         }
+        gate.open();
         parser.setExchangeRunning(true);
     }
 
+    /** Takes no more bytes of the running answer out of the socket until the receiver has room. */
+    CapacityChannel closeUntilUpdated(CapacityChannel channel) {
+        return gate.closeUntilUpdated(channel);
+    }
+
     /** Ends the exchange; returns whether the connection is in a state that allows another one. */
     boolean endExchange() {
         parser.setExchangeRunning(false);
--- a/src/main/java/org/auburnhoist/proxy/UpstreamConnectionFactory.java
+++ b/src/main/java/org/auburnhoist/proxy/UpstreamConnectionFactory.java
@@ -33,15 +33,17 @@
     @Override
     public IOEventHandler createHandler(ProtocolIOSession session, @Nullable Object attachment) {
         AnswerHeadParser parser = new AnswerHeadParser(settings);
-        ClientHttp1StreamDuplexer duplexer = new Duplexer(session, parser, settings.maxHeadBytes);
+        BodyGate gate = new BodyGate();
+        ClientHttp1StreamDuplexer duplexer = new Duplexer(session, parser, settings.maxHeadBytes, gate);
         return new UpstreamConnection(
-                String.valueOf(attachment), session, new ClientHttp1IOEventHandler(duplexer), parser, pool);
+                String.valueOf(attachment), session, new ClientHttp1IOEventHandler(duplexer), parser, gate, pool);
     }
 
     private static final class Duplexer extends ClientHttp1StreamDuplexer {
         private final int maxTrailerBytes;
+        private final BodyGate gate;
 
-        private Duplexer(ProtocolIOSession session, AnswerHeadParser parser, int maxTrailerBytes) {
+        private Duplexer(ProtocolIOSession session, AnswerHeadParser parser, int maxTrailerBytes, BodyGate gate) {
             super(
                     session,
                     HttpProcessorBuilder.create().build(),
@@ -54,6 +56,7 @@
                     Framing::ofRequest,
                     null);
             this.maxTrailerBytes = maxTrailerBytes;
+            this.gate = gate;
         }
 
         @Override
@@ -64,9 +67,9 @@
                 return null;
             }
             if (length == ContentLengthStrategy.CHUNKED) {
-                return new ChunkedDecoder(channel, buffer, maxTrailerBytes);
+                return new ChunkedDecoder(gate.guard(channel), buffer, maxTrailerBytes);
             }
-            return super.createContentDecoder(length, channel, buffer, metrics);
+            return super.createContentDecoder(length, gate.guard(channel), buffer, metrics);
         }
     }
 }
--- /dev/null
+++ b/src/test/java/org/auburnhoist/proxy/SlowReceiversTest.java
@@ -0,0 +1,98 @@
+package org.auburnhoist.proxy;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.auburnhoist.core.TrafficClass;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** Guards against memory that grows with what a quick sender sends while the receiver does not read. */
+@Timeout(120)
+class SlowReceiversTest extends ProxyBetweenSockets {
+    private static final int AT_ONCE = 100;
+    /** Far more than the windows of all bodies, far less than the senders send in the time of the test. */
+    private static final long MOST_GROWTH_BYTES = 48L << 20;
+
+    private static final String CHUNK = "3e8\r\n" + "a".repeat(1_000) + "\r\n";
+
+    private static long usedBytes() {
+        System.gc();
+        Runtime runtime = Runtime.getRuntime();
+        return runtime.totalMemory() - runtime.freeMemory();
+    }
+
+    private RequestPolicy lookupsOfAnyNumber() {
+        return (head, now) -> CompletableFuture.completedFuture(new Admission.Forwarded(
+                new TestForwarding(TrafficClass.LOOKUP, Duration.ofSeconds(60), upstream.address())
+                        .connectionLimit(AT_ONCE)));
+    }
+
+    private static void assertNoGrowth(long before) throws InterruptedException {
+        Thread.sleep(1_500);
+        long growth = usedBytes() - before;
+        assertTrue(growth < MOST_GROWTH_BYTES, "grew by " + growth + " bytes");
+    }
+
+    @Test
+    void answersThatCallersDoNotRead() throws Exception {
+        upstream = new RawUpstream((connection, number) -> {
+            connection.readHead();
+            connection.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+            while (true) {
+                connection.send(CHUNK);
+            }
+        });
+        List<RawConnection> callers = new ArrayList<>(List.of(start(lookupsOfAnyNumber())));
+        long before = usedBytes();
+        while (callers.size() < AT_ONCE) {
+            callers.add(RawConnection.to(proxy.address()));
+        }
+        for (RawConnection caller : callers) {
+            caller.send(GET);
+            String head = caller.readHead();
+            assertTrue(head.startsWith("HTTP/1.1 200"), head);
+        }
+        assertNoGrowth(before);
+        for (RawConnection caller : callers) {
+            caller.close();
+        }
+    }
+
+    @Test
+    void requestsThatTheServerDoesNotRead() throws Exception {
+        upstream = new RawUpstream((connection, number) -> {
+            connection.readHead();
+            Thread.sleep(60_000);
+        });
+        List<RawConnection> callers = new ArrayList<>(List.of(start(lookupsOfAnyNumber())));
+        long before = usedBytes();
+        while (callers.size() < 10) {
+            callers.add(RawConnection.to(proxy.address()));
+        }
+        for (RawConnection caller : callers) {
+            Thread sender = new Thread(() -> sendForever(caller), "sender");
+            sender.setDaemon(true);
+            sender.start();
+        }
+        assertNoGrowth(before);
+        for (RawConnection caller : callers) {
+            caller.close();
+        }
+    }
+
+    private static void sendForever(RawConnection caller) {
+        try {
+            caller.send("POST /stars HTTP/1.1\r\nHost: fleet\r\nTransfer-Encoding: chunked\r\n\r\n");
+            while (true) {
+                caller.send(CHUNK);
+            }
+        } catch (IOException closed) {
+            // The test is over.
+        }
+    }
+}
