--- a/src/main/java/org/auburnhoist/proxy/ProxySettings.java
+++ b/src/main/java/org/auburnhoist/proxy/ProxySettings.java
@@ -25,6 +25,7 @@
     final int upstreamThreads;
     final int maxHeadBytes;
     final int maxHeaderCount;
+    final int maxInterimAnswers;
     final long maxBodyBytes;
     final Duration headTimeout;
     final Duration bodyTimeout;
@@ -45,6 +46,7 @@
         upstreamThreads = builder.upstreamThreads;
         maxHeadBytes = builder.maxHeadBytes;
         maxHeaderCount = builder.maxHeaderCount;
+        maxInterimAnswers = builder.maxInterimAnswers;
         maxBodyBytes = builder.maxBodyBytes;
         headTimeout = builder.headTimeout;
         bodyTimeout = builder.bodyTimeout;
@@ -72,6 +74,7 @@
         private int upstreamThreads = 2;
         private int maxHeadBytes = 32 * 1024;
         private int maxHeaderCount = 100;
+        private int maxInterimAnswers = 16;
         private long maxBodyBytes = 1L << 30;
         private Duration headTimeout = Duration.ofSeconds(10);
         private Duration bodyTimeout = Duration.ofSeconds(30);
@@ -124,6 +127,12 @@
             return this;
         }
 
+        /** Most interim answers (1xx) that a server may send before its answer to one request. */
+        public Builder maxInterimAnswers(int value) {
+            maxInterimAnswers = atLeastOne("value", value);
+            return this;
+        }
+
         /** Largest request body in bytes. */
         public Builder maxBodyBytes(long value) {
             maxBodyBytes = value;
--- a/src/main/java/org/auburnhoist/proxy/UpstreamAttempt.java
+++ b/src/main/java/org/auburnhoist/proxy/UpstreamAttempt.java
@@ -36,6 +36,7 @@
     private volatile boolean reusedConnection;
     private volatile boolean requestComplete;
     private volatile boolean headReceived;
+    private int interimAnswers;
     private boolean keepAlive;
     private boolean reusable;
 
@@ -155,7 +156,11 @@
 
     @Override
     public void consumeInformation(HttpResponse response, HttpContext context) {
-        // Interim answers concern this connection only.
+        // Interim answers concern this connection only, and say nothing about when the answer comes.
+        interimAnswers++;
+        if (interimAnswers > server.settings().maxInterimAnswers) {
+            fail(AttemptOutcome.CONNECTION_LOST);
+        }
     }
 
     @Override
