--- a/src/main/java/org/auburnhoist/core/dispatch/PriorityDispatcher.java
+++ b/src/main/java/org/auburnhoist/core/dispatch/PriorityDispatcher.java
@@ -90,6 +90,7 @@
             return decisions;
         }
         observe(grant, release, nowNanos);
+        chooser.noticed(grant.server(), asking, release.notice(), nowNanos);
         grantWaiting(decisions, nowNanos);
         return decisions;
     }
@@ -113,7 +114,7 @@
         if (success) {
             rate.released(grant, release.latencyMicros(), nowNanos);
         }
-        if (outcome != AttemptOutcome.ABANDONED) {
+        if (outcome != AttemptOutcome.ABANDONED && outcome != AttemptOutcome.WITHHELD) {
             served.ended(success, nowNanos);
         }
     }
--- a/src/main/java/org/auburnhoist/core/dispatch/ServerChooser.java
+++ b/src/main/java/org/auburnhoist/core/dispatch/ServerChooser.java
@@ -5,6 +5,8 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.random.RandomGenerator;
+import org.auburnhoist.core.HostId;
+import org.auburnhoist.core.message.ServerNotice;
 import org.auburnhoist.core.message.SlotRequest;
 import org.auburnhoist.core.routing.UpstreamServer;
 import org.jspecify.annotations.Nullable;
@@ -68,8 +70,9 @@
      * @param grants number of grants in use then
      * @param floor how the floor is kept
      * @param provenBusy slots in use on servers that count as proven
+     * @param allSayLeaving whether each server has said that it leaves
      */
-    private record Standings(long atNanos, int grants, Floor floor, int provenBusy) {}
+    private record Standings(long atNanos, int grants, Floor floor, int provenBusy, boolean allSayLeaving) {}
 
     private static final class ServerUse {
         UpstreamServer server;
@@ -79,6 +82,8 @@
         long provenNanos;
         boolean everGranted;
         boolean everProven;
+        /** Told by the server in an answer; its registration may say so later or never. */
+        boolean saysLeaving;
 
         ServerUse(UpstreamServer server, long nowNanos) {
             this.server = server;
@@ -131,6 +136,19 @@
         standings = null;
     }
 
+    /** Takes in what a server said to a host about further requests. */
+    void noticed(String server, HostId host, ServerNotice notice, long nowNanos) {
+        ServerUse use = servers.get(server);
+        if (use == null || !notice.isPresent()) {
+            return;
+        }
+        use.saysLeaving |= notice.leaving();
+        if (notice.pauseMillis() > 0) {
+            judge.pause(host, server, nowNanos + notice.pauseMillis() * MILLI);
+        }
+        standings = null;
+    }
+
     long avoidedNanos(String server, long nowNanos) {
         return judge.avoidedNanos(server, nowNanos);
     }
@@ -250,7 +268,13 @@
     private @Nullable ServerRank rank(
             WaitingRequest waiting, ServerUse use, Floor floor, boolean pressed, long nowNanos) {
         String id = use.server.id();
+        if (judge.isPaused(waiting.asking(), id, nowNanos)) {
+            return null;
+        }
         boolean idle = grants.used(id) == 0;
+        if (use.saysLeaving) {
+            return pressed || standings(nowNanos).allSayLeaving() ? ServerRank.AVOIDED : null;
+        }
         if (judge.avoidsPath(waiting.asking(), id, nowNanos)) {
             return pressed ? ServerRank.DOUBTFUL_PATH : null;
         }
@@ -372,7 +396,12 @@
     private Standings standings(long nowNanos) {
         Standings present = standings;
         if (present == null || present.atNanos() != nowNanos || present.grants() != grants.size()) {
-            present = new Standings(nowNanos, grants.size(), floor(nowNanos), provenBusy(nowNanos));
+            present = new Standings(
+                    nowNanos,
+                    grants.size(),
+                    floor(nowNanos),
+                    provenBusy(nowNanos),
+                    servers.values().stream().allMatch(use -> use.server.leaving() || use.saysLeaving));
             standings = present;
         }
         return present;
@@ -394,7 +423,7 @@
         int disturbedUnused = 0;
         for (ServerUse use : servers.values()) {
             String id = use.server.id();
-            if (use.server.leaving() || judge.hasFailedSince(id, nowNanos - SOUND_AGAIN_NANOS)) {
+            if (use.server.leaving() || use.saysLeaving || judge.hasFailedSince(id, nowNanos - SOUND_AGAIN_NANOS)) {
                 continue;
             }
             boolean inUse = use.everGranted && nowNanos - use.lastGrantNanos <= IN_USE_NANOS;
@@ -423,6 +452,7 @@
         int slots = 0;
         for (ServerUse use : servers.values()) {
             if (!use.server.leaving()
+                    && !use.saysLeaving
                     && judge.standing(use.server.id(), Long.MAX_VALUE, nowNanos) != SpellJudge.Standing.AVOIDED) {
                 slots += use.server.slots();
             }
--- a/src/main/java/org/auburnhoist/core/dispatch/SpellJudge.java
+++ b/src/main/java/org/auburnhoist/core/dispatch/SpellJudge.java
@@ -82,6 +82,8 @@
     private static final class PathTrack {
         long avoidedUntil;
         int failures;
+        boolean paused;
+        long pausedUntil;
     }
 
     private final Map<String, Track> tracks = new HashMap<>();
@@ -135,7 +137,9 @@
         track.avoidedUntil = nowNanos;
         track.unreachedBy = null;
         paths.computeIfPresent(observation.host(), (host, ofHost) -> {
-            ofHost.remove(observation.server());
+            ofHost.computeIfPresent(
+                    observation.server(),
+                    (server, path) -> path.paused && path.pausedUntil - nowNanos > 0 ? path : null);
             return ofHost.isEmpty() ? null : ofHost;
         });
     }
@@ -184,6 +188,21 @@
         }
     }
 
+    /** Keeps the requests of one host away from a server for a time that the server named. */
+    void pause(HostId host, String server, long untilNanos) {
+        PathTrack path =
+                paths.computeIfAbsent(host, name -> new HashMap<>()).computeIfAbsent(server, name -> new PathTrack());
+        path.pausedUntil = path.paused && path.pausedUntil - untilNanos > 0 ? path.pausedUntil : untilNanos;
+        path.paused = true;
+    }
+
+    /** Whether a server has asked for no requests from a host now. */
+    boolean isPaused(HostId host, String server, long nowNanos) {
+        Map<String, PathTrack> ofHost = paths.get(host);
+        PathTrack path = ofHost == null ? null : ofHost.get(server);
+        return path != null && path.paused && path.pausedUntil - nowNanos > 0;
+    }
+
     private static void avoid(Track track, long untilNanos) {
         if (untilNanos - track.avoidedUntil > 0) {
             track.avoidedUntil = untilNanos;
--- a/src/main/java/org/auburnhoist/core/message/AttemptOutcome.java
+++ b/src/main/java/org/auburnhoist/core/message/AttemptOutcome.java
@@ -21,5 +21,7 @@
     /** The server stated that it did not run the request. */
     REJECTED,
     /** Another server has taken over the address; it did not run the request. */
-    MISDIRECTED
+    MISDIRECTED,
+    /** Not sent, because the server had asked for no further requests since it was chosen. */
+    WITHHELD
 }
--- a/src/main/java/org/auburnhoist/gateway/GatewayForwarding.java
+++ b/src/main/java/org/auburnhoist/gateway/GatewayForwarding.java
@@ -1,5 +1,6 @@
 package org.auburnhoist.gateway;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
@@ -9,6 +10,7 @@
 import org.auburnhoist.core.dispatch.AttemptPlan;
 import org.auburnhoist.core.message.AttemptOutcome;
 import org.auburnhoist.core.message.RecordedAnswer;
+import org.auburnhoist.core.message.ServerNotice;
 import org.auburnhoist.core.message.SlotRequest;
 import org.auburnhoist.core.message.SlotTerms;
 import org.auburnhoist.core.message.SlotVerdict;
@@ -34,11 +36,21 @@
     /** Slots limit the connections in use; this bounds a host's own share of a server's connections. */
     private static final int MOST_CONNECTIONS = 16;
 
+    /** A dispatcher that grants one such server after the other knows nothing better. */
+    private static final int MOST_UNWANTED = 3;
+
     private final Request request;
     private final GatewayParts parts;
     private final AttemptPlan plan;
     private volatile long fingerprint;
     private SlotBroker.@Nullable Slot slot;
+    /** When the server of the slot was started, as it has registered itself. */
+    private volatile long slotBornMillis;
+
+    private ServerNotice notice = ServerNotice.NONE;
+    private boolean counted;
+    /** Servers that were granted and wanted no request any more. */
+    private final List<String> unwanted = new ArrayList<>();
 
     /**
      * An admitted request.
@@ -129,6 +141,31 @@
             result.complete(new Target.NoTarget(Refusal.SERVICE_OVERLOADED, "no server in time", RETRY_MILLIS));
             return;
         }
+        if (!counted) {
+            counted = true;
+            parts.slots().requestStarted(request.service(), nowNanos);
+        }
+        List<UpstreamServer> registered = parts.knowledge().serversOf(request.service()).stream()
+                .filter(server -> !server.leaving())
+                .toList();
+        List<String> closed = parts.notices().closedAmong(registered, nowNanos);
+        if (!closed.isEmpty() && closed.size() == registered.size()) {
+            long millis = parts.notices().millisUntilOpen(registered, nowNanos, RETRY_MILLIS);
+            result.complete(new Target.NoTarget(
+                    Refusal.SERVICE_OVERLOADED, "all servers have asked for no requests now", millis));
+            return;
+        }
+        List<String> returnsTo = plan.returnsTo().stream()
+                .filter(server -> !closed.contains(server))
+                .toList();
+        if (returnsTo.isEmpty() && !plan.returnsTo().isEmpty()) {
+            result.complete(new Target.NoTarget(
+                    Refusal.SERVICE_OVERLOADED, "the servers that may get the request want none now", RETRY_MILLIS));
+            return;
+        }
+        List<String> excluded = new ArrayList<>(plan.excluded());
+        excluded.addAll(closed);
+        excluded.addAll(unwanted);
         long elapsedMillis = (nowNanos - request.startNanos()) / MILLI;
         long target = request.route().targetLatencyMillis();
         SlotTerms terms = new SlotTerms(
@@ -137,7 +174,7 @@
                 plan.nextNumber(),
                 parts.settings().dataCentre(),
                 connectedServers(),
-                plan.returnsTo());
+                returnsTo);
         SlotRequest wanted = new SlotRequest(
                 request.service(),
                 request.route().name(),
@@ -145,7 +182,7 @@
                 trafficClass(),
                 millisLeft,
                 fingerprint,
-                plan.excluded(),
+                excluded,
                 terms);
         parts.slots().acquire(wanted, nowNanos, (slotResult, now) -> decided(slotResult, now, result));
     }
@@ -167,15 +204,46 @@
                     quarantined ? Refusal.REQUEST_QUARANTINED : Refusal.SERVICE_OVERLOADED,
                     quarantined ? "this request made servers fail" : "no server can answer in time",
                     slotResult.answer().retryAfterMillis()));
-        } else if (!parts.slots().isUsable(granted.server())) {
-            parts.slots().release(granted, AttemptOutcome.ABANDONED, 0, nowNanos);
-            result.complete(new Target.NoTarget(Refusal.SERVICE_OVERLOADED, "the server is leaving", RETRY_MILLIS));
+            return;
+        }
+        UpstreamServer known = parts.knowledge().server(granted.server());
+        long born = known == null ? ServerNotices.UNKNOWN_BIRTH : known.bornMillis();
+        boolean unwanted =
+                !parts.slots().isUsable(granted.server()) || parts.notices().isClosed(granted.server(), born, nowNanos);
+        if (unwanted) {
+            chooseAgain(granted, nowNanos, result);
         } else {
             slot = granted;
+            slotBornMillis = born;
             result.complete(new Target.ServerTarget(granted.server(), granted.address(), MOST_CONNECTIONS));
         }
     }
 
+    /** Gives back a server that has asked for no more requests since its dispatcher chose it. */
+    private void chooseAgain(SlotBroker.Slot granted, long nowNanos, CompletableFuture<Target> result) {
+        parts.slots().release(granted, AttemptOutcome.WITHHELD, 0, nowNanos);
+        unwanted.add(granted.server());
+        if (unwanted.size() <= MOST_UNWANTED) {
+            acquireSlot(nowNanos, result);
+        } else {
+            result.complete(new Target.NoTarget(Refusal.SERVICE_OVERLOADED, "the servers are leaving", RETRY_MILLIS));
+        }
+    }
+
+    @Override
+    public void serverNotice(ServerNotice said, long nowNanos) {
+        SlotBroker.Slot used = slot;
+        if (used != null) {
+            notice = said;
+            parts.notices().noticed(used.server(), slotBornMillis, said, nowNanos);
+        }
+    }
+
+    @Override
+    public boolean maySend(String server, long nowNanos) {
+        return !parts.notices().isClosed(server, slotBornMillis, nowNanos);
+    }
+
     @Override
     public boolean attemptEnded(AttemptOutcome outcome, boolean sent, long latencyMicros, long nowNanos) {
         SlotBroker.Slot used = slot;
@@ -183,10 +251,12 @@
             return false;
         }
         slot = null;
+        ServerNotice said = notice;
+        notice = ServerNotice.NONE;
         plan.ended(used.server(), outcome, sent);
         request.record().attempt(used.server(), outcome, sent, latencyMicros);
         parts.metrics().attemptEnded(outcome);
-        parts.control().execute(now -> parts.slots().release(used, outcome, latencyMicros, now));
+        parts.control().execute(now -> parts.slots().release(used, outcome, latencyMicros, said, now));
         boolean failed = outcome != AttemptOutcome.SUCCESS && outcome != AttemptOutcome.ABANDONED;
         return failed && plan.mayGoOn() && request.deadlineNanos() - nowNanos > LEAST_ATTEMPT_NANOS;
     }
--- a/src/main/java/org/auburnhoist/gateway/GatewayHost.java
+++ b/src/main/java/org/auburnhoist/gateway/GatewayHost.java
@@ -76,6 +76,7 @@
     private final HostMetrics metrics = new HostMetrics();
     private final RandomGenerator random;
     private final FleetView fleet;
+    private final ServerNotices notices = new ServerNotices();
     private final StartQueue startQueue;
     private final Knowledge knowledge;
     private final StoreFeed feed;
@@ -231,7 +232,7 @@
         QuotaBroker quotas =
                 new QuotaBroker(fleet, knowledge, peers, control, settings, lease::isHeld, random, startNanos);
         GatewayParts parts =
-                new GatewayParts(settings, control, knowledge, slots, quotas, metrics, proxy::idleUpstreams);
+                new GatewayParts(settings, control, knowledge, slots, notices, quotas, metrics, proxy::idleUpstreams);
         FleetSync sync = new FleetSync(fleet, knowledge, peers, settings.name(), this::isReady, random, now);
         started = new Started(sync, slots, quotas, peers, new GatewayPolicy(binding, parts, random.nextLong()));
         entries.entries().stream()
@@ -273,13 +274,16 @@
         Started present = started;
         if (present != null) {
             present.peers().tidy(id -> fleet.member(id.name()) == null, nowNanos);
+            notices.forget(knowledge.servers(), nowNanos);
         }
     }
 
     private void serversChanged() {
         Started present = started;
         if (present != null) {
-            present.slots().serversChanged(System.nanoTime());
+            long now = System.nanoTime();
+            notices.forget(knowledge.servers(), now);
+            present.slots().serversChanged(now);
         }
     }
 
--- a/src/main/java/org/auburnhoist/gateway/GatewayParts.java
+++ b/src/main/java/org/auburnhoist/gateway/GatewayParts.java
@@ -12,6 +12,7 @@
  * @param control the only thread that uses slots and quotas
  * @param knowledge configuration, servers and members
  * @param slots slots of the services' servers
+ * @param notices what servers have said about further requests
  * @param quotas tokens of the teams
  * @param metrics counters and histograms
  * @param idleUpstreams addresses of servers to which an idle connection is open
@@ -21,6 +22,7 @@
         ControlThread control,
         Knowledge knowledge,
         SlotBroker slots,
+        ServerNotices notices,
         QuotaBroker quotas,
         HostMetrics metrics,
         Supplier<Set<String>> idleUpstreams) {}
--- a/src/main/java/org/auburnhoist/gateway/RetryBudgets.java
+++ b/src/main/java/org/auburnhoist/gateway/RetryBudgets.java
@@ -41,21 +41,23 @@
         mostHosts = Math.max(mostHosts, count);
     }
 
+    /** Counts a caller's request once, however often a server is chosen for it. */
+    void requestStarted(String service, long nowNanos) {
+        entry(service, nowNanos).budget.requestStarted(nowNanos);
+    }
+
     /**
-     * Counts an attempt, and decides about it unless it is the first one of a request.
+     * Decides about an attempt, and counts it if it is a further one and allowed.
      *
      * @param service the service
-     * @param attempt 1 for the first attempt
+     * @param attempt 1 as long as no server has got the request
      * @param nowNanos the present time
      */
-    boolean tryAttempt(String service, int attempt, long nowNanos) {
-        Entry entry = entries.computeIfAbsent(
-                service,
-                name -> new Entry(new HostRetryBudget(tolerance, startedNanos, random.nextDouble()), nowNanos));
+    boolean mayAttempt(String service, int attempt, long nowNanos) {
         if (attempt <= 1) {
-            entry.budget.requestStarted(nowNanos);
             return true;
         }
+        Entry entry = entry(service, nowNanos);
         boolean allowed = entry.budget.tryFurtherAttempt(mostHosts, nowNanos);
         if (!allowed && nowNanos - entry.reportedNanos >= REPORT_NANOS) {
             entry.reportedNanos = nowNanos;
@@ -64,6 +66,12 @@
         return allowed;
     }
 
+    private Entry entry(String service, long nowNanos) {
+        return entries.computeIfAbsent(
+                service,
+                name -> new Entry(new HostRetryBudget(tolerance, startedNanos, random.nextDouble()), nowNanos));
+    }
+
     private void report(String service, HostRetryBudget budget, long nowNanos) {
         Event.named("retry-budget-used-up")
                 .with("service", service)
--- a/src/main/java/org/auburnhoist/gateway/ServiceDispatch.java
+++ b/src/main/java/org/auburnhoist/gateway/ServiceDispatch.java
@@ -73,7 +73,9 @@
     void release(SlotRelease release, HostId asking, long nowNanos) {
         String server = dispatcher.serverOf(release.grantId());
         complete(dispatcher.release(release, asking, nowNanos), nowNanos);
-        boolean failed = release.outcome() != AttemptOutcome.SUCCESS && release.outcome() != AttemptOutcome.ABANDONED;
+        boolean failed = release.outcome() != AttemptOutcome.SUCCESS
+                && release.outcome() != AttemptOutcome.ABANDONED
+                && release.outcome() != AttemptOutcome.WITHHELD;
         if (failed && !server.isEmpty()) {
             Event.named("server-failed")
                     .with("service", release.service())
--- a/src/main/java/org/auburnhoist/gateway/SlotBroker.java
+++ b/src/main/java/org/auburnhoist/gateway/SlotBroker.java
@@ -14,6 +14,7 @@
 import org.auburnhoist.core.membership.FleetView;
 import org.auburnhoist.core.message.AttemptOutcome;
 import org.auburnhoist.core.message.PullRequest;
+import org.auburnhoist.core.message.ServerNotice;
 import org.auburnhoist.core.message.SlotAnswer;
 import org.auburnhoist.core.message.SlotRelease;
 import org.auburnhoist.core.message.SlotRequest;
@@ -118,10 +119,15 @@
         this.budgets = new RetryBudgets(settings.retryTolerance(), random, startedNanos);
     }
 
+    /** Counts a caller's request, for which slots are asked for from now on. */
+    void requestStarted(String service, long nowNanos) {
+        budgets.requestStarted(service, nowNanos);
+    }
+
     /** Asks for a slot. */
     void acquire(SlotRequest request, long nowNanos, BiConsumer<SlotResult, Long> handler) {
         budgets.hosts(fleet.members().size());
-        if (!budgets.tryAttempt(request.service(), request.terms().attempt(), nowNanos)) {
+        if (!budgets.mayAttempt(request.service(), request.terms().attempt(), nowNanos)) {
             SlotAnswer refused = new SlotAnswer(SlotVerdict.OVERLOADED, "", 0, BUDGET_RETRY_MILLIS);
             handler.accept(new SlotResult(null, refused), nowNanos);
             return;
@@ -134,9 +140,14 @@
         askNext(id, wanted, nowNanos);
     }
 
-    /** Returns a slot with what happened. */
+    /** Returns a slot with what happened, from a server that said nothing about further requests. */
     void release(Slot slot, AttemptOutcome outcome, long latencyMicros, long nowNanos) {
-        SlotRelease release = new SlotRelease(slot.service(), slot.grantId(), outcome, latencyMicros);
+        release(slot, outcome, latencyMicros, ServerNotice.NONE, nowNanos);
+    }
+
+    /** Returns a slot with what happened and what the server said about further requests of this host. */
+    void release(Slot slot, AttemptOutcome outcome, long latencyMicros, ServerNotice notice, long nowNanos) {
+        SlotRelease release = new SlotRelease(slot.service(), slot.grantId(), outcome, latencyMicros, notice);
         FleetMember dispatcher = slot.dispatcher();
         if (dispatcher == null) {
             ServiceDispatch local = localChoices.get(slot.service());
--- a/src/main/java/org/auburnhoist/peer/MessageFormat.java
+++ b/src/main/java/org/auburnhoist/peer/MessageFormat.java
@@ -33,6 +33,7 @@
 import org.auburnhoist.core.message.PullRequest;
 import org.auburnhoist.core.message.QuotaClaim;
 import org.auburnhoist.core.message.QuotaOffer;
+import org.auburnhoist.core.message.ServerNotice;
 import org.auburnhoist.core.message.SlotAnswer;
 import org.auburnhoist.core.message.SlotRelease;
 import org.auburnhoist.core.message.SlotRequest;
@@ -155,12 +156,15 @@
                     (message, packer) -> packer.packString(message.service())
                             .packLong(message.grantId())
                             .packInt(message.outcome().ordinal())
-                            .packLong(message.latencyMicros()),
+                            .packLong(message.latencyMicros())
+                            .packBoolean(message.notice().leaving())
+                            .packLong(message.notice().pauseMillis()),
                     in -> new SlotRelease(
                             in.unpackString(),
                             in.unpackLong(),
                             readEnum(in, AttemptOutcome.values()),
-                            in.unpackLong())),
+                            in.unpackLong(),
+                            new ServerNotice(in.unpackBoolean(), in.unpackLong()))),
             new MessageFormat<>(
                     16,
                     HandoverRequest.class,
--- a/src/main/java/org/auburnhoist/platform/PlatformWireRules.java
+++ b/src/main/java/org/auburnhoist/platform/PlatformWireRules.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import org.auburnhoist.core.Refusal;
 import org.auburnhoist.core.message.AttemptOutcome;
+import org.auburnhoist.core.message.ServerNotice;
 import org.auburnhoist.proxy.Forwarding;
 import org.auburnhoist.proxy.HeaderRules;
 import org.auburnhoist.proxy.RequestHead;
@@ -91,6 +92,20 @@
         return success ? proven : !PROMISING.contains(status);
     }
 
+    @Override
+    public ServerNotice notice(int status, List<Map.Entry<String, String>> headers) {
+        return ServerNoticeDecoder.decode(status, headers);
+    }
+
+    /** What a server says to this host about itself is no promise of this host to the caller. */
+    @Override
+    public List<Map.Entry<String, String>> towardsCaller(List<Map.Entry<String, String>> headers) {
+        return HeaderRules.endToEnd(headers).stream()
+                .filter(header -> !header.getKey().equalsIgnoreCase(ServerNoticeDecoder.LEAVING)
+                        && !header.getKey().equalsIgnoreCase(ServerNoticeDecoder.RETRY_AFTER))
+                .toList();
+    }
+
     /** The platform's clients take 502 and 422 as final; a request that never ran gets a status that says so. */
     @Override
     public int status(Refusal refusal) {
--- a/src/main/java/org/auburnhoist/proxy/ForwardedExchange.java
+++ b/src/main/java/org/auburnhoist/proxy/ForwardedExchange.java
@@ -11,6 +11,7 @@
 import org.auburnhoist.core.Refusal;
 import org.auburnhoist.core.message.AttemptOutcome;
 import org.auburnhoist.core.message.RecordedAnswer;
+import org.auburnhoist.core.message.ServerNotice;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -46,13 +47,9 @@
     private @Nullable Future<?> deadlineTimer;
     private Forwarding.Target.@Nullable ServerTarget target;
     private @Nullable UpstreamAttempt attempt;
-    private boolean attemptReported;
+    private final AttemptReport report;
     private boolean freshConnectionTried;
-    private boolean lostAfterSending;
     private boolean everSent;
-    private long attemptStartedNanos;
-    private boolean answered;
-    private long firstByteNanos;
     private long lastAnswerNanos;
     private @Nullable ResumableAnswer resumable;
     private boolean resuming;
@@ -73,6 +70,7 @@
         this.caller = caller;
         this.head = head;
         this.forwarding = forwarding;
+        this.report = new AttemptReport(forwarding);
         this.idempotent = forwarding.trafficClass().isIdempotent();
         server.forwardingStarted();
     }
@@ -121,10 +119,7 @@
             if (!callerGone && brokenBody == null && !late) {
                 target = granted;
                 freshConnectionTried = false;
-                lostAfterSending = false;
-                attemptStartedNanos = server.now();
-                attemptReported = false;
-                answered = false;
+                report.started(server.now());
                 startAttempt(granted, forwarding.needsNewConnection());
                 return;
             }
@@ -172,13 +167,16 @@
         if (source != attempt || state != State.ATTEMPTING) {
             return;
         }
+        ServerNotice notice = server.settings().wireRules.notice(code, headers);
+        if (notice.isPresent()) {
+            forwarding.serverNotice(notice, server.now());
+        }
         if (resuming) {
             continueAnswer(source, code, headers, entity);
             return;
         }
-        answered = true;
-        firstByteNanos = server.now();
-        lastAnswerNanos = firstByteNanos;
+        lastAnswerNanos = server.now();
+        report.answered(lastAnswerNanos);
         status = code;
         answerHeaders = headers;
         AttemptOutcome outcome = server.settings().wireRules.outcome(code, headers);
@@ -224,9 +222,13 @@
         return server.settings().wireRules.isAnswerTo(head, answerHeaders);
     }
 
+    boolean maySend(Forwarding.Target.ServerTarget granted) {
+        return forwarding.maySend(granted.name(), server.now());
+    }
+
     private void passOnHead(@Nullable EntityDetails entity) {
         AnswerFraming framing = AnswerFraming.of(head, status, answerHeaders, entity);
-        answerHeaders = HeaderRules.endToEnd(answerHeaders);
+        answerHeaders = server.settings().wireRules.towardsCaller(answerHeaders);
         long length = framing.length();
         resumable = isRepeatableBody() ? ResumableAnswer.of(head, status, answerHeaders, length) : null;
         if (length > 0) {
@@ -241,9 +243,8 @@
     /** Passes on the rest of a truncated answer, or gives up if this is anything else. */
     private void continueAnswer(
             UpstreamAttempt source, int code, List<Map.Entry<String, String>> headers, @Nullable EntityDetails entity) {
-        answered = true;
-        firstByteNanos = server.now();
-        lastAnswerNanos = firstByteNanos;
+        lastAnswerNanos = server.now();
+        report.answered(lastAnswerNanos);
         ResumableAnswer begun = resumable;
         if (begun != null && entity != null && begun.isContinuedBy(code, headers, entity.getContentLength())) {
             state = State.ANSWERING;
@@ -305,17 +306,7 @@
     }
 
     private boolean report(UpstreamAttempt source, AttemptOutcome outcome) {
-        if (attemptReported) {
-            return false;
-        }
-        attemptReported = true;
-        long now = server.now();
-        long until = answered ? firstByteNanos : now;
-        long micros = Math.max(0, until - attemptStartedNanos) / NANOS_PER_MICRO;
-        // A server that takes a request on an open connection and then accepts no other one may have died of it.
-        AttemptOutcome told =
-                lostAfterSending && outcome == AttemptOutcome.CONNECT_FAILED ? AttemptOutcome.CONNECTION_LOST : outcome;
-        return forwarding.attemptEnded(told, source.isSent() || lostAfterSending, micros, now);
+        return report.ended(outcome, source.isSent(), server.now());
     }
 
     private boolean isRepeatable(UpstreamAttempt source) {
@@ -337,13 +328,14 @@
         }
         boolean possible = isRepeatable(source) && !callerGone && isInTime();
         if (possible
+                && outcome != AttemptOutcome.WITHHELD
                 && source.usesReusedConnection()
                 && !freshConnectionTried
                 && target != null
                 && forwarding.repeatsOnNewConnection(source.isSent())) {
             // The server may have closed the idle connection just before; that says nothing about the server.
             freshConnectionTried = true;
-            lostAfterSending = source.isSent();
+            report.movedToNewConnection(source.isSent());
             startAttempt(target, true);
             return;
         }
--- a/src/main/java/org/auburnhoist/proxy/Forwarding.java
+++ b/src/main/java/org/auburnhoist/proxy/Forwarding.java
@@ -5,6 +5,7 @@
 import org.auburnhoist.core.TrafficClass;
 import org.auburnhoist.core.message.AttemptOutcome;
 import org.auburnhoist.core.message.RecordedAnswer;
+import org.auburnhoist.core.message.ServerNotice;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -53,6 +54,14 @@
         return Long.MAX_VALUE;
     }
 
+    /** Takes in what a server said about further requests, before its answer is passed on. */
+    default void serverNotice(ServerNotice notice, long nowNanos) {}
+
+    /** Whether a chosen server still wants the request, asked directly before it is sent. */
+    default boolean maySend(String server, long nowNanos) {
+        return true;
+    }
+
     /** Time until which the first byte of the answer must have come. */
     long deadlineNanos();
 
--- a/src/main/java/org/auburnhoist/proxy/UpstreamAttempt.java
+++ b/src/main/java/org/auburnhoist/proxy/UpstreamAttempt.java
@@ -111,6 +111,10 @@
 
     @Override
     public void produceRequest(RequestChannel channel, HttpContext context) throws HttpException, IOException {
+        if (!exchange.maySend(target)) {
+            fail(AttemptOutcome.WITHHELD);
+            throw new IOException("attempt: the server asked for no further requests");
+        }
         UpstreamConnection used = startExchange();
         if (used == null) {
             throw new IOException("attempt: ended before the request was written");
--- a/src/main/java/org/auburnhoist/proxy/WireRules.java
+++ b/src/main/java/org/auburnhoist/proxy/WireRules.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import org.auburnhoist.core.Refusal;
 import org.auburnhoist.core.message.AttemptOutcome;
+import org.auburnhoist.core.message.ServerNotice;
 
 /** Header names and status conventions that callers and upstream servers share with the proxy. */
 public interface WireRules {
@@ -33,6 +34,16 @@
     /** Whether the answer of a server that may have run the request can be passed on unchanged. */
     boolean mayPassOn(int status, List<Map.Entry<String, String>> headers);
 
+    /** What a server says in an answer about further requests of this host. */
+    default ServerNotice notice(int status, List<Map.Entry<String, String>> headers) {
+        return ServerNotice.NONE;
+    }
+
+    /** Headers of a server's answer that go to the caller, without framing. */
+    default List<Map.Entry<String, String>> towardsCaller(List<Map.Entry<String, String>> headers) {
+        return HeaderRules.endToEnd(headers);
+    }
+
     /** The HTTP status with which a refusal is answered. */
     int status(Refusal refusal);
 
--- a/src/test/java/org/auburnhoist/core/dispatch/PriorityDispatcherTest.java
+++ b/src/test/java/org/auburnhoist/core/dispatch/PriorityDispatcherTest.java
@@ -18,6 +18,7 @@
 import org.auburnhoist.core.HostId;
 import org.auburnhoist.core.TrafficClass;
 import org.auburnhoist.core.message.AttemptOutcome;
+import org.auburnhoist.core.message.ServerNotice;
 import org.auburnhoist.core.message.SlotAnswer;
 import org.auburnhoist.core.message.SlotRelease;
 import org.auburnhoist.core.message.SlotRequest;
@@ -335,4 +336,46 @@
         }
         assertTrue(used.size() >= 7, "servers in use within two seconds: " + used);
     }
+
+    private void endWith(long token, ServerNotice notice, HostId host, long now) {
+        SlotRelease release =
+                new SlotRelease("pay", answers.get(token).grantId(), AttemptOutcome.REJECTED, 5_000, notice);
+        take(dispatcher.release(release, host, now));
+    }
+
+    /** Guards against requests of any host to a server that has said in an answer that it leaves. */
+    @Test
+    void aServerThatSaysThatItLeavesGetsNothingWhileOthersAreThere() {
+        dispatcher.servers(servers(2, 6), 0);
+        long first = ask(TrafficClass.LOOKUP, 1, 1, HOST, 0);
+        String leaving = answers.get(first).server();
+        endWith(first, new ServerNotice(true, 0), HOST, 5 * MILLI);
+        for (int count = 0; count < 6; count++) {
+            long token = ask(TrafficClass.LOOKUP, 1, 1, count % 2 == 0 ? HOST : OTHER, (10 + count) * MILLI);
+            assertTrue(isGranted(token));
+            assertNotEquals(leaving, answers.get(token).server());
+        }
+    }
+
+    /** Guards against a service that stands still when its servers have all said that they leave. */
+    @Test
+    void whenAllServersSayThatTheyLeaveOtherHostsGoOnUntilTheRegistrationSaysSo() {
+        dispatcher.servers(servers(2, 6), 0);
+        for (int count = 0; count < 2; count++) {
+            long token = ask(TrafficClass.LOOKUP, 1, 1, HOST, count * 10 * MILLI);
+            endWith(token, new ServerNotice(true, 0), HOST, (count * 10 + 5) * MILLI);
+        }
+        assertTrue(isGranted(ask(TrafficClass.LOOKUP, 1, 1, OTHER, 50 * MILLI)));
+    }
+
+    /** Guards against requests within a pause that a server has asked one host for. */
+    @Test
+    void aPauseHoldsForTheHostThatWasToldAlone() {
+        dispatcher.servers(servers(1, 6), 0);
+        endWith(ask(TrafficClass.LOOKUP, 1, 1, HOST, 0), new ServerNotice(false, 1_000), HOST, 5 * MILLI);
+        dispatcher.tick(600 * MILLI);
+        assertFalse(isGranted(ask(TrafficClass.LOOKUP, 1, 1, HOST, 600 * MILLI)));
+        assertTrue(isGranted(ask(TrafficClass.LOOKUP, 1, 1, OTHER, 610 * MILLI)));
+        assertTrue(isGranted(ask(TrafficClass.LOOKUP, 1, 1, HOST, 1_100 * MILLI)));
+    }
 }
--- a/src/test/java/org/auburnhoist/gateway/SlotFleet.java
+++ b/src/test/java/org/auburnhoist/gateway/SlotFleet.java
@@ -296,6 +296,7 @@
         List<Host> running = hosts.stream().filter(host -> host.running).toList();
         if (!running.isEmpty()) {
             Host host = running.get(random.nextInt(running.size()));
+            host.broker.requestStarted(SERVICE, atNanos);
             attempt(new Request(
                     host, host.run, new AttemptPlan(MOST_SERVERS, true), atNanos + 6 * SECOND, random.nextLong()));
         }
--- a/src/test/java/org/auburnhoist/platform/PlatformHostTest.java
+++ b/src/test/java/org/auburnhoist/platform/PlatformHostTest.java
@@ -288,4 +288,43 @@
         await(() -> addresses(hosts.get(0)).size() == 2, "the stopping host is no longer named");
         stopped.join();
     }
+
+    /** Guards against new work for a server that has said in an answer that it leaves, though the store does not. */
+    @Test
+    void aServerThatSaysThatItLeavesGetsNothingMoreFromTheHostThatHeardIt() throws Exception {
+        first.mode(StandInServer.Mode.LEAVING);
+        await(() -> pay(hosts.get(0), "k1").body().equals("from i-1"), "the first server has answered");
+        int before = first.seen().size();
+        store.refuseWith(503);
+        for (int request = 0; request < 20; request++) {
+            HttpResponse<String> answer = pay(hosts.get(0), "k1");
+            assertEquals("from i-2", answer.body());
+            assertTrue(answer.headers().firstValue("Server-Leaving").isEmpty());
+        }
+        store.refuseWith(0);
+        assertEquals(before, first.seen().size());
+        first.mode(StandInServer.Mode.WELL);
+        store.put("servers/i-1", first.registration("ledger", "ready").replace("\"born\":5", "\"born\":77"));
+        await(() -> pay(hosts.get(0), "k1").body().equals("from i-1"), "the new run of the server is used");
+    }
+
+    /** Guards against requests within the pause that a server has asked for, and against callers who are kept waiting. */
+    @Test
+    void aServerThatWantsAPauseGetsNothingAndTheCallerIsToldWhenItEnds() {
+        first.mode(StandInServer.Mode.PAUSING);
+        second.mode(StandInServer.Mode.PAUSING);
+        assertEquals(503, pay(hosts.get(0), "k1").statusCode());
+        int before = first.seen().size() + second.seen().size();
+        assertEquals(2, before, "each server has turned the request away once");
+        for (int request = 0; request < 10; request++) {
+            long start = System.nanoTime();
+            HttpResponse<String> refused = pay(hosts.get(0), "k1");
+            assertEquals(503, refused.statusCode());
+            double seconds = Double.parseDouble(
+                    refused.headers().firstValue("Retry-After").orElseThrow());
+            assertTrue(seconds > 0 && seconds <= StandInServer.PAUSE_SECONDS, "Retry-After: " + seconds);
+            assertTrue(System.nanoTime() - start < Duration.ofMillis(700).toNanos(), "refused at once");
+        }
+        assertEquals(before, first.seen().size() + second.seen().size());
+    }
 }
--- a/src/test/java/org/auburnhoist/platform/StandInServer.java
+++ b/src/test/java/org/auburnhoist/platform/StandInServer.java
@@ -26,12 +26,18 @@
         ERROR,
         /** States that it did not run the request. */
         SHED,
+        /** Turns requests away and wants none for the pause. */
+        PAUSING,
+        /** Answers well and says that it leaves; its registration says nothing of it. */
+        LEAVING,
         /** Answers with 503 but does not say whether the request ran. */
         UNCLEAR,
         /** Answers with the id of another attempt. */
         CROSSED
     }
 
+    static final int PAUSE_SECONDS = 3;
+
     private final String id;
     private final HttpServer server;
     private final List<Map<String, String>> seen = new CopyOnWriteArrayList<>();
@@ -85,6 +91,11 @@
                 response.setCode(503);
                 response.setHeader("X-Not-Executed", "1");
             }
+            case PAUSING -> {
+                response.setCode(503);
+                response.setHeader("X-Not-Executed", "1");
+                response.setHeader("Retry-After", PAUSE_SECONDS);
+            }
             case UNCLEAR -> {
                 response.setCode(503);
                 response.setHeader("X-Response-Signature", "s");
@@ -95,6 +106,9 @@
             }
             default -> {
                 response.setCode(200);
+                if (present == Mode.LEAVING) {
+                    response.setHeader("Server-Leaving", "1");
+                }
                 response.setHeader("X-Response-Signature", "s-" + id);
                 response.setEntity(new StringEntity("from " + id));
             }
--- a/src/test/java/org/auburnhoist/proxy/ProxyServerTest.java
+++ b/src/test/java/org/auburnhoist/proxy/ProxyServerTest.java
@@ -337,4 +337,27 @@
             Thread.onSpinWait();
         }
     }
+
+    /** Guards against a request that reaches a server which asked for none after it had been chosen. */
+    @Test
+    void aServerThatWantsNoMoreRequestsWhenItsTurnComesGetsNone() throws Exception {
+        upstream = RawUpstream.answering(OK);
+        try (RawUpstream other = RawUpstream.answering(OK)) {
+            TestForwarding forwarding =
+                    new TestForwarding(
+                            TrafficClass.BOOKING, Duration.ofSeconds(30), upstream.address(), other.address()) {
+                        @Override
+                        public boolean maySend(String server, long nowNanos) {
+                            return !server.equals(upstream.address());
+                        }
+                    };
+            try (RawConnection caller = start(forwarding(forwarding))) {
+                caller.send(GET);
+                assertTrue(caller.readMessage().endsWith("ok"));
+            }
+            assertEquals(0, upstream.heads.size());
+            assertEquals(1, other.heads.size());
+            assertEquals(new TestForwarding.Attempt(AttemptOutcome.WITHHELD, false), forwarding.attempts.get(0));
+        }
+    }
 }
