--- a/src/main/java/org/auburnhoist/core/limit/IsolatedAllowance.java
+++ b/src/main/java/org/auburnhoist/core/limit/IsolatedAllowance.java
@@ -17,6 +17,9 @@
     /** Part of the slack that all hosts together may grant at once after a start. */
     private static final double FIRST_SHARE_OF_SLACK = 0.4;
 
+    /** What a host may save in a quiet time, in windows; all hosts may use it at the same moment. */
+    private static final double MOST_SAVED_WINDOWS = 0.25;
+
     /**
      * How much excess is tolerated.
      *
@@ -28,7 +31,7 @@
 
     private final Tolerance tolerance;
     private final RandomGenerator random;
-    private final Map<String, TokenLevel> levels = new HashMap<>();
+    private final Map<String, Credit> credits = new HashMap<>();
 
     /** An allowance that has granted nothing yet. */
     public IsolatedAllowance(Tolerance tolerance, RandomGenerator random) {
@@ -39,12 +42,31 @@
     /** Takes one token if the allowance has one; {@code hosts} is the number of hosts in the fleet. */
     public boolean tryAcquire(TeamTerms team, int hosts, long nowNanos) {
         int count = Math.max(1, hosts);
-        TokenLevel level = levels.computeIfAbsent(team.name(), name -> {
-            boolean first = random.nextDouble() < FIRST_SHARE_OF_SLACK * tolerance.slack() / count;
-            return new TokenLevel(first ? 1 : 0, nowNanos);
-        });
         double rate = ratePerSecond(team, count);
-        return level.tryTake(rate, Math.max(1, rate), nowNanos);
+        Credit credit = credits.computeIfAbsent(
+                team.name(), name -> new Credit(FIRST_SHARE_OF_SLACK * tolerance.slack() / count, nowNanos));
+        return credit.tryTake(rate, MOST_SAVED_WINDOWS * tolerance.windowSeconds() * rate, random, nowNanos);
+    }
+
+    /** A part of a token accrues until it is used, up to a limit; it buys a request with its own probability. */
+    private static final class Credit {
+        private double tokens;
+        private long atNanos;
+
+        Credit(double tokens, long atNanos) {
+            this.tokens = tokens;
+            this.atNanos = atNanos;
+        }
+
+        boolean tryTake(double ratePerSecond, double most, RandomGenerator random, long nowNanos) {
+            double accrued = Math.max(0, nowNanos - atNanos) / 1e9 * ratePerSecond;
+            tokens = Math.max(tokens, Math.min(most, tokens + accrued));
+            atNanos = nowNanos;
+            boolean taken = tokens >= 1 || random.nextDouble() < tokens;
+            // Spent also if it bought nothing, so that all hosts together admit what has accrued.
+            tokens = Math.max(0, tokens - 1);
+            return taken;
+        }
     }
 
     /** Requests a second that one of {@code hosts} hosts may admit by itself. */
--- a/src/test/java/org/auburnhoist/core/limit/TeamQuotasTest.java
+++ b/src/test/java/org/auburnhoist/core/limit/TeamQuotasTest.java
@@ -143,6 +143,27 @@
         }
     }
 
+    /** Guards against tokens that all hosts have saved in a quiet time and give out in the same window. */
+    @Test
+    void isolatedHostsStayWithinTheExcessAfterAQuietTime() {
+        for (int hosts : new int[] {3, 40, 94, 143, 890}) {
+            for (double rate : new double[] {1, 30, 2_000}) {
+                TeamTerms team = new TeamTerms("t", -1, rate, rate);
+                double excess = 0.1 * 6 * rate + 20;
+                int admitted = 0;
+                for (int host = 0; host < hosts; host++) {
+                    IsolatedAllowance allowance = new IsolatedAllowance(TOLERANCE, new Random(host));
+                    allowance.tryAcquire(team, hosts, 0);
+                    for (int tick = 0; tick < 500; tick++) {
+                        long now = 3_600 * SECOND + tick * 10_000_000L;
+                        admitted += allowance.tryAcquire(team, hosts, now) ? 1 : 0;
+                    }
+                }
+                assertTrue(admitted <= excess, hosts + " hosts, rate " + rate + ": " + admitted + " of " + excess);
+            }
+        }
+    }
+
     private static TeamQuotas settled() {
         return new TeamQuotas(TOLERANCE, 0);
     }
