--- a/src/main/java/org/auburnhoist/gateway/GatewayForwarding.java
+++ b/src/main/java/org/auburnhoist/gateway/GatewayForwarding.java
@@ -5,6 +5,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.stream.Stream;
 import org.auburnhoist.core.Refusal;
 import org.auburnhoist.core.TrafficClass;
 import org.auburnhoist.core.dispatch.AttemptPlan;
@@ -145,27 +146,18 @@
             counted = true;
             parts.slots().requestStarted(request.service(), nowNanos);
         }
-        List<UpstreamServer> registered = parts.knowledge().serversOf(request.service()).stream()
-                .filter(server -> !server.leaving())
-                .toList();
+        List<UpstreamServer> registered = registeredServers();
         List<String> closed = parts.notices().closedAmong(registered, nowNanos);
-        if (!closed.isEmpty() && closed.size() == registered.size()) {
-            long millis = parts.notices().millisUntilOpen(registered, nowNanos, RETRY_MILLIS);
-            result.complete(new Target.NoTarget(
-                    Refusal.SERVICE_OVERLOADED, "all servers have asked for no requests now", millis));
+        Target.NoTarget refusal = refusalWithoutServer(registered, closed, nowNanos);
+        if (refusal != null) {
+            result.complete(refusal);
             return;
         }
-        List<String> returnsTo = plan.returnsTo().stream()
-                .filter(server -> !closed.contains(server))
+        List<String> excluded = Stream.of(plan.excluded(), closed, unwanted)
+                .flatMap(List::stream)
+                .distinct()
                 .toList();
-        if (returnsTo.isEmpty() && !plan.returnsTo().isEmpty()) {
-            result.complete(new Target.NoTarget(
-                    Refusal.SERVICE_OVERLOADED, "the servers that may get the request want none now", RETRY_MILLIS));
-            return;
-        }
-        List<String> excluded = new ArrayList<>(plan.excluded());
-        excluded.addAll(closed);
-        excluded.addAll(unwanted);
+        List<String> returnsTo = without(plan.returnsTo(), closed);
         long elapsedMillis = (nowNanos - request.startNanos()) / MILLI;
         long target = request.route().targetLatencyMillis();
         SlotTerms terms = new SlotTerms(
@@ -187,9 +179,38 @@
         parts.slots().acquire(wanted, nowNanos, (slotResult, now) -> decided(slotResult, now, result));
     }
 
+    private List<UpstreamServer> registeredServers() {
+        return parts.knowledge().serversOf(request.service());
+    }
+
+    /** A request that none of the known servers may get is refused at once instead of waiting in a queue. */
+    private Target.@Nullable NoTarget refusalWithoutServer(
+            List<UpstreamServer> registered, List<String> closed, long nowNanos) {
+        if (closed.isEmpty()) {
+            return null;
+        }
+        List<UpstreamServer> staying =
+                registered.stream().filter(server -> !server.leaving()).toList();
+        List<String> returnsTo = plan.returnsTo();
+        List<String> left = returnsTo.isEmpty()
+                ? without(without(staying.stream().map(UpstreamServer::id).toList(), closed), plan.excluded())
+                : without(returnsTo, closed);
+        if (!left.isEmpty()) {
+            return null;
+        }
+        return new Target.NoTarget(
+                Refusal.SERVICE_OVERLOADED,
+                "the servers have asked for no requests now",
+                parts.notices().millisUntilOpen(staying, nowNanos, RETRY_MILLIS));
+    }
+
+    private static List<String> without(List<String> servers, List<String> removed) {
+        return servers.stream().filter(server -> !removed.contains(server)).toList();
+    }
+
     private List<String> connectedServers() {
         Set<String> idle = parts.idleUpstreams().get();
-        return parts.knowledge().serversOf(request.service()).stream()
+        return registeredServers().stream()
                 .filter(server -> idle.contains(server.address()))
                 .map(UpstreamServer::id)
                 .limit(MOST_CONNECTED_TOLD)
@@ -208,9 +229,9 @@
         }
         UpstreamServer known = parts.knowledge().server(granted.server());
         long born = known == null ? ServerNotices.UNKNOWN_BIRTH : known.bornMillis();
-        boolean unwanted =
+        boolean closed =
                 !parts.slots().isUsable(granted.server()) || parts.notices().isClosed(granted.server(), born, nowNanos);
-        if (unwanted) {
+        if (closed) {
             chooseAgain(granted, nowNanos, result);
         } else {
             slot = granted;
