--- a/src/main/java/org/auburnhoist/gateway/ServerNotices.java
+++ b/src/main/java/org/auburnhoist/gateway/ServerNotices.java
@@ -12,8 +12,8 @@
 /**
  * What servers have said to this host about further requests of it.
  *
- * <p>A server that leaves stays closed until it is registered as a new run of itself; one that paused is open again when
- * its time is over. May be used by any thread: a request is checked directly before it is sent.
+ * <p>A server that leaves stays closed until it is registered as a new run of itself; one that paused is open again
+ * when its time is over. May be used by any thread: a request is checked directly before it is sent.
  */
 final class ServerNotices {
     private static final long MILLI = 1_000_000L;
--- a/src/test/java/org/auburnhoist/platform/PlatformHostTest.java
+++ b/src/test/java/org/auburnhoist/platform/PlatformHostTest.java
@@ -308,7 +308,7 @@
         await(() -> pay(hosts.get(0), "k1").body().equals("from i-1"), "the new run of the server is used");
     }
 
-    /** Guards against requests within the pause that a server has asked for, and against callers who are kept waiting. */
+    /** Guards against requests within the pause that a server has asked for, and against callers who wait for it. */
     @Test
     void aServerThatWantsAPauseGetsNothingAndTheCallerIsToldWhenItEnds() {
         first.mode(StandInServer.Mode.PAUSING);
