Decode and log the limits that servers name

The header is now decoded into StatedLimit, travels in ServerNotice with the release of a slot, and is logged where it is known: event=server-limit at the host that was told, with the earlier value; event=dispatch-limit-changed at the dispatcher, with the number of requests granted under the earlier one. A malformed, negative, zero, huge or contradictory limit says nothing. Answers out of order: a limit is lowered by any answer, raised or withdrawn only by one that is certainly later (LatestLimit). No decision uses a limit yet, so the breach is as it was.

--- a/src/main/java/org/auburnhoist/core/dispatch/PriorityDispatcher.java
+++ b/src/main/java/org/auburnhoist/core/dispatch/PriorityDispatcher.java
@@ -34,6 +34,7 @@
     private final ServiceTimeEstimator serviceTimes;
     private final UnservedShare unservedShare = new UnservedShare();
     private final ServerSelector serverSelector;
+    private final ServerLimits limits = new ServerLimits();
     private long lastCleanupNanos;
 
     /** Creates a dispatcher without servers. */
@@ -46,6 +47,7 @@
     /** Applies a new list of the registered servers of the service. */
     public List<SlotDecision> updateServers(List<UpstreamServer> registered, long nowNanos) {
         serverSelector.updateServers(registered, nowNanos);
+        limits.updateServers(registered);
         List<SlotDecision> decisions = new ArrayList<>();
         grantWaiting(decisions, nowNanos);
         return decisions;
@@ -91,6 +93,7 @@
         }
         observe(grant, release, nowNanos);
         serverSelector.recordNotice(grant.server(), requestingHost, release.notice(), nowNanos);
+        limits.recordAnswer(grant.server(), release.notice().limit(), grant.grantedNanos(), nowNanos);
         grantWaiting(decisions, nowNanos);
         return decisions;
     }
@@ -134,6 +137,11 @@
         return serverSelector.floorStatus(nowNanos);
     }
 
+    /** Returns the changes of servers' limits since the last call. */
+    public List<LimitChange> drainLimitChanges() {
+        return limits.drainChanges();
+    }
+
     /** Number of requests waiting for a slot. */
     public int waitingCount() {
         return queue.size();
@@ -188,6 +196,7 @@
 
     private SlotDecision grant(WaitingRequest waiting, UpstreamServer server, long nowNanos) {
         serverSelector.recordGrant(server, nowNanos);
+        limits.recordGrant(server.id());
         Grant grant = grants.add(waiting, server.id(), nowNanos, waiting.deadlineNanos() + GRANT_MARGIN_NANOS);
         return new SlotDecision(
                 waiting.replyToken(),
--- a/src/main/java/org/auburnhoist/gateway/GatewayForwarding.java
+++ b/src/main/java/org/auburnhoist/gateway/GatewayForwarding.java
@@ -51,6 +51,8 @@
     /** Start time of the slot's server, as stated in its registration. */
     private volatile long slotServerStartedMillis;
 
+    private volatile long slotGrantedNanos;
+
     private ServerNotice notice = ServerNotice.NONE;
     private boolean requestCounted;
     /** Servers that were granted although they accept no more requests. */
@@ -243,6 +245,7 @@
         } else {
             slot = granted;
             slotServerStartedMillis = startedMillis;
+            slotGrantedNanos = nowNanos;
             result.complete(new Target.ServerTarget(granted.server(), granted.address(), MAX_CONNECTIONS_PER_SERVER));
         }
     }
@@ -263,7 +266,12 @@
         SlotBroker.Slot currentSlot = slot;
         if (currentSlot != null) {
             notice = received;
-            components.notices().record(currentSlot.server(), slotServerStartedMillis, received, nowNanos);
+            ServerNotices notices = components.notices();
+            if (received.leaving() || received.pauseMillis() > 0) {
+                notices.record(currentSlot.server(), slotServerStartedMillis, received, nowNanos);
+            }
+            notices.recordLimit(
+                    currentSlot.server(), slotServerStartedMillis, received.limit(), slotGrantedNanos, nowNanos);
         }
     }
 
--- a/src/main/java/org/auburnhoist/gateway/ServerNotices.java
+++ b/src/main/java/org/auburnhoist/gateway/ServerNotices.java
@@ -4,13 +4,16 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.BinaryOperator;
+import org.auburnhoist.core.dispatch.LatestLimit;
 import org.auburnhoist.core.message.ServerNotice;
+import org.auburnhoist.core.message.StatedLimit;
 import org.auburnhoist.core.routing.UpstreamServer;
 import org.auburnhoist.support.Event;
 import org.jspecify.annotations.Nullable;
 
 /**
- * Notices in which servers asked this host for no further requests, for good or for a pause.
+ * Notices in which servers asked this host for no further requests, for good or for a pause, or for fewer.
  *
  * <p>A leaving server stays closed until it is registered as a new incarnation; a paused one is open again when its
  * pause has ended. Thread-safe, because a request is checked directly before it is sent.
@@ -20,6 +23,9 @@
     /** More than the servers of a fleet at the target size; bounds the memory that notices can take. */
     private static final int MAX_INCARNATIONS = 20_000;
 
+    /** Age at which a limit is forgotten, so that a host that nobody tells of its withdrawal asks the server again. */
+    private static final long MAX_LIMIT_AGE_NANOS = 60_000 * MILLI;
+
     /** Start time of a server whose registration this host has not seen yet. */
     static final long UNKNOWN_START = -1;
 
@@ -34,14 +40,13 @@
     }
 
     private final Map<Incarnation, ClosedState> closedStates = new ConcurrentHashMap<>();
+    /** The servers that have named a limit. */
+    private final Map<Incarnation, LatestLimit> limits = new ConcurrentHashMap<>();
 
     /** Merges a notice into the state of an incarnation. */
     void record(String server, long startedMillis, ServerNotice notice, long nowNanos) {
         if (closedStates.size() >= MAX_INCARNATIONS) {
-            Event.named("server-notice-dropped")
-                    .with("server", server)
-                    .with("kept", closedStates.size())
-                    .warn();
+            logDropped(server, closedStates.size());
             return;
         }
         Event.named("server-notice")
@@ -54,6 +59,40 @@
         closedStates.merge(new Incarnation(server, startedMillis), state, ServerNotices::merge);
     }
 
+    /**
+     * Records what an answer says about the rate of requests that its server accepts from all hosts together.
+     *
+     * @param grantedNanos when the request was granted
+     */
+    void recordLimit(String server, long startedMillis, StatedLimit stated, long grantedNanos, long nowNanos) {
+        Incarnation incarnation = new Incarnation(server, startedMillis);
+        LatestLimit previous = limits.getOrDefault(incarnation, LatestLimit.UNKNOWN);
+        if (!stated.isLimited() && !previous.limit().isLimited()) {
+            return;
+        }
+        if (!previous.limit().isLimited() && limits.size() >= MAX_INCARNATIONS) {
+            logDropped(server, limits.size());
+            return;
+        }
+        LatestLimit latest = limits.compute(
+                incarnation,
+                (key, known) -> (known == null ? LatestLimit.UNKNOWN : known).after(stated, grantedNanos, nowNanos));
+        if (!latest.limit().equals(previous.limit())) {
+            Event.named("server-limit")
+                    .with("server", server)
+                    .with("requests_per_second", latest.limit())
+                    .with("previous", previous.limit())
+                    .log();
+        }
+    }
+
+    private static void logDropped(String server, int kept) {
+        Event.named("server-notice-dropped")
+                .with("server", server)
+                .with("kept", kept)
+                .warn();
+    }
+
     private static ClosedState merge(ClosedState one, ClosedState other) {
         boolean later = !one.paused() || (other.paused() && other.pausedUntilNanos() - one.pausedUntilNanos() > 0);
         ClosedState pause = later ? other : one;
@@ -96,21 +135,31 @@
                 .orElse(defaultMillis);
     }
 
-    /** Removes pauses that have ended, and incarnations of servers that are registered as new incarnations. */
+    /**
+     * Removes pauses that have ended, limits that were withdrawn or last named long ago, and incarnations of servers
+     * that are registered as new incarnations.
+     */
     void removeExpired(List<UpstreamServer> registered, long nowNanos) {
         closedStates.entrySet().removeIf(entry -> !entry.getValue().isClosed(nowNanos));
+        limits.values()
+                .removeIf(
+                        known -> !known.limit().isLimited() || nowNanos - known.receivedNanos() > MAX_LIMIT_AGE_NANOS);
         Map<String, Long> startTimes = new HashMap<>();
         registered.forEach(server -> startTimes.put(server.id(), server.startedMillis()));
-        for (Map.Entry<Incarnation, ClosedState> entry : closedStates.entrySet()) {
+        removeEarlierIncarnations(closedStates, startTimes, ServerNotices::merge);
+        removeEarlierIncarnations(
+                limits, startTimes, (one, other) -> one.receivedNanos() - other.receivedNanos() > 0 ? one : other);
+    }
+
+    private static <T> void removeEarlierIncarnations(
+            Map<Incarnation, T> states, Map<String, Long> startTimes, BinaryOperator<T> merging) {
+        for (Map.Entry<Incarnation, T> entry : states.entrySet()) {
             Incarnation incarnation = entry.getKey();
             Long startedMillis = startTimes.get(incarnation.server());
             if (startedMillis != null && startedMillis != incarnation.startedMillis()) {
-                closedStates.remove(incarnation);
+                states.remove(incarnation);
                 if (incarnation.startedMillis() == UNKNOWN_START) {
-                    closedStates.merge(
-                            new Incarnation(incarnation.server(), startedMillis),
-                            entry.getValue(),
-                            ServerNotices::merge);
+                    states.merge(new Incarnation(incarnation.server(), startedMillis), entry.getValue(), merging);
                 }
             }
         }
--- a/src/main/java/org/auburnhoist/gateway/ServiceDispatch.java
+++ b/src/main/java/org/auburnhoist/gateway/ServiceDispatch.java
@@ -7,6 +7,7 @@
 import java.util.function.BiConsumer;
 import org.auburnhoist.core.HostId;
 import org.auburnhoist.core.dispatch.FloorStatus;
+import org.auburnhoist.core.dispatch.LimitChange;
 import org.auburnhoist.core.dispatch.PriorityDispatcher;
 import org.auburnhoist.core.dispatch.SlotDecision;
 import org.auburnhoist.core.message.AttemptOutcome;
@@ -73,6 +74,7 @@
     void release(SlotRelease release, HostId requester, long nowNanos) {
         String server = dispatcher.serverOf(release.grantId());
         deliver(dispatcher.release(release, requester, nowNanos), nowNanos);
+        logLimitChanges();
         boolean failed = release.outcome() != AttemptOutcome.SUCCESS
                 && release.outcome() != AttemptOutcome.ABANDONED
                 && release.outcome() != AttemptOutcome.WITHHELD;
@@ -88,6 +90,18 @@
         }
     }
 
+    private void logLimitChanges() {
+        for (LimitChange change : dispatcher.drainLimitChanges()) {
+            Event.named("dispatch-limit-changed")
+                    .with("service", service)
+                    .with("server", change.server())
+                    .with("requests_per_second", change.limit())
+                    .with("previous", change.previous())
+                    .with("granted_under_previous", change.granted())
+                    .log();
+        }
+    }
+
     private void deliver(List<SlotDecision> decisions, long nowNanos) {
         for (SlotDecision decision : decisions) {
             ReplyHandler reply = replies.remove(decision.replyToken());
--- a/src/main/java/org/auburnhoist/peer/MessageFormat.java
+++ b/src/main/java/org/auburnhoist/peer/MessageFormat.java
@@ -39,6 +39,7 @@
 import org.auburnhoist.core.message.SlotRelease;
 import org.auburnhoist.core.message.SlotRequest;
 import org.auburnhoist.core.message.SlotVerdict;
+import org.auburnhoist.core.message.StatedLimit;
 import org.auburnhoist.core.message.StatusDigest;
 import org.auburnhoist.core.message.StatusReport;
 import org.auburnhoist.core.message.TokenAnswer;
@@ -161,13 +162,18 @@
                             .packInt(message.outcome().ordinal())
                             .packLong(message.latencyMicros())
                             .packBoolean(message.notice().leaving())
-                            .packLong(message.notice().pauseMillis()),
+                            .packLong(message.notice().pauseMillis())
+                            .packInt(message.notice().limit().kind().ordinal())
+                            .packDouble(message.notice().limit().requestsPerSecond()),
                     in -> new SlotRelease(
                             in.unpackString(),
                             in.unpackLong(),
                             readEnum(in, AttemptOutcome.values()),
                             in.unpackLong(),
-                            new ServerNotice(in.unpackBoolean(), in.unpackLong()))),
+                            new ServerNotice(
+                                    in.unpackBoolean(),
+                                    in.unpackLong(),
+                                    new StatedLimit(readEnum(in, StatedLimit.Kind.values()), in.unpackDouble())))),
             new MessageFormat<>(
                     16,
                     HandoverRequest.class,
--- a/src/main/java/org/auburnhoist/platform/PlatformWireRules.java
+++ b/src/main/java/org/auburnhoist/platform/PlatformWireRules.java
@@ -8,6 +8,7 @@
 import org.auburnhoist.core.Refusal;
 import org.auburnhoist.core.message.AttemptOutcome;
 import org.auburnhoist.core.message.ServerNotice;
+import org.auburnhoist.core.message.StatedLimit;
 import org.auburnhoist.proxy.Forwarding;
 import org.auburnhoist.proxy.HeaderRules;
 import org.auburnhoist.proxy.RequestHead;
@@ -99,7 +100,15 @@
 
     @Override
     public ServerNotice serverNotice(int status, List<Map.Entry<String, String>> headers) {
-        return ServerNoticeDecoder.decode(status, headers);
+        ServerNotice notice = ServerNoticeDecoder.decode(status, headers);
+        if (status == MISDIRECTED) {
+            // Another server than the requested one responds.
+            return notice;
+        }
+        StatedLimit limit = ServerNoticeDecoder.decodeLimit(headers);
+        // Without the attempt ID it is uncertain whether the server itself responds, so no limit is withdrawn.
+        boolean certain = firstValue(headers, ATTEMPT_ID) != null;
+        return limit.isLimited() || certain ? new ServerNotice(notice.leaving(), notice.pauseMillis(), limit) : notice;
     }
 
     /** Removes the headers that a server addresses to this host; forwarded, they would speak for the host itself. */
--- a/src/test/java/org/auburnhoist/peer/MessageCodecTest.java
+++ b/src/test/java/org/auburnhoist/peer/MessageCodecTest.java
@@ -21,10 +21,12 @@
 import org.auburnhoist.core.message.PullRequest;
 import org.auburnhoist.core.message.RecordedResponse;
 import org.auburnhoist.core.message.SchedulingParameters;
+import org.auburnhoist.core.message.ServerNotice;
 import org.auburnhoist.core.message.SlotAnswer;
 import org.auburnhoist.core.message.SlotRelease;
 import org.auburnhoist.core.message.SlotRequest;
 import org.auburnhoist.core.message.SlotVerdict;
+import org.auburnhoist.core.message.StatedLimit;
 import org.auburnhoist.core.message.StatusDigest;
 import org.auburnhoist.core.message.StatusReport;
 import org.auburnhoist.core.message.TokenAnswer;
@@ -55,6 +57,8 @@
             new SlotAnswer(SlotVerdict.GRANTED, "ledger-2", "10.0.0.1:80", 9, 0),
             new StatusReport(true, 12, 77, 78),
             new SlotRelease("ledger", 9, AttemptOutcome.TIMEOUT, 1_500_000),
+            new SlotRelease("ledger", 9, AttemptOutcome.SUCCESS, 1, new ServerNotice(true, 250, StatedLimit.of(1.25))),
+            new SlotRelease("ledger", 9, AttemptOutcome.SUCCESS, 1, new ServerNotice(false, 0, StatedLimit.UNLIMITED)),
             new Acknowledgement(true));
 
     @Test
--- a/src/test/java/org/auburnhoist/platform/PlatformWireRulesTest.java
+++ b/src/test/java/org/auburnhoist/platform/PlatformWireRulesTest.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import org.auburnhoist.core.Refusal;
 import org.auburnhoist.core.message.AttemptOutcome;
+import org.auburnhoist.core.message.StatedLimit;
 import org.auburnhoist.proxy.Forwarding;
 import org.auburnhoist.proxy.RequestHead;
 import org.junit.jupiter.api.Test;
@@ -51,6 +52,26 @@
                 sent);
     }
 
+    /** Guards against a limit of the wrong server, and against a response of unknown origin that withdraws a limit. */
+    @Test
+    void onlyTheRequestedServersResponseStatesItsLimit() {
+        Map.Entry<String, String> limit = Map.entry("Server-Limit", "1.5");
+        assertEquals(
+                StatedLimit.of(1.5),
+                rules.serverNotice(200, List.of(SIGNED, ECHO, limit)).limit());
+        assertEquals(
+                StatedLimit.of(1.5), rules.serverNotice(500, List.of(limit)).limit());
+        assertEquals(
+                StatedLimit.UNLIMITED,
+                rules.serverNotice(503, List.of(ECHO, NOT_EXECUTED)).limit());
+        assertEquals(
+                StatedLimit.UNKNOWN, rules.serverNotice(200, List.of(SIGNED)).limit());
+        assertEquals(
+                StatedLimit.UNKNOWN,
+                rules.serverNotice(421, List.of(ECHO, limit)).limit());
+        assertEquals(StatedLimit.UNKNOWN, rules.serverNotice(421, List.of(ECHO)).limit());
+    }
+
     @Test
     void aRequestCountsAsNotRunOnlyIfTheServerStatesIt() {
         assertEquals(AttemptOutcome.REJECTED, rules.attemptOutcome(503, List.of(NOT_EXECUTED)));
--- a/src/test/java/org/auburnhoist/platform/ServerNoticeDecoderTest.java
+++ b/src/test/java/org/auburnhoist/platform/ServerNoticeDecoderTest.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import org.auburnhoist.core.message.ServerNotice;
+import org.auburnhoist.core.message.StatedLimit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -53,6 +54,31 @@
         assertEquals(ServerNotice.NONE, ServerNoticeDecoder.decode(200, headers("Server-Leaving", value)));
     }
 
+    @ParameterizedTest
+    @CsvSource({"1, 1", "1.2, 1.2", "0.05, 0.05", "1000000, 1000000", "1.2000000000000002, 1.2000000000000002"})
+    void aLimitIsDecoded(String value, double requestsPerSecond) {
+        assertEquals(
+                StatedLimit.of(requestsPerSecond), ServerNoticeDecoder.decodeLimit(headers("Server-Limit", value)));
+    }
+
+    /** Guards against a malformed limit that sets one, or withdraws the one that the server has named before. */
+    @ParameterizedTest
+    @ValueSource(strings = {"-1", "0", "0.0", "", "NaN", "Infinity", "0x1p3", "1e3", "1.", "1,2", "1000001", "1 2"})
+    void aMalformedLimitSaysNothing(String value) {
+        assertEquals(StatedLimit.UNKNOWN, ServerNoticeDecoder.decodeLimit(headers("Server-Limit", value)));
+    }
+
+    @Test
+    void aRepeatedLimitAppliesOnlyIfItsValuesAgree() {
+        assertEquals(StatedLimit.of(2), ServerNoticeDecoder.decodeLimit(headers("server-limit", "2", "2")));
+        assertEquals(StatedLimit.UNKNOWN, ServerNoticeDecoder.decodeLimit(headers("Server-Limit", "2", "3")));
+    }
+
+    @Test
+    void aMissingLimitWithdrawsTheEarlierOne() {
+        assertEquals(StatedLimit.UNLIMITED, ServerNoticeDecoder.decodeLimit(headers("Server-Leaving", "1")));
+    }
+
     /** Guards against callers taking a server's notice about itself for one of the fleet. */
     @Test
     void noticesOfServersAreNotForwardedToCallers() {
