Keep what servers say to hosts out of callers' responses

Callers got the headers Server-Leaving and Retry-After of servers, the second of which speaks for the fleet. The adapter removes them, but the proxy had computed the framing, and with it the headers that are sent, from the response before they were removed; the test of the adapter and the end-to-end test looked at other responses. The framing now takes the headers that are meant for callers. Found while the test of server limits was written.

--- a/src/main/java/org/auburnhoist/proxy/ForwardedExchange.java
+++ b/src/main/java/org/auburnhoist/proxy/ForwardedExchange.java
@@ -231,8 +231,10 @@
     }
 
     private void forwardHead(@Nullable EntityDetails entity) {
-        ResponseFraming framing = ResponseFraming.of(head, status, responseHeaders, entity);
-        responseHeaders = server.settings().wireRules.callerResponseHeaders(responseHeaders);
+        List<Map.Entry<String, String>> callerHeaders =
+                server.settings().wireRules.callerResponseHeaders(responseHeaders);
+        ResponseFraming framing = ResponseFraming.of(head, status, responseHeaders, callerHeaders, entity);
+        responseHeaders = callerHeaders;
         long length = framing.length();
         resumable = isRetryableAfterSending() ? ResumableResponse.of(head, status, responseHeaders, length) : null;
         if (length > 0) {
--- a/src/main/java/org/auburnhoist/proxy/ResponseFraming.java
+++ b/src/main/java/org/auburnhoist/proxy/ResponseFraming.java
@@ -13,12 +13,19 @@
  * @param length length of the body in bytes, or {@link CallerExchange#CHUNKED} or {@link CallerExchange#NO_BODY}
  */
 record ResponseFraming(List<Map.Entry<String, String>> headers, long length) {
+    /**
+     * Determines the framing of a response.
+     *
+     * @param responseHeaders all headers of the response
+     * @param callerHeaders those that are forwarded to the caller
+     */
     static ResponseFraming of(
             RequestHead request,
             int status,
             List<Map.Entry<String, String>> responseHeaders,
+            List<Map.Entry<String, String>> callerHeaders,
             @Nullable EntityDetails entity) {
-        List<Map.Entry<String, String>> headers = new ArrayList<>(HeaderRules.endToEnd(responseHeaders));
+        List<Map.Entry<String, String>> headers = new ArrayList<>(callerHeaders);
         if (entity != null) {
             long length = entity.getContentLength() >= 0 ? entity.getContentLength() : CallerExchange.CHUNKED;
             return new ResponseFraming(headers, length);
--- a/src/test/java/org/auburnhoist/platform/PlatformHostTest.java
+++ b/src/test/java/org/auburnhoist/platform/PlatformHostTest.java
@@ -293,7 +293,13 @@
     @Test
     void aServerThatAnnouncesItsShutdownGetsNoMoreRequestsFromTheNotifiedHost() throws Exception {
         first.mode(FakeUpstreamServer.Mode.LEAVING);
-        await(() -> pay(hosts.get(0), "k1").body().equals("from i-1"), "the first server has responded");
+        await(
+                () -> {
+                    HttpResponse<String> response = pay(hosts.get(0), "k1");
+                    assertTrue(response.headers().firstValue("Server-Leaving").isEmpty());
+                    return response.body().equals("from i-1");
+                },
+                "the first server has responded");
         int before = first.requests().size();
         store.failWith(503);
         for (int request = 0; request < 20; request++) {
