Keep the limit that a server names over all hosts together

* The dispatcher of a service grants a limited server by a bucket of tokens (ServerLimits).
It starts empty, so a new dispatcher grants nothing for what an earlier one may have granted.
* Each host sends the limits that it was told with its requests for a slot, so a dispatcher knows what its predecessor knew.
* The share of a limit that a host may grant follows its position in the service's order of all members (LimitShares): the first one has 1, two substitutes 0.2 each, others and hosts that choose by themselves 0.
The sum stays below 1.5, which servers tolerate, in any partition.
A new first host has 0.2 until all hosts have learned of it.
* Limited servers are used when others are full; a request that limits leave no room for is refused at once, with the time until there is room.
They count for the floor only while their limit lets them be used.
* The header is not forwarded to callers.

--- a/src/main/java/org/auburnhoist/core/dispatch/PriorityDispatcher.java
+++ b/src/main/java/org/auburnhoist/core/dispatch/PriorityDispatcher.java
@@ -27,6 +27,8 @@
     private static final long CLEANUP_INTERVAL_NANOS = 100 * NANOS_PER_MILLI;
     /** Time after its request's deadline at which a grant expires if it has not been released. */
     private static final long GRANT_MARGIN_NANOS = 1_000 * NANOS_PER_MILLI;
+    /** Retry delay while this dispatcher has no share of the limits; the caller may find another host. */
+    private static final double NO_SHARE_RETRY_SECONDS = 0.3;
 
     private final PriorityRequestQueue queue = new PriorityRequestQueue();
     private final Quarantine quarantine = new Quarantine();
@@ -41,7 +43,7 @@
     public PriorityDispatcher(PriorityDispatcherSettings settings, RandomGenerator random) {
         this.grants = new GrantTable(random.nextLong());
         this.serviceTimes = new ServiceTimeEstimator(settings.initialHoldTime());
-        this.serverSelector = new ServerSelector(settings.floor(), grants, serviceTimes, unservedShare, random);
+        this.serverSelector = new ServerSelector(settings.floor(), grants, serviceTimes, unservedShare, limits, random);
     }
 
     /** Applies a new list of the registered servers of the service. */
@@ -53,6 +55,20 @@
         return decisions;
     }
 
+    /**
+     * Sets which share of the servers' limits this dispatcher may grant.
+     *
+     * @param share from 0 to 1
+     */
+    public void updateLimitShare(double share) {
+        limits.updateShare(share);
+    }
+
+    /** Number of servers that have named a limit. */
+    public int limitedServers() {
+        return limits.limitedCount();
+    }
+
     /**
      * Requests a slot.
      *
@@ -68,6 +84,7 @@
         }
         long deadline = nowNanos + Math.max(0, request.deadlineMillis()) * NANOS_PER_MILLI;
         WaitingRequest waiting = new WaitingRequest(request, requestingHost, replyToken, deadline);
+        request.scheduling().serverLimits().forEach(report -> limits.recordReport(report, nowNanos));
         long quarantined = quarantine.remainingNanos(request.fingerprint(), nowNanos);
         if (quarantined > 0) {
             decisions.add(refuse(replyToken, SlotVerdict.QUARANTINED, quarantined / NANOS_PER_MILLI + 1));
@@ -160,7 +177,7 @@
     }
 
     private void grantWaiting(List<SlotDecision> decisions, long nowNanos) {
-        while (!queue.isEmpty() && serverSelector.hasFreeSlot()) {
+        while (!queue.isEmpty() && serverSelector.hasFreeSlot(nowNanos)) {
             SelectedServer selected = new SelectedServer();
             NegativeSearchCache failedSearches = serverSelector.newSearchCache(nowNanos);
             PriorityRequestQueue.Entry next = queue.poll(
@@ -196,7 +213,7 @@
 
     private SlotDecision grant(WaitingRequest waiting, UpstreamServer server, long nowNanos) {
         serverSelector.recordGrant(server, nowNanos);
-        limits.recordGrant(server.id());
+        limits.recordGrant(server.id(), nowNanos);
         Grant grant = grants.add(waiting, server.id(), nowNanos, waiting.deadlineNanos() + GRANT_MARGIN_NANOS);
         return new SlotDecision(
                 waiting.replyToken(),
@@ -213,10 +230,10 @@
 
     /** Estimated time in seconds by which the response would miss the deadline; not positive if it would be in time. */
     private double secondsBeyondDeadline(WaitingRequest waiting, long nowNanos) {
-        double slots = Math.max(1, serverSelector.usableSlots(nowNanos));
         double hold = serviceTimes.holdSeconds(waiting.request().trafficClass());
+        double slots = serverSelector.usableSlots(hold, nowNanos);
         int ahead = queue.countAhead(waiting.request().scheduling().priority());
-        double wait = ahead * hold / slots;
+        double wait = ahead * hold / slots + serverSelector.secondsUntilAllowed(nowNanos);
         return wait + hold - (waiting.deadlineNanos() - nowNanos) / 1e9;
     }
 
@@ -227,8 +244,9 @@
 
     private void refuseOverloaded(WaitingRequest waiting, double excess, List<SlotDecision> decisions, long nowNanos) {
         unservedShare.record(false, nowNanos);
-        double seconds =
-                Math.max(excess, serviceTimes.holdSeconds(waiting.request().trafficClass()));
+        double seconds = Math.max(
+                Double.isInfinite(excess) ? NO_SHARE_RETRY_SECONDS : excess,
+                serviceTimes.holdSeconds(waiting.request().trafficClass()));
         long millis = (long) Math.ceil(seconds * 1000);
         decisions.add(refuse(
                 waiting.replyToken(),
--- a/src/main/java/org/auburnhoist/core/dispatch/ServerRank.java
+++ b/src/main/java/org/auburnhoist/core/dispatch/ServerRank.java
@@ -14,7 +14,7 @@
     WARMING_UP,
     /** Failed some time ago and has not been probed since; the next request is a probe. */
     PROBE,
-    /** Responds slowly, or has a request in flight that is long overdue. */
+    /** Responds slowly, has a request in flight that is long overdue, or has asked for fewer requests. */
     SLOW,
     /** The requesting host recently could not reach it. */
     SUSPECT_PATH,
--- a/src/main/java/org/auburnhoist/core/dispatch/ServerSelector.java
+++ b/src/main/java/org/auburnhoist/core/dispatch/ServerSelector.java
@@ -50,6 +50,9 @@
     /** Time within which a server in a failure episode fails a request. */
     private static final long FAST_FAILURE_NANOS = 60 * NANOS_PER_MILLI;
 
+    /** Lower bound of the slots that limits leave, against a division by zero. */
+    private static final double MIN_USABLE_SLOTS = 0.01;
+
     private final double floorShare;
     /** Time after its last failure, slow response or connection failure for which a server counts as disturbed. */
     private final long recoveryNanos;
@@ -57,6 +60,7 @@
     private final GrantTable grants;
     private final ServiceTimeEstimator serviceTimes;
     private final UnservedShare unservedShare;
+    private final ServerLimits limits;
     private final TransientFailureDetector failureDetector = new TransientFailureDetector();
     private final Map<String, ServerEntry> servers = new LinkedHashMap<>();
     private final RandomGenerator random;
@@ -93,14 +97,6 @@
         }
     }
 
-    private record Candidate(
-            ServerRank rank,
-            int distance,
-            boolean connected,
-            int used,
-            long nanosSinceConfirmed,
-            long nanosSinceFailure) {}
-
     /**
      * Creates a selector without servers.
      *
@@ -108,6 +104,7 @@
      * @param grants the service's grants in use
      * @param serviceTimes average hold times and latencies of the service's requests
      * @param unservedShare the share of the service's recent requests that were not served
+     * @param limits the rates of requests that servers have asked for
      * @param random breaks ties
      */
     ServerSelector(
@@ -115,12 +112,14 @@
             GrantTable grants,
             ServiceTimeEstimator serviceTimes,
             UnservedShare unservedShare,
+            ServerLimits limits,
             RandomGenerator random) {
         this.floorShare = floor.share();
         this.recoveryNanos = floor.recoveryTime().toNanos();
         this.grants = grants;
         this.serviceTimes = serviceTimes;
         this.unservedShare = unservedShare;
+        this.limits = limits;
         this.random = random;
     }
 
@@ -195,15 +194,14 @@
         Floor floor = currentSnapshot(nowNanos).floor();
         boolean urgent = waiting.waitedNanos(nowNanos) / 1e9 >= LAST_RESORT_FRACTION * targetSeconds(request);
         ServerEntry best = null;
-        Candidate bestCandidate = null;
+        ServerCandidate bestCandidate = null;
         for (ServerEntry entry : servers.values()) {
             UpstreamServer server = entry.server;
-            int used = grants.used(server.id());
-            if (used >= server.slots() || !isEligible(request, server) || forbidden.contains(server.id())) {
+            if (!hasFreeSlot(server, nowNanos) || !isEligible(request, server) || forbidden.contains(server.id())) {
                 continue;
             }
-            Candidate candidate = toCandidate(waiting, entry, floor, urgent, nowNanos);
-            if (candidate != null && (bestCandidate == null || isBetter(candidate, bestCandidate))) {
+            ServerCandidate candidate = toCandidate(waiting, entry, floor, urgent, nowNanos);
+            if (candidate != null && (bestCandidate == null || candidate.isBetterThan(bestCandidate, random))) {
                 best = entry;
                 bestCandidate = candidate;
             }
@@ -220,15 +218,19 @@
     }
 
     /** Whether any server has a free slot. */
-    boolean hasFreeSlot() {
+    boolean hasFreeSlot(long nowNanos) {
         for (ServerEntry entry : servers.values()) {
-            if (!entry.server.leaving() && grants.used(entry.server.id()) < entry.server.slots()) {
+            if (!entry.server.leaving() && hasFreeSlot(entry.server, nowNanos)) {
                 return true;
             }
         }
         return false;
     }
 
+    private boolean hasFreeSlot(UpstreamServer server, long nowNanos) {
+        return grants.used(server.id()) < server.slots() && limits.allowsRequest(server.id(), nowNanos);
+    }
+
     private static boolean isEligible(SlotRequest request, UpstreamServer server) {
         List<String> allowedServers = request.scheduling().allowedServers();
         return !server.leaving()
@@ -268,13 +270,13 @@
     }
 
     /** The suitability of a server for a request, or null if it must not receive the request. */
-    private @Nullable Candidate toCandidate(
+    private @Nullable ServerCandidate toCandidate(
             WaitingRequest waiting, ServerEntry entry, Floor floor, boolean urgent, long nowNanos) {
         ServerRank rank = rank(waiting, entry, floor, urgent, nowNanos);
         if (rank == null) {
             return null;
         }
-        return new Candidate(
+        return new ServerCandidate(
                 rank,
                 sameDataCentre(waiting, entry) ? 0 : 1,
                 waiting.request().scheduling().connectedServers().contains(entry.server.id()),
@@ -313,7 +315,7 @@
         if (neededForFloor || isFirstRequestDue(entry, nowNanos)) {
             return ServerRank.REQUIRED;
         }
-        if (status == TransientFailureDetector.Status.SLOW || hasOverdueRequest(id, nowNanos)) {
+        if (status == TransientFailureDetector.Status.SLOW || limits.isLimited(id) || hasOverdueRequest(id, nowNanos)) {
             return ServerRank.SLOW;
         }
         if (entry.warmUpUntilNanos - nowNanos > 0) {
@@ -333,31 +335,6 @@
         return failing ? MAX_AVOIDANCE_WHILE_FAILING_NANOS : MAX_AVOIDANCE_NANOS;
     }
 
-    private boolean isBetter(Candidate candidate, Candidate best) {
-        if (candidate.rank() != best.rank()) {
-            return candidate.rank().compareTo(best.rank()) < 0;
-        }
-        // The longer ago a server failed, the more likely its failure episode is over.
-        if (candidate.rank().isProbe() && candidate.nanosSinceFailure() != best.nanosSinceFailure()) {
-            return candidate.nanosSinceFailure() > best.nanosSinceFailure();
-        }
-        if (candidate.distance() != best.distance()) {
-            return candidate.distance() < best.distance();
-        }
-        // A new connection costs a round trip and may occupy a slot of the server.
-        if (candidate.connected() != best.connected()) {
-            return candidate.connected();
-        }
-        // Filling one server after the other limits the servers in use, and with them the failure episodes encountered.
-        if (candidate.rank() == ServerRank.CONFIRMED && candidate.used() != best.used()) {
-            return candidate.used() > best.used();
-        }
-        if (candidate.nanosSinceConfirmed() != best.nanosSinceConfirmed()) {
-            return candidate.nanosSinceConfirmed() < best.nanosSinceConfirmed();
-        }
-        return random.nextBoolean();
-    }
-
     /**
      * Time since the last request that confirms the server's health. A server in a failure episode fails requests at
      * once, so a request that has not failed within a short time shows that its server was healthy when it arrived.
@@ -431,7 +408,9 @@
     private int confirmedBusySlots(long nowNanos) {
         int busy = 0;
         for (ServerEntry entry : servers.values()) {
-            if (!entry.server.leaving() && nanosSinceConfirmed(entry, nowNanos) < CONFIRMED_NANOS) {
+            if (!entry.server.leaving()
+                    && limits.allowsRequest(entry.server.id(), nowNanos)
+                    && nanosSinceConfirmed(entry, nowNanos) < CONFIRMED_NANOS) {
                 busy += grants.used(entry.server.id());
             }
         }
@@ -450,6 +429,9 @@
                 continue;
             }
             boolean inUse = entry.wasGranted && nowNanos - entry.lastGrantNanos <= IN_USE_NANOS;
+            if (!inUse && !limits.allowsRequest(id, nowNanos)) {
+                continue;
+            }
             if (isUndisturbed(id, nowNanos)) {
                 undisturbed++;
                 undisturbedInUse += inUse ? 1 : 0;
@@ -470,17 +452,38 @@
         return new FloorStatus(floor.needed(), floor.inUse(), unservedShare.value(nowNanos));
     }
 
-    /** Number of slots of the servers that are not avoided. */
-    int usableSlots(long nowNanos) {
-        int slots = 0;
+    /**
+     * Number of slots that requests can use on the servers that are not avoided, 1 if all are. A server that limits its
+     * requests has as many as are busy on average at that rate.
+     */
+    double usableSlots(double holdSeconds, long nowNanos) {
+        double slots = 0;
+        boolean anyUsable = false;
         for (ServerEntry entry : servers.values()) {
-            if (!entry.server.leaving()
-                    && !entry.announcedLeaving
-                    && failureDetector.status(entry.server.id(), Long.MAX_VALUE, nowNanos)
-                            != TransientFailureDetector.Status.AVOIDED) {
-                slots += entry.server.slots();
+            if (isUsable(entry, nowNanos)) {
+                anyUsable = true;
+                slots += Math.min(entry.server.slots(), holdSeconds * limits.rate(entry.server.id()));
             }
         }
-        return slots;
+        return anyUsable ? Math.max(MIN_USABLE_SLOTS, slots) : 1;
+    }
+
+    /** Seconds until a server that is not avoided may receive a request, as far as limits determine this. */
+    double secondsUntilAllowed(long nowNanos) {
+        if (limits.limitedCount() == 0) {
+            return 0;
+        }
+        return servers.values().stream()
+                .filter(entry -> isUsable(entry, nowNanos))
+                .mapToDouble(entry -> limits.secondsUntilAllowed(entry.server.id(), nowNanos))
+                .min()
+                .orElse(0);
+    }
+
+    private boolean isUsable(ServerEntry entry, long nowNanos) {
+        return !entry.server.leaving()
+                && !entry.announcedLeaving
+                && failureDetector.status(entry.server.id(), Long.MAX_VALUE, nowNanos)
+                        != TransientFailureDetector.Status.AVOIDED;
     }
 }
--- a/src/main/java/org/auburnhoist/core/message/SchedulingParameters.java
+++ b/src/main/java/org/auburnhoist/core/message/SchedulingParameters.java
@@ -12,6 +12,7 @@
  * @param connectedServers servers to which the requesting host has an idle connection
  * @param allowedServers the only servers that may get the request, empty if any may: the request has been sent to as
  *     many servers as its route allows, and these rejected it without running it
+ * @param serverLimits limits that servers of the service have named to the requesting host
  */
 public record SchedulingParameters(
         int priority,
@@ -19,7 +20,8 @@
         int attempt,
         String dataCentre,
         List<String> connectedServers,
-        List<String> allowedServers) {
+        List<String> allowedServers,
+        List<ReportedLimit> serverLimits) {
     /** Parameters of a first attempt without an explicit priority, target latency or data centre. */
     public static final SchedulingParameters STANDARD = new SchedulingParameters(0, 0, 1, "", List.of());
 
@@ -27,6 +29,18 @@
     public SchedulingParameters {
         connectedServers = List.copyOf(connectedServers);
         allowedServers = List.copyOf(allowedServers);
+        serverLimits = List.copyOf(serverLimits);
+    }
+
+    /** Creates the parameters of an attempt while no server has named a limit. */
+    public SchedulingParameters(
+            int priority,
+            long targetLatencyMillis,
+            int attempt,
+            String dataCentre,
+            List<String> connectedServers,
+            List<String> allowedServers) {
+        this(priority, targetLatencyMillis, attempt, dataCentre, connectedServers, allowedServers, List.of());
     }
 
     /** Creates the parameters of an attempt that may go to any server. */
--- a/src/main/java/org/auburnhoist/gateway/GatewayForwarding.java
+++ b/src/main/java/org/auburnhoist/gateway/GatewayForwarding.java
@@ -171,7 +171,8 @@
                 retryState.nextAttemptNumber(),
                 components.settings().dataCentre(),
                 connectedServers(),
-                allowed);
+                allowed,
+                components.notices().limitsAmong(registered, nowNanos));
         SlotRequest slotRequest = new SlotRequest(
                 request.service(),
                 request.route().name(),
--- a/src/main/java/org/auburnhoist/gateway/GatewayHost.java
+++ b/src/main/java/org/auburnhoist/gateway/GatewayHost.java
@@ -228,7 +228,8 @@
 
     private void join(PeerCalls peers, ReadResult.Found entries) {
         long now = System.nanoTime();
-        SlotBroker slots = new SlotBroker(fleet, cache, peers, control, self, settings, random, startNanos);
+        SlotBroker slots =
+                new SlotBroker(fleet, cache, peers, control, self, settings, random, lease::isHeld, startNanos);
         QuotaBroker quotas = new QuotaBroker(fleet, cache, peers, control, settings, lease::isHeld, random, startNanos);
         GatewayComponents gatewayComponents =
                 new GatewayComponents(settings, control, cache, slots, notices, quotas, metrics, proxy::idleUpstreams);
@@ -291,6 +292,7 @@
         JoinedComponents components = joinedComponents;
         if (components != null) {
             components.quotas().membersChanged(System.nanoTime());
+            components.slots().membersChanged();
         }
     }
 
--- a/src/main/java/org/auburnhoist/gateway/ServerNotices.java
+++ b/src/main/java/org/auburnhoist/gateway/ServerNotices.java
@@ -1,11 +1,14 @@
 package org.auburnhoist.gateway;
 
+import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.BinaryOperator;
 import org.auburnhoist.core.dispatch.LatestLimit;
+import org.auburnhoist.core.message.ReportedLimit;
 import org.auburnhoist.core.message.ServerNotice;
 import org.auburnhoist.core.message.StatedLimit;
 import org.auburnhoist.core.routing.UpstreamServer;
@@ -23,6 +26,8 @@
     /** More than the servers of a fleet at the target size; bounds the memory that notices can take. */
     private static final int MAX_INCARNATIONS = 20_000;
 
+    /** Bounds the size of a slot request. */
+    private static final int MAX_REPORTED_LIMITS = 32;
     /** Age at which a limit is forgotten, so that a host that nobody tells of its withdrawal asks the server again. */
     private static final long MAX_LIMIT_AGE_NANOS = 60_000 * MILLI;
 
@@ -86,6 +91,24 @@
         }
     }
 
+    /** The limits that some servers have named to this host, latest first, as many as one request reports. */
+    List<ReportedLimit> limitsAmong(List<UpstreamServer> servers, long nowNanos) {
+        if (limits.isEmpty()) {
+            return List.of();
+        }
+        List<ReportedLimit> reported = new ArrayList<>();
+        for (UpstreamServer server : servers) {
+            LatestLimit latest = limits.get(new Incarnation(server.id(), server.startedMillis()));
+            if (latest != null && latest.limit().isLimited()) {
+                long ageMillis = Math.max(0, nowNanos - latest.receivedNanos()) / MILLI;
+                reported.add(new ReportedLimit(
+                        server.id(), server.startedMillis(), latest.limit().requestsPerSecond(), ageMillis));
+            }
+        }
+        reported.sort(Comparator.comparingLong(ReportedLimit::ageMillis));
+        return reported.size() <= MAX_REPORTED_LIMITS ? reported : reported.subList(0, MAX_REPORTED_LIMITS);
+    }
+
     private static void logDropped(String server, int kept) {
         Event.named("server-notice-dropped")
                 .with("server", server)
--- a/src/main/java/org/auburnhoist/gateway/ServiceDispatch.java
+++ b/src/main/java/org/auburnhoist/gateway/ServiceDispatch.java
@@ -26,6 +26,7 @@
     private final PriorityDispatcher dispatcher;
     private final Map<Long, ReplyHandler> replies = new HashMap<>();
     private long lastLoggedNanos;
+    private double limitShare = 1;
 
     ServiceDispatch(String service, PriorityDispatcher dispatcher, long nowNanos) {
         this.service = service;
@@ -46,6 +47,8 @@
                 .with("servers_in_use", floor.inUse())
                 .with("unserved_percent", Math.round(100 * floor.unservedShare()))
                 .with("waiting_requests", dispatcher.waitingCount())
+                .with("limited_servers", dispatcher.limitedServers())
+                .with("limit_share", limitShare)
                 .logRoutine();
     }
 
@@ -56,9 +59,16 @@
     void request(SlotRequest request, HostId requester, long token, long nowNanos, ReplyHandler reply) {
         replies.put(token, reply);
         deliver(dispatcher.request(request, requester, token, nowNanos), nowNanos);
+        logLimitChanges();
         logState(nowNanos);
     }
 
+    /** Sets which share of the servers' limits may be granted, from 0 to 1. */
+    void updateLimitShare(double share) {
+        limitShare = share;
+        dispatcher.updateLimitShare(share);
+    }
+
     void updateServers(List<UpstreamServer> registered, long nowNanos) {
         deliver(dispatcher.updateServers(registered, nowNanos), nowNanos);
     }
@@ -98,6 +108,7 @@
                     .with("requests_per_second", change.limit())
                     .with("previous", change.previous())
                     .with("granted_under_previous", change.granted())
+                    .with("limit_share", limitShare)
                     .log();
         }
     }
--- a/src/main/java/org/auburnhoist/gateway/SlotBroker.java
+++ b/src/main/java/org/auburnhoist/gateway/SlotBroker.java
@@ -6,8 +6,10 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.function.BiConsumer;
+import java.util.function.LongPredicate;
 import java.util.random.RandomGenerator;
 import org.auburnhoist.core.HostId;
+import org.auburnhoist.core.dispatch.LimitShares;
 import org.auburnhoist.core.dispatch.PriorityDispatcher;
 import org.auburnhoist.core.dispatch.PriorityDispatcherSettings;
 import org.auburnhoist.core.membership.FleetMember;
@@ -56,6 +58,7 @@
     private final GatewaySettings settings;
     private final RandomGenerator random;
     private final RetryBudgets budgets;
+    private final LimitShares limitShares;
     private final Map<String, ServiceDispatch> dispatches = new HashMap<>();
     private final Map<String, ServiceDispatch> localDispatches = new HashMap<>();
     private final Map<Long, PendingRequest> pending = new HashMap<>();
@@ -108,6 +111,7 @@
             HostId self,
             GatewaySettings settings,
             RandomGenerator random,
+            LongPredicate membershipValid,
             long startedNanos) {
         this.fleet = fleet;
         this.cache = cache;
@@ -116,6 +120,7 @@
         this.self = self;
         this.settings = settings;
         this.random = random;
+        this.limitShares = new LimitShares(fleet, self.name(), membershipValid);
         this.budgets = new RetryBudgets(settings.retryBudget(), random, startedNanos);
     }
 
@@ -171,10 +176,15 @@
     void handleRelease(SlotRelease release, HostId requester, long nowNanos) {
         ServiceDispatch dispatch = dispatches.get(release.service());
         if (dispatch != null) {
+            dispatch.updateLimitShare(limitShares.share(release.service(), nowNanos));
             dispatch.release(release, requester, nowNanos);
         }
     }
 
+    void membersChanged() {
+        limitShares.membersChanged();
+    }
+
     void serversChanged(long nowNanos) {
         for (Map<String, ServiceDispatch> dispatchMap : List.of(dispatches, localDispatches)) {
             Map.copyOf(dispatchMap)
@@ -192,6 +202,8 @@
 
     private void tick(long nowNanos) {
         ticking = false;
+        Map.copyOf(dispatches)
+                .forEach((service, dispatch) -> dispatch.updateLimitShare(limitShares.share(service, nowNanos)));
         for (Map<String, ServiceDispatch> dispatchMap : List.of(dispatches, localDispatches)) {
             List.copyOf(dispatchMap.values()).forEach(dispatch -> dispatch.tick(nowNanos));
         }
@@ -224,11 +236,18 @@
     }
 
     private ServiceDispatch dispatch(String service, long nowNanos) {
-        return dispatches.computeIfAbsent(service, name -> createDispatch(name, "dispatcher", nowNanos));
+        ServiceDispatch dispatch =
+                dispatches.computeIfAbsent(service, name -> createDispatch(name, "dispatcher", nowNanos));
+        dispatch.updateLimitShare(limitShares.share(service, nowNanos));
+        return dispatch;
     }
 
     private ServiceDispatch localDispatch(String service, long nowNanos) {
-        return localDispatches.computeIfAbsent(service, name -> createDispatch(name, "local-choice", nowNanos));
+        ServiceDispatch dispatch =
+                localDispatches.computeIfAbsent(service, name -> createDispatch(name, "local-choice", nowNanos));
+        // Any number of hosts may choose by themselves at the same time.
+        dispatch.updateLimitShare(0);
+        return dispatch;
     }
 
     private ServiceDispatch createDispatch(String service, String kind, long nowNanos) {
@@ -251,7 +270,7 @@
         entry.sentAtNanos = nowNanos;
         FleetMember dispatcher = entry.asked > MAX_DISPATCHERS_ASKED
                 ? null
-                : fleet.firstAlive("service/" + entry.request.service(), nowNanos);
+                : fleet.firstAlive(LimitShares.placementKey(entry.request.service()), nowNanos);
         entry.dispatcher = dispatcher;
         if (dispatcher == null) {
             requestLocally(
--- a/src/main/java/org/auburnhoist/peer/MessageCodec.java
+++ b/src/main/java/org/auburnhoist/peer/MessageCodec.java
@@ -106,8 +106,7 @@
     }
 
     static List<String> readStrings(MessageUnpacker unpacker) throws IOException {
-        int length = unpacker.unpackArrayHeader();
-        checkLength(length, MAX_LIST_LENGTH);
+        int length = readListLength(unpacker);
         List<String> strings = new ArrayList<>();
         for (int index = 0; index < length; index++) {
             strings.add(unpacker.unpackString());
@@ -115,6 +114,12 @@
         return strings;
     }
 
+    static int readListLength(MessageUnpacker unpacker) throws IOException {
+        int length = unpacker.unpackArrayHeader();
+        checkLength(length, MAX_LIST_LENGTH);
+        return length;
+    }
+
     static <E extends Enum<E>> E readEnum(MessageUnpacker unpacker, E[] values) throws IOException {
         int ordinal = unpacker.unpackInt();
         if (ordinal < 0 || ordinal >= values.length) {
--- a/src/main/java/org/auburnhoist/peer/MessageFormat.java
+++ b/src/main/java/org/auburnhoist/peer/MessageFormat.java
@@ -3,6 +3,7 @@
 import static org.auburnhoist.peer.MessageCodec.readBytes;
 import static org.auburnhoist.peer.MessageCodec.readEnum;
 import static org.auburnhoist.peer.MessageCodec.readFlags;
+import static org.auburnhoist.peer.MessageCodec.readListLength;
 import static org.auburnhoist.peer.MessageCodec.readRecordedResponse;
 import static org.auburnhoist.peer.MessageCodec.readStrings;
 import static org.auburnhoist.peer.MessageCodec.writeBytes;
@@ -11,6 +12,7 @@
 import static org.auburnhoist.peer.MessageCodec.writeStrings;
 
 import java.io.IOException;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -33,6 +35,7 @@
 import org.auburnhoist.core.message.PullRequest;
 import org.auburnhoist.core.message.QuotaHandoverRequest;
 import org.auburnhoist.core.message.QuotaTakeoverRequest;
+import org.auburnhoist.core.message.ReportedLimit;
 import org.auburnhoist.core.message.SchedulingParameters;
 import org.auburnhoist.core.message.ServerNotice;
 import org.auburnhoist.core.message.SlotAnswer;
@@ -276,6 +279,11 @@
         packer.packInt(scheduling.attempt()).packString(scheduling.dataCentre());
         writeStrings(packer, scheduling.connectedServers());
         writeStrings(packer, scheduling.allowedServers());
+        packer.packArrayHeader(scheduling.serverLimits().size());
+        for (ReportedLimit limit : scheduling.serverLimits()) {
+            packer.packString(limit.server()).packLong(limit.serverStartedMillis());
+            packer.packDouble(limit.requestsPerSecond()).packLong(limit.ageMillis());
+        }
     }
 
     private static SlotRequest readSlotRequest(MessageUnpacker in) throws IOException {
@@ -293,7 +301,17 @@
                         in.unpackInt(),
                         in.unpackString(),
                         readStrings(in),
-                        readStrings(in)));
+                        readStrings(in),
+                        readReportedLimits(in)));
+    }
+
+    private static List<ReportedLimit> readReportedLimits(MessageUnpacker in) throws IOException {
+        int length = readListLength(in);
+        List<ReportedLimit> limits = new ArrayList<>();
+        for (int index = 0; index < length; index++) {
+            limits.add(new ReportedLimit(in.unpackString(), in.unpackLong(), in.unpackDouble(), in.unpackLong()));
+        }
+        return limits;
     }
 
     private static void writeStatusDigest(StatusDigest message, MessagePacker packer) throws IOException {
--- a/src/main/java/org/auburnhoist/platform/PlatformWireRules.java
+++ b/src/main/java/org/auburnhoist/platform/PlatformWireRules.java
@@ -115,8 +115,8 @@
     @Override
     public List<Map.Entry<String, String>> callerResponseHeaders(List<Map.Entry<String, String>> headers) {
         return HeaderRules.endToEnd(headers).stream()
-                .filter(header -> !header.getKey().equalsIgnoreCase(ServerNoticeDecoder.LEAVING)
-                        && !header.getKey().equalsIgnoreCase(ServerNoticeDecoder.RETRY_AFTER))
+                .filter(header ->
+                        !ServerNoticeDecoder.HEADERS.contains(header.getKey().toLowerCase(Locale.ROOT)))
                 .toList();
     }
 
--- a/src/main/java/org/auburnhoist/platform/ServerNoticeDecoder.java
+++ b/src/main/java/org/auburnhoist/platform/ServerNoticeDecoder.java
@@ -1,8 +1,12 @@
 package org.auburnhoist.platform;
 
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
+import java.util.Set;
 import java.util.regex.Pattern;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.auburnhoist.core.message.ServerNotice;
 import org.auburnhoist.core.message.StatedLimit;
 import org.auburnhoist.support.Event;
@@ -21,6 +25,11 @@
     /** Sent by a server in need: requests a second that it accepts from all hosts together, while it is sent. */
     static final String LIMIT = "Server-Limit";
 
+    /** Names of all notices, in lower case. */
+    static final Set<String> HEADERS = Stream.of(LEAVING, RETRY_AFTER, LIMIT)
+            .map(name -> name.toLowerCase(Locale.ROOT))
+            .collect(Collectors.toUnmodifiableSet());
+
     private static final String LEAVING_VALUE = "1";
     private static final int SERVICE_UNAVAILABLE = 503;
     /** A longer pause is considered an error. */
--- a/src/test/java/org/auburnhoist/platform/FakeUpstreamServer.java
+++ b/src/test/java/org/auburnhoist/platform/FakeUpstreamServer.java
@@ -42,6 +42,7 @@
     private final HttpServer server;
     private final List<Map<String, String>> requests = new CopyOnWriteArrayList<>();
     private volatile Mode mode = Mode.HEALTHY;
+    private volatile String limit = "";
 
     FakeUpstreamServer(String id) throws IOException {
         this.id = id;
@@ -65,6 +66,11 @@
         mode = value;
     }
 
+    /** Sets the limit that all responses name, or an empty string for none. */
+    void limit(String value) {
+        limit = value;
+    }
+
     /** Headers of the received requests, with lower-case names, and the path under {@code :path}. */
     List<Map<String, String>> requests() {
         return requests;
@@ -86,6 +92,9 @@
         Mode current = mode;
         String attempt = current == Mode.WRONG_ATTEMPT_ID ? "another" : headers.getOrDefault("x-attempt-id", "");
         response.setHeader("X-Attempt-Id", attempt);
+        if (!limit.isEmpty()) {
+            response.setHeader("Server-Limit", limit);
+        }
         switch (current) {
             case NOT_EXECUTED -> {
                 response.setCode(503);
--- a/src/test/java/org/auburnhoist/platform/PlatformHostTest.java
+++ b/src/test/java/org/auburnhoist/platform/PlatformHostTest.java
@@ -333,4 +333,33 @@
         }
         assertEquals(before, first.requests().size() + second.requests().size());
     }
+
+    /** Guards against more requests to a server than the limit that it has named, summed over all hosts. */
+    @Test
+    void aServerThatNamesALimitGetsNoMoreRequestsFromAllHostsTogether() throws Exception {
+        first.limit("1.5");
+        second.limit("1.5");
+        for (int request = 0; request < 6; request++) {
+            HttpResponse<String> response = pay(hosts.get(request % 3), "k1");
+            assertTrue(response.headers().firstValue("Server-Limit").isEmpty());
+        }
+        Thread.sleep(1_000);
+        int firstBefore = first.requests().size();
+        int secondBefore = second.requests().size();
+        long end = System.nanoTime() + Duration.ofSeconds(4).toNanos();
+        for (int request = 0; System.nanoTime() - end < 0; request++) {
+            pay(hosts.get(request % 3), "k1");
+        }
+        for (int received :
+                List.of(first.requests().size() - firstBefore, second.requests().size() - secondBefore)) {
+            assertTrue(received >= 4 && received <= 14, "requests in four seconds: " + received);
+        }
+        first.limit("");
+        await(() -> pay(hosts.get(0), "k1").statusCode() == 200, "a request is served");
+        await(
+                () -> pay(hosts.get(0), "k1").statusCode() == 200
+                        && pay(hosts.get(1), "k1").statusCode() == 200
+                        && pay(hosts.get(2), "k1").statusCode() == 200,
+                "the limit is withdrawn on all hosts");
+    }
 }
--- a/src/test/java/org/auburnhoist/platform/ServerNoticeDecoderTest.java
+++ b/src/test/java/org/auburnhoist/platform/ServerNoticeDecoderTest.java
@@ -85,6 +85,7 @@
         List<Map.Entry<String, String>> headers = List.of(
                 Map.entry("Server-Leaving", "1"),
                 Map.entry("Retry-After", "7"),
+                Map.entry("server-limit", "1.5"),
                 Map.entry("X-Response-Signature", "s"));
         assertEquals(
                 List.of(Map.entry("X-Response-Signature", "s")),
