Do not use the grant of a dispatcher that missed a server's departure

Trail: from 1 s on, 14 of 40 hosts were cut from the store, among them edge-magnolia-14, which dispatched the service; at 4.0 s the server's entry was removed; at 4.9 s the other 26 hosts had read that. edge-magnolia-14 still granted the server at 6.2 s, and edge-magnolia-11 and edge-cypress-1 sent to it: a host took every server that it did not know for a new one.

A grant now carries the store's revision at which its dispatcher last knew the servers. A host uses a server that it does not know only if that is later than its own knowledge. This holds for a host that has restarted since, too. Ruled out: slow reading (26 hosts had read the list in time), and a request that kept its slot from before (granted at 6.2 s). event=grant-outdated tells each such grant with both revisions and the dispatcher, which the log could not tell before. The simulated network of SlotFleet is a class of its own now.

--- a/src/main/java/org/auburnhoist/core/message/SlotAnswer.java
+++ b/src/main/java/org/auburnhoist/core/message/SlotAnswer.java
@@ -8,11 +8,24 @@
  * @param address the server's IP address and port, empty if the requesting host knows it from the configuration
  * @param grantId identifies the grant in the later {@link SlotRelease}, 0 without a grant
  * @param retryAfterMillis time after which the caller should retry, if refused
+ * @param serversRevision the store's revision at which the dispatcher last knew the registered servers, 0 if it does
+ *     not know them from the store
  */
-public record SlotAnswer(SlotVerdict verdict, String server, String address, long grantId, long retryAfterMillis)
+public record SlotAnswer(
+        SlotVerdict verdict, String server, String address, long grantId, long retryAfterMillis, long serversRevision)
         implements Message {
+    /** Creates an answer of a dispatcher that does not know the servers from the store. */
+    public SlotAnswer(SlotVerdict verdict, String server, String address, long grantId, long retryAfterMillis) {
+        this(verdict, server, address, grantId, retryAfterMillis, 0);
+    }
+
     /** Creates an answer without the server's address. */
     public SlotAnswer(SlotVerdict verdict, String server, long grantId, long retryAfterMillis) {
         this(verdict, server, "", grantId, retryAfterMillis);
     }
+
+    /** Returns this answer with the revision at which the dispatcher last knew the registered servers. */
+    public SlotAnswer withServersRevision(long revision) {
+        return new SlotAnswer(verdict, server, address, grantId, retryAfterMillis, revision);
+    }
 }
--- a/src/main/java/org/auburnhoist/gateway/GatewayForwarding.java
+++ b/src/main/java/org/auburnhoist/gateway/GatewayForwarding.java
@@ -239,7 +239,7 @@
         }
         UpstreamServer known = components.cache().server(granted.server());
         long startedMillis = known == null ? ServerNotices.UNKNOWN_START : known.startedMillis();
-        boolean closed = !components.slots().isUsable(granted.server())
+        boolean closed = !components.slots().isUsable(granted)
                 || components.notices().isClosed(granted.server(), startedMillis, nowNanos);
         if (closed) {
             releaseAndRetry(granted, nowNanos, result);
--- a/src/main/java/org/auburnhoist/gateway/SlotBroker.java
+++ b/src/main/java/org/auburnhoist/gateway/SlotBroker.java
@@ -74,8 +74,15 @@
      * @param dispatcher the host that granted it, null if this host selected the server itself
      * @param grantId ID of the grant
      * @param service the service
+     * @param serversRevision the store's revision at which the dispatcher last knew the servers
      */
-    record Slot(String server, String address, @Nullable FleetMember dispatcher, long grantId, String service) {}
+    record Slot(
+            String server,
+            String address,
+            @Nullable FleetMember dispatcher,
+            long grantId,
+            String service,
+            long serversRevision) {}
 
     /**
      * Result of a request for a slot.
@@ -218,11 +225,29 @@
         }
     }
 
-    /** Whether a server may still get requests; it may have begun to leave since it was selected. */
-    boolean isUsable(String server) {
-        UpstreamServer known = cache.server(server);
-        // The dispatcher may know of a server before this host does.
-        return known == null || !known.leaving();
+    /**
+     * Whether the server of a slot may get requests as far as this host knows. It may have begun to leave since it was
+     * selected, and a dispatcher that has lost the store selects servers that left before.
+     */
+    boolean isUsable(Slot slot) {
+        UpstreamServer known = cache.server(slot.server());
+        if (known != null) {
+            return !known.leaving();
+        }
+        // The dispatcher may know of a new server before this host does.
+        boolean usable = slot.serversRevision() > cache.serversKnownRevision();
+        if (!usable) {
+            FleetMember dispatcher = slot.dispatcher();
+            Event.named("grant-outdated")
+                    .with("server", slot.server())
+                    .with(
+                            "dispatcher",
+                            dispatcher == null ? self.name() : dispatcher.id().name())
+                    .with("dispatcher_revision", slot.serversRevision())
+                    .with("revision", cache.serversKnownRevision())
+                    .log();
+        }
+        return usable;
     }
 
     private void requestLocally(
@@ -232,7 +257,12 @@
             long nowNanos,
             ServiceDispatch.ReplyHandler reply) {
         startTicking();
-        dispatch.request(request, requester, nextToken++, nowNanos, reply);
+        dispatch.request(
+                request,
+                requester,
+                nextToken++,
+                nowNanos,
+                (answer, now) -> reply.accept(answer.withServersRevision(cache.serversKnownRevision()), now));
     }
 
     private ServiceDispatch dispatch(String service, long nowNanos) {
@@ -308,7 +338,13 @@
             long id, PendingRequest entry, @Nullable FleetMember dispatcher, SlotAnswer answer, long nowNanos) {
         boolean granted = answer.verdict() == SlotVerdict.GRANTED;
         Slot slot = granted
-                ? new Slot(answer.server(), answer.address(), dispatcher, answer.grantId(), entry.request.service())
+                ? new Slot(
+                        answer.server(),
+                        answer.address(),
+                        dispatcher,
+                        answer.grantId(),
+                        entry.request.service(),
+                        answer.serversRevision())
                 : null;
         if (pending.get(id) != entry || !Objects.equals(entry.dispatcher, dispatcher)) {
             if (slot != null) {
--- a/src/main/java/org/auburnhoist/gateway/StoreCache.java
+++ b/src/main/java/org/auburnhoist/gateway/StoreCache.java
@@ -96,6 +96,11 @@
         return serversByService.getOrDefault(service, List.of());
     }
 
+    /** Revision of the store at which the servers were last known. */
+    long serversKnownRevision() {
+        return serversReadRevision;
+    }
+
     /** Nanoseconds since the servers were last read from the store, by this host or by one that sent it a digest. */
     long storeAgeNanos(long nowNanos) {
         return hasBeenRead ? nowNanos - readAtNanos : Long.MAX_VALUE;
--- a/src/main/java/org/auburnhoist/host/ControlThread.java
+++ b/src/main/java/org/auburnhoist/host/ControlThread.java
@@ -43,6 +43,7 @@
     }
 
     /** Submits a task without waiting for it. After {@link #close}, the task is dropped. */
+    @Override
     public void execute(LongConsumer task) {
         try {
             submit(() -> runLogged(task));
--- a/src/main/java/org/auburnhoist/peer/MessageFormat.java
+++ b/src/main/java/org/auburnhoist/peer/MessageFormat.java
@@ -150,12 +150,14 @@
                             .packString(message.server())
                             .packString(message.address())
                             .packLong(message.grantId())
-                            .packLong(message.retryAfterMillis()),
+                            .packLong(message.retryAfterMillis())
+                            .packLong(message.serversRevision()),
                     in -> new SlotAnswer(
                             readEnum(in, SlotVerdict.values()),
                             in.unpackString(),
                             in.unpackString(),
                             in.unpackLong(),
+                            in.unpackLong(),
                             in.unpackLong())),
             new MessageFormat<>(
                     15,
--- a/src/test/java/org/auburnhoist/gateway/SlotFleet.java
+++ b/src/test/java/org/auburnhoist/gateway/SlotFleet.java
@@ -4,23 +4,19 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.PriorityQueue;
-import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
-import java.util.function.LongConsumer;
 import java.util.stream.IntStream;
 import org.auburnhoist.core.HostId;
 import org.auburnhoist.core.TrafficClass;
 import org.auburnhoist.core.dispatch.FloorSettings;
+import org.auburnhoist.core.dispatch.LimitShares;
 import org.auburnhoist.core.dispatch.RetryBudgetSettings;
 import org.auburnhoist.core.dispatch.RetryState;
 import org.auburnhoist.core.limit.FallbackLimiter;
 import org.auburnhoist.core.membership.FleetMember;
-import org.auburnhoist.core.membership.FleetView;
 import org.auburnhoist.core.message.Acknowledgement;
 import org.auburnhoist.core.message.AttemptOutcome;
 import org.auburnhoist.core.message.Message;
@@ -29,9 +25,6 @@
 import org.auburnhoist.core.message.SlotRelease;
 import org.auburnhoist.core.message.SlotRequest;
 import org.auburnhoist.core.routing.UpstreamServer;
-import org.auburnhoist.host.ControlScheduler;
-import org.auburnhoist.host.HostCalls;
-import org.auburnhoist.peer.CallResult;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -41,9 +34,8 @@
  */
 final class SlotFleet {
     static final String SERVICE = "ledger";
-    static final long MILLI = 1_000_000L;
-    static final long SECOND = 1_000 * MILLI;
-    private static final long HOP_NANOS = MILLI;
+    static final long MILLI = VirtualNetwork.MILLI;
+    static final long SECOND = VirtualNetwork.SECOND;
     private static final long REPORT_NANOS = 500 * MILLI;
     private static final int MAX_ATTEMPTS = 3;
     static final long TARGET_MILLIS = 2_000;
@@ -54,14 +46,7 @@
     private final Upstreams upstreams;
     private final List<Host> hosts = new ArrayList<>();
     private final List<UpstreamServer> servers;
-    private final PriorityQueue<Task> tasks = new PriorityQueue<>();
-    private final Set<String> partitioned = new HashSet<>();
-    private final Map<String, Long> partitionEnds = new HashMap<>();
-    /** Number of groups of hosts that cannot reach each other. */
-    private int groups = 1;
-
-    private long nowNanos;
-    private long sequence;
+    private final VirtualNetwork network = new VirtualNetwork();
 
     /** Times at which callers' requests arrived. */
     final List<Long> requests = new ArrayList<>();
@@ -117,108 +102,48 @@
      */
     record Reply(AttemptOutcome outcome, long delayNanos, ServerNotice notice) {}
 
-    private record Task(long atNanos, long sequence, LongConsumer work) implements Comparable<Task> {
-        @Override
-        public int compareTo(Task other) {
-            int byTime = Long.compare(atNanos, other.atNanos);
-            return byTime != 0 ? byTime : Long.compare(sequence, other.sequence);
-        }
-    }
-
-    /** One host; a restart replaces all of its state in memory. */
-    private final class Host implements HostCalls, ControlScheduler {
-        final int number;
-        final String name;
-        final InetSocketAddress address;
-        final Map<HostId, Long> heard = new HashMap<>();
-        boolean running;
-        int incarnation;
-        HostId id;
-        FleetView fleet;
+    private final class Host extends VirtualNetwork.Node {
         SlotBroker broker;
-        ServerNotices notices = new ServerNotices();
-
-        Host(int number) {
-            this.number = number;
-            name = "host-" + number;
-            address = new InetSocketAddress("127.0.0.1", 1000 + number);
-            id = new HostId(name, 0);
-            fleet = new FleetView(member());
-            broker = broker();
-        }
+        ServerNotices notices;
 
-        FleetMember member() {
-            return new FleetMember(id, "127.0.0.1:" + address.getPort(), "127.0.0.1:1", "a", false, 1);
+        Host() {
+            network.super();
+            broker = broker();
+            notices = new ServerNotices();
         }
 
         private SlotBroker broker() {
             StoreCache cache = new StoreCache(new VersionOnlyBinding(), fleet, () -> {}, () -> {}, () -> {});
-            cache.serversRead(servers, true, 1, nowNanos, "store");
-            return new SlotBroker(fleet, cache, this, this, id, settings(name), random.split(), now -> true, nowNanos);
+            cache.serversRead(servers, true, 1, now(), "store");
+            return new SlotBroker(
+                    fleet,
+                    cache,
+                    this,
+                    this,
+                    id,
+                    settings(name, load.retryRatio(), load.retrySlack()),
+                    random.split(),
+                    now -> true,
+                    now());
         }
 
-        void start() {
-            running = true;
-            incarnation++;
-            id = new HostId(name, incarnation);
-            fleet = new FleetView(member());
-            heard.clear();
+        @Override
+        void started() {
             broker = broker();
             notices = new ServerNotices();
         }
 
         @Override
-        public void schedule(Duration delay, LongConsumer task) {
-            int started = incarnation;
-            at(nowNanos + delay.toNanos(), now -> {
-                if (running && incarnation == started) {
-                    task.accept(now);
-                }
-            });
-        }
-
-        @Override
-        public void call(InetSocketAddress target, Message request, Duration timeout, ResultHandler handler) {
-            int started = incarnation;
-            Host other = hosts.get(target.getPort() - 1000);
-            if (!canReach(this, other)) {
-                schedule(timeout, now -> handler.accept(new CallResult.NoAnswer("silent"), now));
-                return;
-            }
-            at(nowNanos + HOP_NANOS, now -> {
-                if (!other.running) {
-                    schedule(
-                            Duration.ofNanos(HOP_NANOS),
-                            later -> handler.accept(new CallResult.NotSent("refused"), later));
-                    return;
-                }
-                other.receive(
-                        request,
-                        id,
-                        answer -> at(nowNanos + HOP_NANOS, later -> {
-                            if (running && incarnation == started && canReach(this, other)) {
-                                heard.put(other.id, later);
-                                handler.accept(new CallResult.Answered(other.id, answer), later);
-                            }
-                        }));
-            });
-        }
-
-        private void receive(Message request, HostId from, Consumer<Message> reply) {
+        void receive(Message request, HostId from, Consumer<Message> reply) {
             if (request instanceof SlotRequest slot) {
-                broker.handleRequest(slot, from, nowNanos, (answer, now) -> reply.accept(answer));
+                broker.handleRequest(slot, from, now(), (answer, now) -> reply.accept(answer));
             } else if (request instanceof SlotRelease release) {
-                broker.handleRelease(release, from, nowNanos);
+                broker.handleRelease(release, from, now());
                 reply.accept(new Acknowledgement(true));
             } else {
                 reply.accept(new Acknowledgement(true));
             }
         }
-
-        @Override
-        public @Nullable Long lastAnswerNanos(HostId host) {
-            return heard.get(host);
-        }
     }
 
     /** Creates a fleet of which the servers reject a fraction of the requests. */
@@ -236,15 +161,15 @@
                         "i-" + number, SERVER_START_MILLIS, SERVICE, "10.0.0.9:" + number, "a", 6, false, 0))
                 .toList();
         for (int number = 0; number < load.hosts(); number++) {
-            hosts.add(new Host(number));
+            hosts.add(new Host());
         }
         hosts.forEach(Host::start);
         listMembers();
-        at(REPORT_NANOS, this::reportAll);
-        at(nextArrival(), this::arrive);
+        network.at(REPORT_NANOS, this::reportAll);
+        network.at(nextArrival(), this::arrive);
     }
 
-    private GatewaySettings settings(String name) {
+    static GatewaySettings settings(String name, double retryRatio, double retrySlack) {
         return new GatewaySettings(
                 name,
                 "a",
@@ -256,48 +181,34 @@
                 Duration.ofSeconds(5),
                 Duration.ofSeconds(5),
                 new FallbackLimiter.Tolerance(5, 0.1, 20),
-                new RetryBudgetSettings(load.retryRatio(), load.retrySlack()),
+                new RetryBudgetSettings(retryRatio, retrySlack),
                 new FloorSettings(0.7, Duration.ofSeconds(6)),
                 true);
     }
 
-    private boolean canReach(Host one, Host other) {
-        boolean sameGroup = one.number % groups == other.number % groups;
-        return one == other || (sameGroup && !partitioned.contains(one.name) && !partitioned.contains(other.name));
-    }
-
-    private void at(long atNanos, LongConsumer work) {
-        tasks.add(new Task(atNanos, sequence++, work));
-    }
-
     /** Schedules work at a time of the simulation. */
     void schedule(double second, Runnable work) {
-        at((long) (second * SECOND), now -> work.run());
+        network.at((long) (second * SECOND), now -> work.run());
     }
 
     /** Runs the simulation until a time. */
     void runUntil(double second) {
-        while (!tasks.isEmpty() && tasks.peek().atNanos() <= second * SECOND) {
-            Task task = tasks.poll();
-            nowNanos = task.atNanos();
-            task.work().accept(nowNanos);
-        }
+        network.runUntil(second);
     }
 
     /** Partitions a fraction of the hosts, chosen at random, from all others. */
     void partition(double fraction, double seconds) {
-        List<String> names = new ArrayList<>();
-        hosts.stream().filter(host -> random.nextDouble() < fraction).forEach(host -> names.add(host.name));
-        partitioned.addAll(names);
-        long endNanos = nowNanos + (long) (seconds * SECOND);
-        names.forEach(name -> partitionEnds.merge(name, endNanos, Math::max));
-        at(endNanos, now -> partitioned.removeAll(names));
+        network.partition(node -> random.nextDouble() < fraction, seconds);
     }
 
     /** Partitions the hosts into groups that cannot reach each other. */
     void splitIntoGroups(int count, double seconds) {
-        groups = count;
-        at(nowNanos + (long) (seconds * SECOND), now -> groups = 1);
+        network.splitIntoGroups(count, seconds);
+    }
+
+    /** Whether a host is partitioned from all others or was within the last three seconds. */
+    boolean isPartitionedOrWasRecently(String name) {
+        return network.isPartitionedOrWasRecently(name);
     }
 
     /** Kills a fraction of the hosts, chosen at random; they restart a second later. */
@@ -308,24 +219,23 @@
     /** Starts a number of additional hosts. */
     void addHosts(int count) {
         for (int added = 0; added < count; added++) {
-            Host host = new Host(hosts.size());
+            Host host = new Host();
             hosts.add(host);
             host.start();
         }
         listMembers();
     }
 
-    /** Whether a host is partitioned from all others or was within the last three seconds. */
-    boolean isPartitionedOrWasRecently(String name) {
-        Long endNanos = partitionEnds.get(name);
-        return endNanos != null && nowNanos - endNanos < 3 * SECOND;
-    }
-
     /** Kills the host that most hosts consider the dispatcher. */
     void killDispatcher() {
         Map<String, Integer> votes = new HashMap<>();
         hosts.forEach(host -> votes.merge(
-                host.fleet.firstAlive("service/" + SERVICE, nowNanos).id().name(), 1, Integer::sum));
+                host.fleet
+                        .firstAlive(LimitShares.placementKey(SERVICE), now())
+                        .id()
+                        .name(),
+                1,
+                Integer::sum));
         String most = votes.entrySet().stream()
                 .max(Map.Entry.comparingByValue())
                 .orElseThrow()
@@ -334,20 +244,17 @@
     }
 
     private void kill(Host host) {
-        if (!host.running) {
-            return;
-        }
-        host.running = false;
-        at(nowNanos + SECOND, now -> {
-            host.start();
-            listMembers();
-        });
+        host.kill(this::listMembers);
+    }
+
+    private long now() {
+        return network.nowNanos();
     }
 
     private void listMembers() {
         List<FleetMember> members = hosts.stream().map(Host::member).toList();
         hosts.stream().filter(host -> host.running).forEach(host -> {
-            host.fleet.members(members, nowNanos);
+            host.fleet.members(members, now());
             host.broker.membersChanged();
         });
     }
@@ -355,16 +262,16 @@
     private void reportAll(long atNanos) {
         for (Host host : hosts) {
             for (Host other : hosts) {
-                if (host.running && other.running && canReach(host, other)) {
+                if (host.running && other.running && network.canReach(host, other)) {
                     host.fleet.recordReport(other.name, true, atNanos);
                 }
             }
         }
-        at(atNanos + REPORT_NANOS, this::reportAll);
+        network.at(atNanos + REPORT_NANOS, this::reportAll);
     }
 
     private long nextArrival() {
-        return nowNanos + (long) (-Math.log(1 - random.nextDouble()) * SECOND / load.requestsPerSecond());
+        return now() + (long) (-Math.log(1 - random.nextDouble()) * SECOND / load.requestsPerSecond());
     }
 
     private void arrive(long atNanos) {
@@ -374,23 +281,19 @@
             Host host = running.get(random.nextInt(running.size()));
             host.broker.requestStarted(SERVICE, atNanos);
             attempt(new Request(
-                    host,
-                    host.incarnation,
-                    new RetryState(MAX_ATTEMPTS, true),
-                    atNanos + 6 * SECOND,
-                    random.nextLong()));
+                    host, host.id, new RetryState(MAX_ATTEMPTS, true), atNanos + 6 * SECOND, random.nextLong()));
         }
-        at(nextArrival(), this::arrive);
+        network.at(nextArrival(), this::arrive);
     }
 
-    private record Request(Host host, int incarnation, RetryState retryState, long deadlineNanos, long fingerprint) {
+    private record Request(Host host, HostId process, RetryState retryState, long deadlineNanos, long fingerprint) {
         boolean isLost() {
-            return !host.running || host.incarnation != incarnation;
+            return !host.running || !host.id.equals(process);
         }
     }
 
     private void attempt(Request request) {
-        long remainingMillis = (request.deadlineNanos() - nowNanos) / MILLI;
+        long remainingMillis = (request.deadlineNanos() - now()) / MILLI;
         SchedulingParameters scheduling = new SchedulingParameters(
                 0,
                 TARGET_MILLIS,
@@ -398,7 +301,7 @@
                 "a",
                 List.of(),
                 request.retryState().allowedServers(),
-                request.host().notices.limitsAmong(servers, nowNanos));
+                request.host().notices.limitsAmong(servers, now()));
         SlotRequest slotRequest = new SlotRequest(
                 SERVICE,
                 "route",
@@ -408,8 +311,8 @@
                 request.fingerprint(),
                 request.retryState().excludedServers(),
                 scheduling);
-        long askedNanos = nowNanos;
-        request.host().broker.acquire(slotRequest, nowNanos, (result, now) -> {
+        long askedNanos = now();
+        request.host().broker.acquire(slotRequest, now(), (result, now) -> {
             SlotBroker.Slot slot = result.slot();
             if (slot != null && !request.isLost()) {
                 send(request, slot);
@@ -426,12 +329,12 @@
 
     private void send(Request request, SlotBroker.Slot slot) {
         if (request.retryState().nextAttemptNumber() > 1) {
-            retries.add(nowNanos);
+            retries.add(now());
         }
-        long sentNanos = nowNanos;
+        long sentNanos = now();
         Host host = request.host();
         Reply reply = upstreams.receive(slot.server(), host.id, sentNanos);
-        at(sentNanos + reply.delayNanos(), now -> {
+        network.at(sentNanos + reply.delayNanos(), now -> {
             if (request.isLost()) {
                 return;
             }
