Do not pass on servers that a host keeps after an outage of its own

A host that could not read the store keeps servers missing from its first reads for 2.5 s, since their registrations may have expired. It passed this list on as read from the store. After a cut of that host alone, the others had read that such a server had left; if the list had changed besides, they took it up again (DRAIN).

StoreCache now holds the registered servers apart from those in use. Only the registered ones are passed on; each host adds servers for itself, after an outage that it has seen itself. A grant of such a server carries no revision, so a host that knows of the departure does not use it.

--- a/src/main/java/org/auburnhoist/gateway/SlotBroker.java
+++ b/src/main/java/org/auburnhoist/gateway/SlotBroker.java
@@ -262,7 +262,8 @@
                 requester,
                 nextToken++,
                 nowNanos,
-                (answer, now) -> reply.accept(answer.withServersRevision(cache.serversKnownRevision()), now));
+                (answer, now) ->
+                        reply.accept(answer.withServersRevision(cache.registeredRevision(answer.server())), now));
     }
 
     private ServiceDispatch dispatch(String service, long nowNanos) {
--- a/src/main/java/org/auburnhoist/gateway/StoreCache.java
+++ b/src/main/java/org/auburnhoist/gateway/StoreCache.java
@@ -3,10 +3,13 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Set;
 import java.util.function.Function;
+import java.util.function.LongPredicate;
 import java.util.stream.Collectors;
 import org.auburnhoist.core.membership.FleetCodec;
 import org.auburnhoist.core.membership.FleetMember;
@@ -40,7 +43,12 @@
     private final Runnable membersChanged;
     private volatile TrafficRouter router = TrafficRouter.of(TrafficConfiguration.NONE);
     private byte[] configuration = NO_DOCUMENT;
+    /** The servers that the store lists. */
+    private List<UpstreamServer> registered = List.of();
+    /** The servers in use: the registered ones and those whose registration may have expired in a store outage. */
     private List<UpstreamServer> servers = List.of();
+
+    private LongPredicate mayLackRegistrations = now -> false;
     private Map<String, UpstreamServer> serversById = Map.of();
     private Map<String, List<UpstreamServer>> serversByService = Map.of();
     private byte[] serversDocument = NO_DOCUMENT;
@@ -72,6 +80,11 @@
         this.membersChanged = membersChanged;
     }
 
+    /** Sets how to tell whether healthy servers may be missing from the store's list at a time, after an outage. */
+    void registrationGrace(LongPredicate mayLack) {
+        mayLackRegistrations = mayLack;
+    }
+
     /** The router of the newest configuration; may be called from any thread. */
     TrafficRouter router() {
         return router;
@@ -96,11 +109,16 @@
         return serversByService.getOrDefault(service, List.of());
     }
 
-    /** Revision of the store at which the servers were last known. */
+    /** Revision of the store at which the registered servers were last known. */
     long serversKnownRevision() {
         return serversReadRevision;
     }
 
+    /** The same if a server is among the registered ones; 0 for one that is only kept after a store outage. */
+    long registeredRevision(String server) {
+        return registered.stream().anyMatch(known -> known.id().equals(server)) ? serversReadRevision : 0;
+    }
+
     /** Nanoseconds since the servers were last read from the store, by this host or by one that sent it a digest. */
     long storeAgeNanos(long nowNanos) {
         return hasBeenRead ? nowNanos - readAtNanos : Long.MAX_VALUE;
@@ -140,13 +158,8 @@
         }
     }
 
-    /**
-     * Adopts the servers that the store held at a revision, read at or after {@code readNanos}.
-     *
-     * @param complete whether the list holds only servers from the store, without known ones whose registration may
-     *     have expired
-     */
-    void serversRead(List<UpstreamServer> read, boolean complete, long revision, long readNanos, String source) {
+    /** Adopts the servers that the store held at a revision, read at or after {@code readNanos}. */
+    void serversRead(List<UpstreamServer> read, long revision, long readNanos, long nowNanos, String source) {
         recordReadTime(readNanos);
         if (revision < serversReadRevision) {
             return;
@@ -154,26 +167,61 @@
         serversReadRevision = revision;
         List<UpstreamServer> sorted = new ArrayList<>(read);
         sorted.sort(Comparator.comparing(UpstreamServer::id));
-        if (!equalIgnoringWarmup(sorted, servers)) {
+        if (!equalIgnoringWarmup(sorted, registered)) {
             adoptServers(sorted, FleetCodec.servers(sorted), revision, source);
-        } else if (complete) {
+        } else {
             // A later read without a change is newer than what another host adopted in between.
             serversConfirmedRevision = revision;
         }
+        updateServersInUse(nowNanos);
     }
 
     private void adoptServers(List<UpstreamServer> next, byte[] document, long revision, String source) {
         logServers(next, revision, source);
-        servers = List.copyOf(next);
-        serversById = next.stream().collect(Collectors.toMap(UpstreamServer::id, Function.identity(), (a, b) -> a));
-        serversByService = next.stream().collect(Collectors.groupingBy(UpstreamServer::service));
+        registered = List.copyOf(next);
         serversDocument = document;
         serversRevision = revision;
         serversConfirmedRevision = revision;
         serversReadRevision = Math.max(serversReadRevision, revision);
+    }
+
+    /** Keeps or drops the servers whose registration may have expired. Must be called a few times a second. */
+    void updateServersInUse(long nowNanos) {
+        List<UpstreamServer> next = withExpiredRegistrations(nowNanos);
+        if (next == servers || equalIgnoringWarmup(next, servers)) {
+            return;
+        }
+        servers = List.copyOf(next);
+        serversById = next.stream().collect(Collectors.toMap(UpstreamServer::id, Function.identity(), (a, b) -> a));
+        serversByService = next.stream().collect(Collectors.groupingBy(UpstreamServer::service));
         serversChanged.run();
     }
 
+    /**
+     * Adds the servers in use that are not registered shortly after a store outage. Their registrations may have
+     * expired while the store was unavailable, and the servers get a grace period to register again. Each host decides
+     * this by itself: after a cut of one host only, the other hosts have read that the servers have left.
+     */
+    private List<UpstreamServer> withExpiredRegistrations(long nowNanos) {
+        if (!mayLackRegistrations.test(nowNanos)) {
+            return registered;
+        }
+        Set<String> ids = new HashSet<>();
+        Set<String> addresses = new HashSet<>();
+        for (UpstreamServer server : registered) {
+            ids.add(server.id());
+            addresses.add(server.address());
+        }
+        List<UpstreamServer> result = new ArrayList<>(registered);
+        for (UpstreamServer known : servers) {
+            if (!ids.contains(known.id()) && !addresses.contains(known.address()) && !known.leaving()) {
+                result.add(known);
+            }
+        }
+        result.sort(Comparator.comparing(UpstreamServer::id));
+        return result;
+    }
+
     private void logServers(List<UpstreamServer> next, long revision, String source) {
         long leaving = next.stream().filter(UpstreamServer::leaving).count();
         Event.named("servers-adopted")
@@ -253,6 +301,7 @@
             }
             if (digest.servers().length > 0 && digest.serversRevision() > serversConfirmedRevision) {
                 adoptServers(FleetCodec.servers(digest.servers()), digest.servers(), digest.serversRevision(), from);
+                updateServersInUse(nowNanos);
             }
         } catch (IOException cause) {
             Event.named("digest-unreadable")
--- a/src/main/java/org/auburnhoist/gateway/StorePoller.java
+++ b/src/main/java/org/auburnhoist/gateway/StorePoller.java
@@ -73,6 +73,7 @@
         this.selfName = selfName;
         this.ownEntryMissing = ownEntryMissing;
         this.retryDelay = new RetryDelay(random);
+        cache.registrationGrace(outage::mayLackRegistrations);
         this.nextServers = nowNanos;
         this.startupWaitUntil = nowNanos;
         this.nextConfiguration = nowNanos;
@@ -93,6 +94,7 @@
             // Another host may have read the store since this one last tried.
             endOutage(nowNanos - age);
         }
+        cache.updateServersInUse(nowNanos);
         updateWatch(coordinator);
         boolean waitsForCoordinator = startupWaitUntil - nowNanos > 0 && !cache.hasRejectedStaleDigest();
         boolean readsDirectly = !coordinator && stale && !waitsForCoordinator;
@@ -157,38 +159,13 @@
                                 servers.add(server);
                             }
                         });
-                        List<UpstreamServer> merged = withExpiredRegistrations(servers, now);
-                        boolean complete = merged.size() == servers.size();
-                        cache.serversRead(merged, complete, found.revision(), startedNanos, "store");
+                        cache.serversRead(servers, found.revision(), startedNanos, now, "store");
                     } else {
                         nextServers = readFailed("servers", result, now);
                     }
                 }));
     }
 
-    /**
-     * Adds the known servers that are missing from a read shortly after a store outage. Their registrations may have
-     * expired while the store was unavailable, and the servers get a grace period to register again.
-     */
-    private List<UpstreamServer> withExpiredRegistrations(List<UpstreamServer> read, long nowNanos) {
-        if (!outage.mayLackRegistrations(nowNanos)) {
-            return read;
-        }
-        Set<String> ids = new HashSet<>();
-        Set<String> addresses = new HashSet<>();
-        for (UpstreamServer server : read) {
-            ids.add(server.id());
-            addresses.add(server.address());
-        }
-        List<UpstreamServer> result = new ArrayList<>(read);
-        for (UpstreamServer known : cache.servers()) {
-            if (!ids.contains(known.id()) && !addresses.contains(known.address()) && !known.leaving()) {
-                result.add(known);
-            }
-        }
-        return result;
-    }
-
     private void readConfiguration(long startedNanos) {
         readingConfiguration = true;
         store.get(binding.configurationKey())
--- a/src/test/java/org/auburnhoist/gateway/DepartedServerTest.java
+++ b/src/test/java/org/auburnhoist/gateway/DepartedServerTest.java
@@ -62,7 +62,7 @@
         }
 
         void read(long revision, UpstreamServer... servers) {
-            cache.serversRead(List.of(servers), true, revision, network.nowNanos(), "store");
+            cache.serversRead(List.of(servers), revision, network.nowNanos(), network.nowNanos(), "store");
         }
 
         /** Requests a slot and returns it with the time of virtual milliseconds that the network needs. */
--- a/src/test/java/org/auburnhoist/gateway/SlotFleet.java
+++ b/src/test/java/org/auburnhoist/gateway/SlotFleet.java
@@ -114,7 +114,7 @@
 
         private SlotBroker broker() {
             StoreCache cache = new StoreCache(new VersionOnlyBinding(), fleet, () -> {}, () -> {}, () -> {});
-            cache.serversRead(servers, true, 1, now(), "store");
+            cache.serversRead(servers, 1, now(), now(), "store");
             return new SlotBroker(
                     fleet,
                     cache,
--- a/src/test/java/org/auburnhoist/gateway/StoreCacheTest.java
+++ b/src/test/java/org/auburnhoist/gateway/StoreCacheTest.java
@@ -21,6 +21,8 @@
     private static final long SECOND = 1_000_000_000L;
     private static final UpstreamServer SERVER =
             new UpstreamServer("i-1", 5, "ledger", "10.0.0.9:80", "a", 6, false, 0);
+    private static final UpstreamServer NEW_SERVER =
+            new UpstreamServer("i-2", 6, "ledger", "10.0.0.8:80", "a", 6, false, 0);
 
     private static FleetMember member(String name) {
         return new FleetMember(new HostId(name, 1), "10.0.0.1:1", "10.0.0.1:2", "a", false, 1);
@@ -42,7 +44,7 @@
     private static StatusDigest digestAt(long nowNanos, StoreCache recipient) {
         StoreCache coordinator = newCache("host-1");
         coordinator.configurationRead(configuration(4), "store");
-        coordinator.serversRead(List.of(SERVER), true, 40, 10 * SECOND, "store");
+        coordinator.serversRead(List.of(SERVER), 40, 10 * SECOND, 10 * SECOND, "store");
         return coordinator.digestFor(recipient.report(false), true, nowNanos);
     }
 
@@ -63,7 +65,7 @@
         assertEquals(List.of(), starting.servers());
         assertTrue(starting.hasRejectedStaleDigest());
         starting.configurationRead(configuration(5), "store");
-        starting.serversRead(List.of(), true, 50, 20 * SECOND, "store");
+        starting.serversRead(List.of(), 50, 20 * SECOND, 20 * SECOND, "store");
         starting.digestReceived(digestAt(21 * SECOND, starting), "host-1", 21 * SECOND, 21 * SECOND);
         assertEquals(5, starting.router().configuration().version());
         assertEquals(List.of(), starting.servers());
@@ -75,9 +77,9 @@
     @Test
     void aLaterReadWithoutAChangeIsNotReplacedByAnEarlierDigest() {
         StoreCache running = newCache("host-2");
-        running.serversRead(List.of(), true, 30, 5 * SECOND, "store");
+        running.serversRead(List.of(), 30, 5 * SECOND, 5 * SECOND, "store");
         StatusDigest early = digestAt(11 * SECOND, running);
-        running.serversRead(List.of(), true, 50, 11 * SECOND, "store");
+        running.serversRead(List.of(), 50, 11 * SECOND, 11 * SECOND, "store");
         running.digestReceived(early, "host-1", 11 * SECOND, 12 * SECOND);
         assertEquals(List.of(), running.servers());
         assertEquals(0, digestAt(12 * SECOND, running).servers().length);
@@ -116,9 +118,48 @@
     void aRunningHostAdoptsNewerDocuments() {
         StoreCache running = newCache("host-2");
         running.configurationRead(configuration(3), "store");
-        running.serversRead(List.of(), true, 30, 5 * SECOND, "store");
+        running.serversRead(List.of(), 30, 5 * SECOND, 5 * SECOND, "store");
         running.digestReceived(digestAt(20 * SECOND, running), "host-1", 20 * SECOND, 20 * SECOND);
         assertEquals(4, running.router().configuration().version());
         assertEquals(List.of(SERVER), running.servers());
     }
+
+    /**
+     * Guards against a departed server that a host which was cut off brings back to the others: for some time it takes
+     * the missing registration for one that expired in an outage of the store.
+     */
+    @Test
+    void aServerThatAHostKeepsAfterItsOwnOutageIsNotPassedOn() {
+        StoreCache returned = newCache("host-1");
+        returned.registrationGrace(now -> now < 23 * SECOND);
+        returned.serversRead(List.of(SERVER), 40, 10 * SECOND, 10 * SECOND, "store");
+        StoreCache inContact = newCache("host-2");
+        inContact.serversRead(List.of(SERVER), 40, 10 * SECOND, 10 * SECOND, "store");
+        inContact.serversRead(List.of(), 50, 15 * SECOND, 15 * SECOND, "store");
+        returned.serversRead(List.of(NEW_SERVER), 60, 21 * SECOND, 21 * SECOND, "store");
+        assertEquals(List.of(SERVER, NEW_SERVER), returned.servers(), "kept until its registration may be back");
+        assertEquals(0, returned.registeredRevision("i-1"));
+        StatusDigest digest = returned.digestFor(inContact.report(true), true, 21 * SECOND);
+        inContact.digestReceived(digest, "host-1", 21 * SECOND, 21 * SECOND);
+        assertEquals(List.of(NEW_SERVER), inContact.servers());
+        returned.updateServersInUse(23 * SECOND);
+        assertEquals(List.of(NEW_SERVER), returned.servers());
+    }
+
+    /** Guards against hosts that drop a healthy server after an outage because they read of it from another host. */
+    @Test
+    void everyHostKeepsExpiredRegistrationsForItselfAfterAnOutageOfTheStore() {
+        StoreCache reading = newCache("host-1");
+        StoreCache reporting = newCache("host-2");
+        for (StoreCache cache : List.of(reading, reporting)) {
+            cache.registrationGrace(now -> now < 23 * SECOND);
+            cache.serversRead(List.of(SERVER), 40, 10 * SECOND, 10 * SECOND, "store");
+        }
+        reading.serversRead(List.of(), 60, 21 * SECOND, 21 * SECOND, "store");
+        StatusDigest digest = reading.digestFor(reporting.report(true), true, 21 * SECOND);
+        reporting.digestReceived(digest, "host-1", 21 * SECOND, 21 * SECOND);
+        assertEquals(List.of(SERVER), reporting.servers());
+        reporting.updateServersInUse(23 * SECOND);
+        assertEquals(List.of(), reporting.servers());
+    }
 }
