Ignore notices in the responses of servers that were not asked

A response with status 421 comes from another server than the requested one, for example the next one at its address. If it said that it leaves, the host closed the requested server for good. PlatformWireRulesTest: red before, green now.

--- a/src/main/java/org/auburnhoist/platform/PlatformWireRules.java
+++ b/src/main/java/org/auburnhoist/platform/PlatformWireRules.java
@@ -100,11 +100,11 @@
 
     @Override
     public ServerNotice serverNotice(int status, List<Map.Entry<String, String>> headers) {
-        ServerNotice notice = ServerNoticeDecoder.decode(status, headers);
         if (status == MISDIRECTED) {
             // Another server than the requested one responds.
-            return notice;
+            return ServerNotice.NONE;
         }
+        ServerNotice notice = ServerNoticeDecoder.decode(status, headers);
         StatedLimit limit = ServerNoticeDecoder.decodeLimit(headers);
         // Without the attempt ID it is uncertain whether the server itself responds, so no limit is withdrawn.
         boolean certain = firstValue(headers, ATTEMPT_ID) != null;
--- a/src/test/java/org/auburnhoist/platform/PlatformWireRulesTest.java
+++ b/src/test/java/org/auburnhoist/platform/PlatformWireRulesTest.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import org.auburnhoist.core.Refusal;
 import org.auburnhoist.core.message.AttemptOutcome;
+import org.auburnhoist.core.message.ServerNotice;
 import org.auburnhoist.core.message.StatedLimit;
 import org.auburnhoist.proxy.Forwarding;
 import org.auburnhoist.proxy.RequestHead;
@@ -72,6 +73,14 @@
         assertEquals(StatedLimit.UNKNOWN, rules.serverNotice(421, List.of(ECHO)).limit());
     }
 
+    /** Guards against a server that is closed for good because the next server at its address said that it leaves. */
+    @Test
+    void aMisdirectedRequestSaysNothingOfTheRequestedServer() {
+        Map.Entry<String, String> leaving = Map.entry("Server-Leaving", "1");
+        assertEquals(new ServerNotice(true, 0, StatedLimit.UNLIMITED), rules.serverNotice(200, List.of(ECHO, leaving)));
+        assertEquals(ServerNotice.NONE, rules.serverNotice(421, List.of(ECHO, leaving)));
+    }
+
     @Test
     void aRequestCountsAsNotRunOnlyIfTheServerStatesIt() {
         assertEquals(AttemptOutcome.REJECTED, rules.attemptOutcome(503, List.of(NOT_EXECUTED)));
