Measure how long hosts take to learn of a registration's end

FleetSync and StorePoller take the interfaces HostCalls and ControlScheduler in place of the classes; their decisions are the same.

--- a/src/main/java/org/auburnhoist/gateway/FleetSync.java
+++ b/src/main/java/org/auburnhoist/gateway/FleetSync.java
@@ -9,8 +9,8 @@
 import org.auburnhoist.core.membership.FleetView;
 import org.auburnhoist.core.message.StatusDigest;
 import org.auburnhoist.core.message.StatusReport;
+import org.auburnhoist.host.HostCalls;
 import org.auburnhoist.host.MemberCalls;
-import org.auburnhoist.host.PeerCalls;
 import org.auburnhoist.peer.CallResult;
 
 /**
@@ -37,7 +37,7 @@
 
     private final FleetView fleet;
     private final StoreCache cache;
-    private final PeerCalls peers;
+    private final HostCalls peers;
     private final BooleanSupplier ready;
     private final RandomGenerator random;
     private final CoordinatorSelector coordinatorSelector;
@@ -49,7 +49,7 @@
     FleetSync(
             FleetView fleet,
             StoreCache cache,
-            PeerCalls peers,
+            HostCalls peers,
             String selfName,
             BooleanSupplier ready,
             RandomGenerator random,
--- a/src/main/java/org/auburnhoist/gateway/StorePoller.java
+++ b/src/main/java/org/auburnhoist/gateway/StorePoller.java
@@ -11,7 +11,7 @@
 import org.auburnhoist.core.membership.FleetMember;
 import org.auburnhoist.core.membership.FleetView;
 import org.auburnhoist.core.routing.UpstreamServer;
-import org.auburnhoist.host.ControlThread;
+import org.auburnhoist.host.ControlScheduler;
 import org.auburnhoist.store.Entry;
 import org.auburnhoist.store.ReadResult;
 import org.auburnhoist.store.Store;
@@ -37,7 +37,7 @@
     private static final long STARTUP_WAIT_NANOS = Duration.ofSeconds(1).toNanos();
 
     private final Store store;
-    private final ControlThread control;
+    private final ControlScheduler control;
     private final PlatformBinding binding;
     private final StoreCache cache;
     private final FleetView fleet;
@@ -57,7 +57,7 @@
 
     StorePoller(
             Store store,
-            ControlThread control,
+            ControlScheduler control,
             PlatformBinding binding,
             StoreCache cache,
             FleetView fleet,
--- /dev/null
+++ b/src/test/java/org/auburnhoist/gateway/RegistrationFleet.java
@@ -0,0 +1,262 @@
+package org.auburnhoist.gateway;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import org.auburnhoist.core.HostId;
+import org.auburnhoist.core.membership.CoordinatorSelector;
+import org.auburnhoist.core.membership.FleetCodec;
+import org.auburnhoist.core.message.Acknowledgement;
+import org.auburnhoist.core.message.Message;
+import org.auburnhoist.core.message.StatusReport;
+import org.auburnhoist.core.routing.UpstreamServer;
+import org.auburnhoist.store.Entry;
+import org.auburnhoist.store.LeaseResult;
+import org.auburnhoist.store.ReadResult;
+import org.auburnhoist.store.Store;
+import org.auburnhoist.store.WatchListener;
+import org.auburnhoist.store.WriteResult;
+
+/**
+ * Simulates how the hosts of a fleet learn of the platform's registrations, in virtual time: each reports to a
+ * coordinator and reads the store itself when what it knows is too old.
+ */
+final class RegistrationFleet {
+    private static final long TICK_NANOS = 200 * VirtualNetwork.MILLI;
+    private static final long READ_NANOS = 4 * VirtualNetwork.MILLI;
+    private static final Duration STORE_TIMEOUT = Duration.ofSeconds(1);
+    private static final int SERVERS = 30;
+
+    private final VirtualNetwork network = new VirtualNetwork();
+    private final SplittableRandom random;
+    private final List<Host> hosts = new ArrayList<>();
+    private final Set<String> withoutStore = new HashSet<>();
+    private final Set<Integer> leaving = new HashSet<>();
+    private long revision = 1;
+
+    /** Simulated time at which each server began to leave. */
+    private final Map<Integer, Long> leftAt = new HashMap<>();
+
+    private final class Host extends VirtualNetwork.Node {
+        StoreCache cache;
+        FleetSync sync;
+        StorePoller poller;
+
+        Host() {
+            network.super();
+        }
+
+        @Override
+        void started() {
+            cache = new StoreCache(new RegistrationBinding(), fleet, () -> {}, () -> {}, () -> {});
+            sync = new FleetSync(fleet, cache, this, name, () -> true, random.split(), network.nowNanos());
+            poller = new StorePoller(
+                    new SimulatedStore(this),
+                    this,
+                    new RegistrationBinding(),
+                    cache,
+                    fleet,
+                    name,
+                    () -> {},
+                    random.split(),
+                    network.nowNanos());
+            poller.joined((ReadResult.Found) readMembers(), network.nowNanos());
+            schedule(Duration.ofNanos(random.nextLong(TICK_NANOS)), this::tick);
+        }
+
+        private void tick(long nowNanos) {
+            sync.tick(nowNanos);
+            poller.tick(sync.isCoordinator(nowNanos), nowNanos);
+            schedule(Duration.ofNanos(TICK_NANOS), this::tick);
+        }
+
+        @Override
+        void receive(Message request, HostId from, Consumer<Message> reply) {
+            reply.accept(
+                    request instanceof StatusReport report
+                            ? sync.handleReport(from, report, network.nowNanos())
+                            : new Acknowledgement(true));
+        }
+
+        boolean isCalm() {
+            return running && !withoutStore.contains(name) && !network.isPartitionedOrWasRecently(name);
+        }
+    }
+
+    private static final class RegistrationBinding extends VersionOnlyBinding {
+        @Override
+        public UpstreamServer decodeServer(Entry registration) {
+            boolean isLeaving = registration.value()[0] == 1;
+            return new UpstreamServer(registration.key(), 5, "pay", "10.0.0.1:80", "a", 2, isLeaving, 0);
+        }
+    }
+
+    private final class SimulatedStore implements Store {
+        private final Host host;
+
+        SimulatedStore(Host host) {
+            this.host = host;
+        }
+
+        private CompletableFuture<ReadResult> read(Supplier<ReadResult> content) {
+            CompletableFuture<ReadResult> result = new CompletableFuture<>();
+            if (withoutStore.contains(host.name)) {
+                host.schedule(STORE_TIMEOUT, now -> result.complete(new ReadResult.Unavailable("no response")));
+            } else {
+                host.schedule(Duration.ofNanos(READ_NANOS), now -> result.complete(content.get()));
+            }
+            return result;
+        }
+
+        @Override
+        public CompletableFuture<ReadResult> get(String key) {
+            byte[] version = "1".getBytes(StandardCharsets.UTF_8);
+            return read(() -> new ReadResult.Found(List.of(new Entry(key, version, 1)), revision));
+        }
+
+        @Override
+        public CompletableFuture<ReadResult> range(String prefix) {
+            return read(
+                    prefix.equals(GatewayKeys.MEMBERS)
+                            ? RegistrationFleet.this::readMembers
+                            : RegistrationFleet.this::readServers);
+        }
+
+        @Override
+        public AutoCloseable watch(String prefix, WatchListener listener) {
+            return () -> {};
+        }
+
+        @Override
+        public CompletableFuture<WriteResult> compareAndSwap(String key, long expectedRevision, byte[] value) {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public CompletableFuture<WriteResult> compareAndSwap(String key, long expected, byte[] value, long leaseId) {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public CompletableFuture<WriteResult> compareAndDelete(String key, long expectedRevision) {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public CompletableFuture<LeaseResult> grantLease(Duration timeToLive) {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public CompletableFuture<LeaseResult> keepAlive(long leaseId) {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public void close() {}
+    }
+
+    RegistrationFleet(int size, long seed) {
+        random = new SplittableRandom(seed);
+        for (int number = 0; number < size; number++) {
+            hosts.add(new Host());
+        }
+        hosts.forEach(VirtualNetwork.Node::start);
+    }
+
+    private ReadResult readMembers() {
+        return new ReadResult.Found(
+                hosts.stream()
+                        .map(host ->
+                                new Entry(GatewayKeys.memberKey(host.name), FleetCodec.member(host.member()), revision))
+                        .toList(),
+                revision);
+    }
+
+    private ReadResult readServers() {
+        List<Entry> entries = new ArrayList<>();
+        for (int server = 0; server < SERVERS; server++) {
+            entries.add(new Entry("i-" + server, new byte[] {(byte) (leaving.contains(server) ? 1 : 0)}, 1));
+        }
+        return new ReadResult.Found(entries, revision);
+    }
+
+    void runUntil(double second) {
+        network.runUntil(second);
+    }
+
+    /** Schedules work at a time of the simulation. */
+    void schedule(double second, Runnable work) {
+        network.at((long) (second * VirtualNetwork.SECOND), now -> work.run());
+    }
+
+    /** Lets a server begin to leave at a time. */
+    void leave(int server, double second) {
+        schedule(second, () -> {
+            revision++;
+            leaving.add(server);
+            leftAt.put(server, network.nowNanos());
+        });
+    }
+
+    /** Kills the host that the first calm host takes for the coordinator. */
+    void killCoordinator() {
+        coordinator().kill(() -> {});
+    }
+
+    /** Cuts the coordinator off from all other hosts and from the store. */
+    void cutCoordinator(double seconds) {
+        Host cut = coordinator();
+        cutFromStore(cut, seconds);
+        network.partition(node -> node == cut, seconds);
+    }
+
+    /** Cuts the coordinator off from the store only. */
+    void cutCoordinatorFromStore(double seconds) {
+        cutFromStore(coordinator(), seconds);
+    }
+
+    /** Cuts a fraction of the hosts off from all other hosts and from the store. */
+    void cut(double fraction, double seconds) {
+        List<Host> affected =
+                hosts.stream().filter(host -> random.nextDouble() < fraction).toList();
+        affected.forEach(host -> cutFromStore(host, seconds));
+        network.partition(affected::contains, seconds);
+    }
+
+    private void cutFromStore(Host host, double seconds) {
+        withoutStore.add(host.name);
+        schedule(network.nowNanos() / (double) VirtualNetwork.SECOND + seconds, () -> withoutStore.remove(host.name));
+    }
+
+    private Host coordinator() {
+        Host calm = hosts.stream().filter(Host::isCalm).findFirst().orElseThrow();
+        String name = new CoordinatorSelector(calm.fleet, calm.name)
+                .coordinator(network.nowNanos())
+                .id()
+                .name();
+        return hosts.stream().filter(host -> host.name.equals(name)).findFirst().orElseThrow();
+    }
+
+    /** Whether all calm hosts know that a server is leaving. */
+    boolean isKnownEverywhere(int server) {
+        return hosts.stream().filter(Host::isCalm).allMatch(host -> {
+            UpstreamServer known = host.cache.server("i-" + server);
+            return known != null && known.leaving();
+        });
+    }
+
+    /** Milliseconds since a server began to leave. */
+    long millisSinceLeft(int server) {
+        return (network.nowNanos() - leftAt.get(server)) / VirtualNetwork.MILLI;
+    }
+}
--- a/src/test/java/org/auburnhoist/gateway/VersionOnlyBinding.java
+++ b/src/test/java/org/auburnhoist/gateway/VersionOnlyBinding.java
@@ -13,8 +13,8 @@
 import org.auburnhoist.store.Entry;
 import org.jspecify.annotations.Nullable;
 
-/** Decodes a configuration that consists only of its version. */
-final class VersionOnlyBinding implements PlatformBinding {
+/** Decodes a configuration that consists only of its version, and no servers. */
+class VersionOnlyBinding implements PlatformBinding {
     @Override
     public WireRules wireRules() {
         throw new UnsupportedOperationException("no request is made");
