--- a/src/main/java/org/auburnhoist/cli/HostsRebuildCommand.java
+++ b/src/main/java/org/auburnhoist/cli/HostsRebuildCommand.java
@@ -147,7 +147,7 @@
     }
 
     private static boolean isSet(Settings settings, Setting<Boolean> flag) {
-        return settings.find(flag).orElse(false);
+        return settings.get(flag);
     }
 
     private static Optional<List<String>> parseNames(String text) {
--- a/src/main/java/org/auburnhoist/cli/Setting.java
+++ b/src/main/java/org/auburnhoist/cli/Setting.java
@@ -110,11 +110,12 @@
 
     /** A flag without a value; in the environment {@code true} or {@code false}. */
     public static Setting<Boolean> flag(String flag, String description) {
-        return of(flag, "", description, "true or false", value -> switch (value) {
+        Setting<Boolean> setting = of(flag, "", description, "true or false", value -> switch (value) {
             case "true" -> Optional.of(Boolean.TRUE);
             case "false" -> Optional.of(Boolean.FALSE);
             default -> Optional.empty();
         });
+        return setting.withDefault(false);
     }
 
     /** The same setting with a value that is used if the setting is absent. */
--- a/src/test/java/org/auburnhoist/gateway/RegistrationSpreadTest.java
+++ b/src/test/java/org/auburnhoist/gateway/RegistrationSpreadTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.function.BiConsumer;
+import org.junit.jupiter.api.TestInfo;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -36,8 +37,13 @@
         return worst;
     }
 
-    private static void assertInTime(long boundMillis, long worstMillis) {
-        System.out.printf("known everywhere after at most %d ms, %d ms left%n", worstMillis, boundMillis - worstMillis);
+    private static void assertInTime(TestInfo test, long boundMillis, long worstMillis) {
+        System.out.printf(
+                "%s %s: known everywhere after at most %d ms, %d ms left%n",
+                test.getTestMethod().orElseThrow().getName(),
+                test.getDisplayName(),
+                worstMillis,
+                boundMillis - worstMillis);
         assertTrue(
                 worstMillis <= boundMillis - RESERVE_MILLIS,
                 "known everywhere after " + worstMillis + " ms, bound " + boundMillis);
@@ -45,29 +51,33 @@
 
     @ParameterizedTest
     @CsvSource({"36, 2000", "98, 2500", "143, 3000"})
-    void withoutDisturbance(int hosts, long drainMillis) {
-        assertInTime(drainMillis, worstMillis(hosts, 1, (fleet, second) -> {}));
+    void withoutDisturbance(int hosts, long drainMillis, TestInfo test) {
+        assertInTime(test, drainMillis, worstMillis(hosts, 1, (fleet, second) -> {}));
     }
 
     @ParameterizedTest
     @CsvSource({"36, 2000", "98, 2500", "143, 3000"})
-    void coordinatorKilled(int hosts, long drainMillis) {
+    void coordinatorKilled(int hosts, long drainMillis, TestInfo test) {
         assertInTime(
-                drainMillis, worstMillis(hosts, 2, (fleet, second) -> fleet.schedule(second, fleet::killCoordinator)));
+                test,
+                drainMillis,
+                worstMillis(hosts, 2, (fleet, second) -> fleet.schedule(second, fleet::killCoordinator)));
     }
 
     @ParameterizedTest
     @CsvSource({"36, 2000", "98, 2500", "143, 3000"})
-    void coordinatorCutOff(int hosts, long drainMillis) {
+    void coordinatorCutOff(int hosts, long drainMillis, TestInfo test) {
         assertInTime(
+                test,
                 drainMillis,
                 worstMillis(hosts, 3, (fleet, second) -> fleet.schedule(second, () -> fleet.cutCoordinator(2.5))));
     }
 
     @ParameterizedTest
     @CsvSource({"36, 2000", "98, 2500", "143, 3000"})
-    void coordinatorCutOffFromTheStore(int hosts, long drainMillis) {
+    void coordinatorCutOffFromTheStore(int hosts, long drainMillis, TestInfo test) {
         assertInTime(
+                test,
                 drainMillis,
                 worstMillis(
                         hosts, 4, (fleet, second) -> fleet.schedule(second, () -> fleet.cutCoordinatorFromStore(2.5))));
@@ -75,8 +85,9 @@
 
     @ParameterizedTest
     @CsvSource({"36, 2000", "98, 2500", "143, 3000"})
-    void thirdOfTheHostsCutOff(int hosts, long drainMillis) {
+    void thirdOfTheHostsCutOff(int hosts, long drainMillis, TestInfo test) {
         assertInTime(
+                test,
                 drainMillis,
                 worstMillis(hosts, 5, (fleet, second) -> fleet.schedule(second, () -> fleet.cut(0.3, 2.2))));
     }
