Look up limits and expired registrations without scans

A service without limits pays no map lookups for them, and a grant no scan of the registered servers. A server that is only kept after an outage is known as such also if nothing else has changed; StoreCacheTest checks this now.

--- a/src/main/java/org/auburnhoist/core/dispatch/ServerLimits.java
+++ b/src/main/java/org/auburnhoist/core/dispatch/ServerLimits.java
@@ -123,11 +123,16 @@
 
     /** Whether a server has named a limit. */
     boolean isLimited(String server) {
-        return tokensOf(server) != null;
+        return limitedEntry(server) != null;
     }
 
-    private @Nullable QuotaBucket tokensOf(String server) {
+    private @Nullable Entry limitedEntry(String server) {
         Entry entry = limitedServers == 0 ? null : entries.get(server);
+        return entry == null || entry.tokens == null ? null : entry;
+    }
+
+    private @Nullable QuotaBucket tokensOf(String server) {
+        Entry entry = limitedEntry(server);
         return entry == null ? null : entry.tokens;
     }
 
@@ -151,11 +156,10 @@
 
     /** Requests a second that this dispatcher may grant to a server; infinite without a limit. */
     double rate(String server) {
-        Entry entry = entries.get(server);
-        if (entry == null || entry.tokens == null) {
-            return Double.POSITIVE_INFINITY;
-        }
-        return share * Math.max(MIN_REQUESTS_PER_SECOND, entry.latest.limit().requestsPerSecond());
+        Entry entry = limitedEntry(server);
+        return entry == null
+                ? Double.POSITIVE_INFINITY
+                : share * Math.max(MIN_REQUESTS_PER_SECOND, entry.latest.limit().requestsPerSecond());
     }
 
     private double capacity(String server) {
--- a/src/main/java/org/auburnhoist/gateway/StoreCache.java
+++ b/src/main/java/org/auburnhoist/gateway/StoreCache.java
@@ -48,6 +48,9 @@
     /** The servers in use: the registered ones and those whose registration may have expired in a store outage. */
     private List<UpstreamServer> servers = List.of();
 
+    /** IDs of the servers in use that are not registered. */
+    private Set<String> expiredIds = Set.of();
+
     private LongPredicate mayLackRegistrations = now -> false;
     private Map<String, UpstreamServer> serversById = Map.of();
     private Map<String, List<UpstreamServer>> serversByService = Map.of();
@@ -116,7 +119,7 @@
 
     /** The same if a server is among the registered ones; 0 for one that is only kept after a store outage. */
     long registeredRevision(String server) {
-        return registered.stream().anyMatch(known -> known.id().equals(server)) ? serversReadRevision : 0;
+        return serversById.containsKey(server) && !expiredIds.contains(server) ? serversReadRevision : 0;
     }
 
     /** Nanoseconds since the servers were last read from the store, by this host or by one that sent it a digest. */
@@ -188,6 +191,7 @@
     /** Keeps or drops the servers whose registration may have expired. Must be called a few times a second. */
     void updateServersInUse(long nowNanos) {
         List<UpstreamServer> next = withExpiredRegistrations(nowNanos);
+        expiredIds = next.size() == registered.size() ? Set.of() : expiredAmong(next);
         if (next == servers || equalIgnoringWarmup(next, servers)) {
             return;
         }
@@ -197,6 +201,12 @@
         serversChanged.run();
     }
 
+    private Set<String> expiredAmong(List<UpstreamServer> used) {
+        Set<String> ids = used.stream().map(UpstreamServer::id).collect(Collectors.toCollection(HashSet::new));
+        registered.forEach(server -> ids.remove(server.id()));
+        return ids;
+    }
+
     /**
      * Adds the servers in use that are not registered shortly after a store outage. Their registrations may have
      * expired while the store was unavailable, and the servers get a grace period to register again. Each host decides
--- a/src/test/java/org/auburnhoist/gateway/StoreCacheTest.java
+++ b/src/test/java/org/auburnhoist/gateway/StoreCacheTest.java
@@ -154,8 +154,10 @@
         for (StoreCache cache : List.of(reading, reporting)) {
             cache.registrationGrace(now -> now < 23 * SECOND);
             cache.serversRead(List.of(SERVER), 40, 10 * SECOND, 10 * SECOND, "store");
+            assertEquals(40, cache.registeredRevision("i-1"));
         }
         reading.serversRead(List.of(), 60, 21 * SECOND, 21 * SECOND, "store");
+        assertEquals(0, reading.registeredRevision("i-1"));
         StatusDigest digest = reading.digestFor(reporting.report(true), true, 21 * SECOND);
         reporting.digestReceived(digest, "host-1", 21 * SECOND, 21 * SECOND);
         assertEquals(List.of(SERVER), reporting.servers());
