Encode a limit in a release only if one is named

Every release of a slot carried nine bytes for a number that almost none has: 1.2 KB/s each way at 135 requests a second of a host, computed. The kind of the statement stays, in one byte. MessageCodecTest covers the three kinds, reported limits and the revision of an answer.

--- a/src/main/java/org/auburnhoist/peer/MessageFormat.java
+++ b/src/main/java/org/auburnhoist/peer/MessageFormat.java
@@ -159,26 +159,7 @@
                             in.unpackLong(),
                             in.unpackLong(),
                             in.unpackLong())),
-            new MessageFormat<>(
-                    15,
-                    SlotRelease.class,
-                    (message, packer) -> packer.packString(message.service())
-                            .packLong(message.grantId())
-                            .packInt(message.outcome().ordinal())
-                            .packLong(message.latencyMicros())
-                            .packBoolean(message.notice().leaving())
-                            .packLong(message.notice().pauseMillis())
-                            .packInt(message.notice().limit().kind().ordinal())
-                            .packDouble(message.notice().limit().requestsPerSecond()),
-                    in -> new SlotRelease(
-                            in.unpackString(),
-                            in.unpackLong(),
-                            readEnum(in, AttemptOutcome.values()),
-                            in.unpackLong(),
-                            new ServerNotice(
-                                    in.unpackBoolean(),
-                                    in.unpackLong(),
-                                    new StatedLimit(readEnum(in, StatedLimit.Kind.values()), in.unpackDouble())))),
+            new MessageFormat<>(15, SlotRelease.class, MessageFormat::writeSlotRelease, MessageFormat::readSlotRelease),
             new MessageFormat<>(
                     16,
                     HandoverRequest.class,
@@ -316,6 +297,32 @@
         return limits;
     }
 
+    private static void writeSlotRelease(SlotRelease message, MessagePacker packer) throws IOException {
+        packer.packString(message.service()).packLong(message.grantId());
+        packer.packInt(message.outcome().ordinal()).packLong(message.latencyMicros());
+        ServerNotice notice = message.notice();
+        packer.packBoolean(notice.leaving()).packLong(notice.pauseMillis());
+        // Almost all releases say nothing about a limit, and a number takes nine bytes.
+        packer.packInt(notice.limit().kind().ordinal());
+        if (notice.limit().isLimited()) {
+            packer.packDouble(notice.limit().requestsPerSecond());
+        }
+    }
+
+    private static SlotRelease readSlotRelease(MessageUnpacker in) throws IOException {
+        return new SlotRelease(
+                in.unpackString(),
+                in.unpackLong(),
+                readEnum(in, AttemptOutcome.values()),
+                in.unpackLong(),
+                new ServerNotice(in.unpackBoolean(), in.unpackLong(), readStatedLimit(in)));
+    }
+
+    private static StatedLimit readStatedLimit(MessageUnpacker in) throws IOException {
+        StatedLimit.Kind kind = readEnum(in, StatedLimit.Kind.values());
+        return new StatedLimit(kind, kind == StatedLimit.Kind.LIMITED ? in.unpackDouble() : 0);
+    }
+
     private static void writeStatusDigest(StatusDigest message, MessagePacker packer) throws IOException {
         packer.packLong(message.storeAgeMillis()).packLong(message.configurationVersion());
         writeBytes(packer, message.configuration());
--- a/src/test/java/org/auburnhoist/peer/MessageCodecTest.java
+++ b/src/test/java/org/auburnhoist/peer/MessageCodecTest.java
@@ -20,6 +20,7 @@
 import org.auburnhoist.core.message.PullAnswer;
 import org.auburnhoist.core.message.PullRequest;
 import org.auburnhoist.core.message.RecordedResponse;
+import org.auburnhoist.core.message.ReportedLimit;
 import org.auburnhoist.core.message.SchedulingParameters;
 import org.auburnhoist.core.message.ServerNotice;
 import org.auburnhoist.core.message.SlotAnswer;
@@ -55,6 +56,23 @@
                     List.of(),
                     new SchedulingParameters(3, 800, 2, "cypress", List.of("i-1", "i-2"), List.of("i-3"))),
             new SlotAnswer(SlotVerdict.GRANTED, "ledger-2", "10.0.0.1:80", 9, 0),
+            new SlotAnswer(SlotVerdict.GRANTED, "ledger-2", "10.0.0.1:80", 9, 0).withServersRevision(84),
+            new SlotRequest(
+                    "ledger",
+                    "book",
+                    "members",
+                    TrafficClass.BOOKING,
+                    1500,
+                    42,
+                    List.of(),
+                    new SchedulingParameters(
+                            3,
+                            800,
+                            2,
+                            "cypress",
+                            List.of(),
+                            List.of(),
+                            List.of(new ReportedLimit("ledger-1", 5, 1.25, 300)))),
             new StatusReport(true, 12, 77, 78),
             new SlotRelease("ledger", 9, AttemptOutcome.TIMEOUT, 1_500_000),
             new SlotRelease("ledger", 9, AttemptOutcome.SUCCESS, 1, new ServerNotice(true, 250, StatedLimit.of(1.25))),
