Count an outage of the store from the last read of any host

Since hosts keep lapsed registrations each for itself, a host that reads through the coordinator decided by its own first failed read whether registrations may have expired. That read comes up to 2.45 s after the outage has begun, so after outages of three to four seconds such hosts would have dropped healthy servers until they are registered again. An outage now counts from the last read of any host; registrations may have expired after 2.5 s, since they last for three heartbeats of 1.5 s.

--- a/src/main/java/org/auburnhoist/gateway/StoreOutage.java
+++ b/src/main/java/org/auburnhoist/gateway/StoreOutage.java
@@ -14,13 +14,14 @@
     private static final long REGISTRATION_GRACE_NANOS =
             Duration.ofMillis(2_500).toNanos();
     /**
-     * No registration expires in an outage this short: registrations last for several heartbeats, which are sent about
-     * every 1.5 s.
+     * No registration expires within this time after a read that lists it: registrations last for three heartbeats of
+     * about 1.5 s, and the last heartbeat before the read was at most one interval earlier.
      */
-    private static final long SHORT_OUTAGE_NANOS = Duration.ofMillis(1_500).toNanos();
+    private static final long SAFE_AGE_NANOS = Duration.ofMillis(2_500).toNanos();
 
     private boolean inOutage;
     private long failedSince;
+    private long lastReadNanos;
     private long lastFailure;
     private long endedAt;
     private boolean registrationsMayHaveExpired;
@@ -28,15 +29,18 @@
     /**
      * Records a failed read.
      *
+     * @param lastKnownReadNanos when this host or one that sent it a digest last read the store
+     * @param nowNanos the current time
      * @return whether this begins an outage
      */
-    boolean readFailed(long nowNanos) {
+    boolean readFailed(long lastKnownReadNanos, long nowNanos) {
         lastFailure = nowNanos;
         if (inOutage) {
             return false;
         }
         inOutage = true;
         failedSince = nowNanos;
+        lastReadNanos = lastKnownReadNanos;
         return true;
     }
 
@@ -51,7 +55,7 @@
         }
         inOutage = false;
         endedAt = startedNanos;
-        registrationsMayHaveExpired = startedNanos - failedSince > SHORT_OUTAGE_NANOS;
+        registrationsMayHaveExpired = startedNanos - lastReadNanos > SAFE_AGE_NANOS;
         return startedNanos - failedSince;
     }
 
--- a/src/main/java/org/auburnhoist/gateway/StorePoller.java
+++ b/src/main/java/org/auburnhoist/gateway/StorePoller.java
@@ -244,7 +244,8 @@
 
     private long readFailed(String target, ReadResult result, long nowNanos) {
         cache.directReadFailed();
-        if (outage.readFailed(nowNanos)) {
+        long age = cache.storeAgeNanos(nowNanos);
+        if (outage.readFailed(age == Long.MAX_VALUE ? nowNanos : nowNanos - age, nowNanos)) {
             Event.named("store-lost")
                     .with("read", target)
                     .with("result", result)
