Close the callers' listener when the host stops accepting

Callers that connected to a stopping host got a connection that the system had accepted and that was then reset. The library closes a listening channel, but the system keeps its socket until the selector runs, up to 0.5 s later, or until one more connection wakes it: one connection at each stop. The acceptor is woken now, so callers are refused at once and go to another host.

A connection that waits in the accept queue at the very moment of the close is still reset.

--- a/src/main/java/org/auburnhoist/proxy/ProxyServer.java
+++ b/src/main/java/org/auburnhoist/proxy/ProxyServer.java
@@ -1,6 +1,7 @@
 package org.auburnhoist.proxy;
 
 import java.io.IOException;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
 import java.nio.channels.ClosedSelectorException;
@@ -15,6 +16,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
+import org.apache.hc.core5.concurrent.FutureCallback;
 import org.apache.hc.core5.http.nio.command.ShutdownCommand;
 import org.apache.hc.core5.io.CloseMode;
 import org.apache.hc.core5.reactor.DefaultListeningIOReactor;
@@ -114,7 +116,35 @@
     /** Accepts no further connections; responses carry {@code Connection: close} from now on. */
     public void stopAccepting() {
         stopping = true;
-        reactor.getEndpoints().forEach(endpoint -> endpoint.close(CloseMode.GRACEFUL));
+        Set<ListenerEndpoint> open = reactor.getEndpoints();
+        open.forEach(endpoint -> endpoint.close(CloseMode.GRACEFUL));
+        if (!open.isEmpty()) {
+            wakeAcceptor();
+        }
+    }
+
+    /**
+     * Lets the acceptor's selector run, since the system closes a listening socket only then. Otherwise it would accept
+     * one more connection, which wakes the selector and is reset.
+     */
+    private void wakeAcceptor() {
+        Future<?> unused = reactor.listen(
+                new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), new FutureCallback<ListenerEndpoint>() {
+                    @Override
+                    public void completed(ListenerEndpoint endpoint) {
+                        endpoint.close(CloseMode.IMMEDIATE);
+                    }
+
+                    @Override
+                    public void failed(Exception cause) {
+                        logIoFailure(cause);
+                    }
+
+                    @Override
+                    public void cancelled() {
+                        // The reactor is closing, and its selector with it.
+                    }
+                });
     }
 
     /** Stops immediately; requests in progress are aborted. */
