--- a/src/main/java/org/auburnhoist/cli/ConfigurationRepository.java
+++ b/src/main/java/org/auburnhoist/cli/ConfigurationRepository.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import org.auburnhoist.core.StorePosition;
 import org.auburnhoist.core.configuration.ConfigurationChunks;
 import org.auburnhoist.core.configuration.ConfigurationFile;
 import org.auburnhoist.core.configuration.ConfigurationHead;
@@ -61,11 +62,11 @@
         }
         ReadResult.Found found = (ReadResult.Found) result;
         if (found.entries().isEmpty()) {
-            return Either.right(new StoredHead(ConfigurationHead.NONE, 0));
+            return Either.right(new StoredHead(ConfigurationHead.NONE, StorePosition.NONE));
         }
-        long revision = found.entries().get(0).revision();
+        StorePosition position = found.entries().get(0).position();
         return ConfigurationHead.parse(found.entries().get(0).value())
-                .map(head -> new StoredHead(head, revision))
+                .map(head -> new StoredHead(head, position))
                 .mapLeft(reason -> new Failure(ExitCode.REFUSED, StoreKeys.CONFIGURATION + ": " + reason));
     }
 
@@ -134,21 +135,21 @@
      * referencing the chunk from deleting it.
      */
     private boolean writeChunk(ConfigurationChunks.Chunk chunk) {
-        long expectedRevision = 0;
+        StorePosition expected = StorePosition.NONE;
         for (int attempt = 0; attempt < MAX_CHUNK_ATTEMPTS; attempt++) {
-            WriteResult result = write(StoreKeys.CHUNK_PREFIX + chunk.digest(), expectedRevision, chunk.content());
+            WriteResult result = write(StoreKeys.CHUNK_PREFIX + chunk.digest(), expected, chunk.content());
             if (result instanceof WriteResult.Done) {
                 return true;
             }
             if (result instanceof WriteResult.Conflict conflict) {
-                expectedRevision = conflict.currentRevision();
+                expected = conflict.currentPosition();
             }
         }
         return false;
     }
 
     /**
-     * Finds the chunks that only the older head references, with their revisions. Stops at the first chunk that cannot
+     * Finds the chunks that only the older head references, with their positions. Stops at the first chunk that cannot
      * be read and leaves out the rest.
      */
     private List<Entry> unreferencedChunks(ConfigurationHead before, ConfigurationHead next) {
@@ -161,7 +162,7 @@
             if (!(result instanceof ReadResult.Found found)) {
                 return entries;
             }
-            found.entries().forEach(entry -> entries.add(new Entry(entry.key(), new byte[0], entry.revision())));
+            found.entries().forEach(entry -> entries.add(new Entry(entry.key(), new byte[0], entry.position())));
         }
         return entries;
     }
@@ -170,14 +171,14 @@
      * Deletes chunks that the head no longer references. A failure leaves unused chunks in the store, which does no
      * harm.
      *
-     * @param unreferenced chunks with the revisions that they had before the new head was written. A later change that
+     * @param unreferenced chunks with the positions that they had before the new head was written. A later change that
      *     references such a chunk again has read the new head, so it has written the chunk again with another revision
      *     and the conditional deletion has no effect.
      */
     private void deleteChunks(List<Entry> unreferenced) {
         for (Entry entry : unreferenced) {
             WriteResult result = await(
-                    store.compareAndDelete(entry.key(), entry.revision()),
+                    store.compareAndDelete(entry.key(), entry.position()),
                     new WriteResult.OutcomeUnknown("no answer in time"));
             if (result instanceof WriteResult.NotDone) {
                 return;
@@ -193,7 +194,7 @@
         boolean mayHaveRun = false;
         String reason = "";
         for (int attempt = 0; attempt < MAX_HEAD_ATTEMPTS; attempt++) {
-            WriteResult result = write(StoreKeys.CONFIGURATION, before.revision(), content);
+            WriteResult result = write(StoreKeys.CONFIGURATION, before.position(), content);
             if (result instanceof WriteResult.Done) {
                 return Either.right(next.version());
             }
@@ -206,7 +207,7 @@
                 reason = unknown.reason();
             }
             Either<Failure, StoredHead> current = readHead();
-            if (current.isRight() && current.get().revision() != before.revision()) {
+            if (current.isRight() && !current.get().position().equals(before.position())) {
                 return resolveNewerHead(next, current.get().head(), mayHaveRun);
             }
             if (result instanceof WriteResult.Conflict) {
@@ -258,10 +259,8 @@
         return new Failure(ExitCode.REFUSED, message.append(NOTHING_CHANGED).toString());
     }
 
-    private WriteResult write(String key, long expectedRevision, byte[] value) {
-        return await(
-                store.compareAndSwap(key, expectedRevision, value),
-                new WriteResult.OutcomeUnknown("no answer in time"));
+    private WriteResult write(String key, StorePosition expected, byte[] value) {
+        return await(store.compareAndSwap(key, expected, value), new WriteResult.OutcomeUnknown("no answer in time"));
     }
 
     private <T> T await(CompletableFuture<T> answer, T fallback) {
--- a/src/main/java/org/auburnhoist/cli/RosterRepository.java
+++ b/src/main/java/org/auburnhoist/cli/RosterRepository.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.TimeoutException;
 import java.util.function.Function;
 import java.util.function.UnaryOperator;
+import org.auburnhoist.core.StorePosition;
 import org.auburnhoist.core.membership.Roster;
 import org.auburnhoist.core.membership.RosterCodec;
 import org.auburnhoist.store.Entry;
@@ -50,7 +51,7 @@
     }
 
     private Either<Failure, Roster> replace(Entry entry, Roster next) {
-        WriteResult result = write(entry.revision(), next);
+        WriteResult result = write(entry.position(), next);
         if (result instanceof WriteResult.Done) {
             return Either.right(next);
         }
@@ -83,7 +84,7 @@
                 return current;
             }
             Roster next = change.apply(current.get());
-            WriteResult result = write(entry.get().revision(), next);
+            WriteResult result = write(entry.get().position(), next);
             if (result instanceof WriteResult.Done) {
                 return Either.right(next);
             }
@@ -120,9 +121,9 @@
         }
     }
 
-    private WriteResult write(long expectedRevision, Roster next) {
+    private WriteResult write(StorePosition expected, Roster next) {
         try {
-            return store.compareAndSwap(StoreKeys.ROSTER, expectedRevision, RosterCodec.encode(next))
+            return store.compareAndSwap(StoreKeys.ROSTER, expected, RosterCodec.encode(next))
                     .get(timeout.toMillis(), TimeUnit.MILLISECONDS);
         } catch (InterruptedException interrupted) {
             Thread.currentThread().interrupt();
--- a/src/main/java/org/auburnhoist/core/message/SlotAnswer.java
+++ b/src/main/java/org/auburnhoist/core/message/SlotAnswer.java
@@ -1,5 +1,7 @@
 package org.auburnhoist.core.message;
 
+import org.auburnhoist.core.StorePosition;
+
 /**
  * Answer of a service's dispatcher to a {@link SlotRequest}.
  *
@@ -8,15 +10,20 @@
  * @param address the server's IP address and port, empty if the requesting host knows it from the configuration
  * @param grantId identifies the grant in the later {@link SlotRelease}, 0 without a grant
  * @param retryAfterMillis time after which the caller should retry, if refused
- * @param serversRevision the store's revision at which the dispatcher last knew the registered servers, 0 if it does
- *     not know them from the store
+ * @param serversPosition the store's position at which the dispatcher last knew the registered servers,
+ *     {@link StorePosition#NONE} if it does not know them from the store
  */
 public record SlotAnswer(
-        SlotVerdict verdict, String server, String address, long grantId, long retryAfterMillis, long serversRevision)
+        SlotVerdict verdict,
+        String server,
+        String address,
+        long grantId,
+        long retryAfterMillis,
+        StorePosition serversPosition)
         implements Message {
     /** Creates an answer of a dispatcher that does not know the servers from the store. */
     public SlotAnswer(SlotVerdict verdict, String server, String address, long grantId, long retryAfterMillis) {
-        this(verdict, server, address, grantId, retryAfterMillis, 0);
+        this(verdict, server, address, grantId, retryAfterMillis, StorePosition.NONE);
     }
 
     /** Creates an answer without the server's address. */
@@ -24,8 +31,8 @@
         this(verdict, server, "", grantId, retryAfterMillis);
     }
 
-    /** Returns this answer with the revision at which the dispatcher last knew the registered servers. */
-    public SlotAnswer withServersRevision(long revision) {
-        return new SlotAnswer(verdict, server, address, grantId, retryAfterMillis, revision);
+    /** Returns this answer with the position at which the dispatcher last knew the registered servers. */
+    public SlotAnswer withServersPosition(StorePosition position) {
+        return new SlotAnswer(verdict, server, address, grantId, retryAfterMillis, position);
     }
 }
--- a/src/main/java/org/auburnhoist/gateway/FleetBootstrap.java
+++ b/src/main/java/org/auburnhoist/gateway/FleetBootstrap.java
@@ -6,6 +6,7 @@
 import java.util.HexFormat;
 import java.util.concurrent.CompletableFuture;
 import java.util.random.RandomGenerator;
+import org.auburnhoist.core.StorePosition;
 import org.auburnhoist.host.ControlThread;
 import org.auburnhoist.store.Entry;
 import org.auburnhoist.store.ReadResult;
@@ -80,7 +81,7 @@
         byte[] bytes = new byte[SECRET_BYTES];
         new SecureRandom().nextBytes(bytes);
         String created = HexFormat.of().formatHex(bytes);
-        store.compareAndSwap(GatewayKeys.SECRET, 0, created.getBytes(StandardCharsets.US_ASCII))
+        store.compareAndSwap(GatewayKeys.SECRET, StorePosition.NONE, created.getBytes(StandardCharsets.US_ASCII))
                 .thenAccept(answer -> control.execute(now -> {
                     if (answer instanceof WriteResult.Done) {
                         result.complete(new BootstrapState(created, found));
--- a/src/main/java/org/auburnhoist/gateway/GatewayHost.java
+++ b/src/main/java/org/auburnhoist/gateway/GatewayHost.java
@@ -239,7 +239,7 @@
         entries.entries().stream()
                 .filter(entry -> entry.key().equals(GatewayKeys.memberKey(settings.name())))
                 .forEach(entry -> {
-                    lease.entrySeen(entry.revision());
+                    lease.entrySeen(entry.position());
                     if (!isLeaving(entry)) {
                         quotas.resumeOwnership();
                     }
--- a/src/main/java/org/auburnhoist/gateway/MembershipLease.java
+++ b/src/main/java/org/auburnhoist/gateway/MembershipLease.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.random.RandomGenerator;
+import org.auburnhoist.core.StorePosition;
 import org.auburnhoist.core.membership.FleetCodec;
 import org.auburnhoist.core.membership.FleetMember;
 import org.auburnhoist.host.ControlThread;
@@ -30,7 +31,7 @@
     private final String key;
     private FleetMember member;
     private long leaseId;
-    private long revision;
+    private StorePosition position = StorePosition.NONE;
     private boolean registered;
     private boolean busy;
     private boolean ended;
@@ -47,9 +48,9 @@
         this.validUntilNanos = nowNanos;
     }
 
-    /** Records the revision of the entry that an earlier process has left. */
-    void entrySeen(long seenRevision) {
-        revision = seenRevision;
+    /** Records the position of the entry that an earlier process has left. */
+    void entrySeen(StorePosition seen) {
+        position = seen;
     }
 
     /** Whether no other host can have taken over this host's roles, and this host has not begun to leave. */
@@ -107,10 +108,10 @@
     }
 
     private void register(long startedNanos) {
-        store.compareAndSwap(key, revision, FleetCodec.member(member), leaseId)
+        store.compareAndSwap(key, position, FleetCodec.member(member), leaseId)
                 .thenAccept(result -> control.execute(now -> {
                     if (result instanceof WriteResult.Done done) {
-                        revision = done.revision();
+                        position = done.position();
                         succeeded();
                         registered = true;
                         nextActionNanos = startedNanos + RENEWAL_INTERVAL_NANOS;
@@ -120,7 +121,7 @@
                                 .log();
                     } else if (result instanceof WriteResult.Conflict conflict) {
                         // Written by an earlier process under this name, or by this one if the response was lost.
-                        revision = conflict.currentRevision();
+                        position = conflict.currentPosition();
                         busy = false;
                         nextActionNanos = now;
                     } else {
@@ -143,7 +144,7 @@
                         leaseId = 0;
                         registered = false;
                         busy = false;
-                        revision = 0;
+                        position = StorePosition.NONE;
                         nextActionNanos = now;
                     } else {
                         long remainingNanos = validUntilNanos - SAFETY_MARGIN_NANOS - now;
--- a/src/main/java/org/auburnhoist/gateway/SlotBroker.java
+++ b/src/main/java/org/auburnhoist/gateway/SlotBroker.java
@@ -9,6 +9,7 @@
 import java.util.function.LongPredicate;
 import java.util.random.RandomGenerator;
 import org.auburnhoist.core.HostId;
+import org.auburnhoist.core.StorePosition;
 import org.auburnhoist.core.dispatch.LimitShares;
 import org.auburnhoist.core.dispatch.PriorityDispatcher;
 import org.auburnhoist.core.dispatch.PriorityDispatcherSettings;
@@ -74,7 +75,7 @@
      * @param dispatcher the host that granted it, null if this host selected the server itself
      * @param grantId ID of the grant
      * @param service the service
-     * @param serversRevision the store's revision at which the dispatcher last knew the servers
+     * @param serversRevision the store's position at which the dispatcher last knew the servers
      */
     record Slot(
             String server,
@@ -82,7 +83,7 @@
             @Nullable FleetMember dispatcher,
             long grantId,
             String service,
-            long serversRevision) {}
+            StorePosition serversPosition) {}
 
     /**
      * Result of a request for a slot.
@@ -235,7 +236,8 @@
             return !known.leaving();
         }
         // The dispatcher may know of a new server before this host does.
-        boolean usable = slot.serversRevision() > cache.serversKnownRevision();
+        boolean usable =
+                slot.serversPosition().revision() > cache.serversKnownPosition().revision();
         if (!usable) {
             FleetMember dispatcher = slot.dispatcher();
             Event.named("grant-outdated")
@@ -243,8 +245,8 @@
                     .with(
                             "dispatcher",
                             dispatcher == null ? self.name() : dispatcher.id().name())
-                    .with("dispatcher_revision", slot.serversRevision())
-                    .with("revision", cache.serversKnownRevision())
+                    .with("dispatcher_position", slot.serversPosition())
+                    .with("position", cache.serversKnownPosition())
                     .log();
         }
         return usable;
@@ -263,7 +265,7 @@
                 nextToken++,
                 nowNanos,
                 (answer, now) ->
-                        reply.accept(answer.withServersRevision(cache.registeredRevision(answer.server())), now));
+                        reply.accept(answer.withServersPosition(cache.registeredPosition(answer.server())), now));
     }
 
     private ServiceDispatch dispatch(String service, long nowNanos) {
@@ -345,7 +347,7 @@
                         dispatcher,
                         answer.grantId(),
                         entry.request.service(),
-                        answer.serversRevision())
+                        answer.serversPosition())
                 : null;
         if (pending.get(id) != entry || !Objects.equals(entry.dispatcher, dispatcher)) {
             if (slot != null) {
--- a/src/main/java/org/auburnhoist/gateway/StoreCache.java
+++ b/src/main/java/org/auburnhoist/gateway/StoreCache.java
@@ -11,6 +11,7 @@
 import java.util.function.Function;
 import java.util.function.LongPredicate;
 import java.util.stream.Collectors;
+import org.auburnhoist.core.StorePosition;
 import org.auburnhoist.core.membership.FleetCodec;
 import org.auburnhoist.core.membership.FleetMember;
 import org.auburnhoist.core.membership.FleetView;
@@ -55,16 +56,16 @@
     private Map<String, UpstreamServer> serversById = Map.of();
     private Map<String, List<UpstreamServer>> serversByService = Map.of();
     private byte[] serversDocument = NO_DOCUMENT;
-    /** Revision at which the servers last changed. */
-    private long serversRevision;
-    /** Latest revision up to which the servers are known to be unchanged. */
-    private long serversConfirmedRevision;
+    /** Position at which the servers last changed. */
+    private StorePosition serversPosition = StorePosition.NONE;
+    /** Latest position up to which the servers are known to be unchanged. */
+    private StorePosition serversConfirmedPosition = StorePosition.NONE;
 
-    private long serversReadRevision;
+    private StorePosition serversReadPosition = StorePosition.NONE;
     private List<FleetMember> members = List.of();
     private byte[] membersDocument = NO_DOCUMENT;
-    private long membersRevision;
-    private long membersReadRevision;
+    private StorePosition membersPosition = StorePosition.NONE;
+    private StorePosition membersReadPosition = StorePosition.NONE;
     private boolean hasBeenRead;
     private long readAtNanos;
     private boolean directReadFailed;
@@ -112,14 +113,16 @@
         return serversByService.getOrDefault(service, List.of());
     }
 
-    /** Revision of the store at which the registered servers were last known. */
-    long serversKnownRevision() {
-        return serversReadRevision;
+    /** Position of the store at which the registered servers were last known. */
+    StorePosition serversKnownPosition() {
+        return serversReadPosition;
     }
 
-    /** The same if a server is among the registered ones; 0 for one that is only kept after a store outage. */
-    long registeredRevision(String server) {
-        return serversById.containsKey(server) && !expiredIds.contains(server) ? serversReadRevision : 0;
+    /** The same if a server is among the registered ones, {@link StorePosition#NONE} for one that is only kept. */
+    StorePosition registeredPosition(String server) {
+        return serversById.containsKey(server) && !expiredIds.contains(server)
+                ? serversReadPosition
+                : StorePosition.NONE;
     }
 
     /** Nanoseconds since the servers were last read from the store, by this host or by one that sent it a digest. */
@@ -161,31 +164,32 @@
         }
     }
 
-    /** Adopts the servers that the store held at a revision, read at or after {@code readNanos}. */
-    void serversRead(List<UpstreamServer> read, long revision, long readNanos, long nowNanos, String source) {
+    /** Adopts the servers that the store held at a position, read at or after {@code readNanos}. */
+    void serversRead(List<UpstreamServer> read, StorePosition position, long readNanos, long nowNanos, String source) {
         recordReadTime(readNanos);
-        if (revision < serversReadRevision) {
+        if (position.revision() < serversReadPosition.revision()) {
+            logIgnoredRead("servers", position, serversReadPosition);
             return;
         }
-        serversReadRevision = revision;
+        serversReadPosition = position;
         List<UpstreamServer> sorted = new ArrayList<>(read);
         sorted.sort(Comparator.comparing(UpstreamServer::id));
         if (!equalIgnoringWarmup(sorted, registered)) {
-            adoptServers(sorted, FleetCodec.servers(sorted), revision, source);
+            adoptServers(sorted, FleetCodec.servers(sorted), position, source);
         } else {
             // A later read without a change is newer than what another host adopted in between.
-            serversConfirmedRevision = revision;
+            serversConfirmedPosition = position;
         }
         updateServersInUse(nowNanos);
     }
 
-    private void adoptServers(List<UpstreamServer> next, byte[] document, long revision, String source) {
-        logServers(next, revision, source);
+    private void adoptServers(List<UpstreamServer> next, byte[] document, StorePosition position, String source) {
+        logServers(next, position, source);
         registered = List.copyOf(next);
         serversDocument = document;
-        serversRevision = revision;
-        serversConfirmedRevision = revision;
-        serversReadRevision = Math.max(serversReadRevision, revision);
+        serversPosition = position;
+        serversConfirmedPosition = position;
+        serversReadPosition = higher(serversReadPosition, position);
     }
 
     /** Keeps or drops the servers whose registration may have expired. Must be called a few times a second. */
@@ -232,47 +236,49 @@
         return result;
     }
 
-    private void logServers(List<UpstreamServer> next, long revision, String source) {
+    private void logServers(List<UpstreamServer> next, StorePosition position, String source) {
         long leaving = next.stream().filter(UpstreamServer::leaving).count();
         Event.named("servers-adopted")
                 .with("count", next.size())
                 .with("leaving", leaving)
-                .with("revision", revision)
+                .with("position", position)
                 .with("source", source)
                 .log();
     }
 
-    /** Adopts the members that the store held at a revision. */
-    void membersRead(List<FleetMember> read, long revision, String source, long nowNanos) {
-        if (revision < membersReadRevision) {
+    /** Adopts the members that the store held at a position. */
+    void membersRead(List<FleetMember> read, StorePosition position, String source, long nowNanos) {
+        if (position.revision() < membersReadPosition.revision()) {
+            logIgnoredRead("members", position, membersReadPosition);
             return;
         }
-        membersReadRevision = revision;
+        membersReadPosition = position;
         List<FleetMember> sorted = new ArrayList<>(read);
         sorted.sort(Comparator.comparing(member -> member.id().name()));
         if (!sorted.equals(members)) {
-            adoptMembers(sorted, FleetCodec.members(sorted), revision, source, nowNanos);
+            adoptMembers(sorted, FleetCodec.members(sorted), position, source, nowNanos);
         }
     }
 
-    private void adoptMembers(List<FleetMember> next, byte[] document, long revision, String source, long nowNanos) {
+    private void adoptMembers(
+            List<FleetMember> next, byte[] document, StorePosition position, String source, long nowNanos) {
         Event.named("members-adopted")
                 .with("count", next.size())
-                .with("revision", revision)
+                .with("position", position)
                 .with("source", source)
                 .log();
         members = List.copyOf(next);
         membersDocument = document;
-        membersRevision = revision;
-        membersReadRevision = Math.max(membersReadRevision, revision);
+        membersPosition = position;
+        membersReadPosition = higher(membersReadPosition, position);
         fleet.members(next, nowNanos);
         membersChanged.run();
     }
 
     /** The report that this host sends to a coordinator. */
     StatusReport report(boolean ready) {
-        // Live members stay listed without a store entry, so lists of the same revision may differ between hosts.
-        return new StatusReport(ready, router.configuration().version(), serversConfirmedRevision, membersRevision);
+        // Live members stay listed without a store entry, so lists of the same position may differ between hosts.
+        return new StatusReport(ready, router.configuration().version(), serversConfirmedPosition, membersPosition);
     }
 
     /** The digest of what a reporting host does not have yet. */
@@ -282,10 +288,10 @@
                 hasBeenRead ? Math.max(0, (nowNanos - readAtNanos) / 1_000_000L) : -1,
                 version,
                 report.configurationVersion() < version ? configuration : NO_DOCUMENT,
-                serversRevision,
-                report.serversRevision() < serversRevision ? serversDocument : NO_DOCUMENT,
-                membersRevision,
-                report.membersRevision() < membersRevision ? membersDocument : NO_DOCUMENT,
+                serversPosition,
+                report.serversPosition().revision() < serversPosition.revision() ? serversDocument : NO_DOCUMENT,
+                membersPosition,
+                report.membersPosition().revision() < membersPosition.revision() ? membersDocument : NO_DOCUMENT,
                 fleet.memberNamesHash(),
                 fleet.contactAges(selfReady, nowNanos));
     }
@@ -301,16 +307,17 @@
             if (digest.configuration().length > 0) {
                 configurationRead(FleetCodec.inflate(digest.configuration()), from);
             }
-            if (digest.members().length > 0 && digest.membersRevision() > membersRevision) {
+            if (digest.members().length > 0 && digest.membersPosition().revision() > membersPosition.revision()) {
                 adoptMembers(
                         FleetCodec.members(digest.members()),
                         digest.members(),
-                        digest.membersRevision(),
+                        digest.membersPosition(),
                         from,
                         nowNanos);
             }
-            if (digest.servers().length > 0 && digest.serversRevision() > serversConfirmedRevision) {
-                adoptServers(FleetCodec.servers(digest.servers()), digest.servers(), digest.serversRevision(), from);
+            if (digest.servers().length > 0
+                    && digest.serversPosition().revision() > serversConfirmedPosition.revision()) {
+                adoptServers(FleetCodec.servers(digest.servers()), digest.servers(), digest.serversPosition(), from);
                 updateServersInUse(nowNanos);
             }
         } catch (IOException cause) {
@@ -344,6 +351,18 @@
         }
     }
 
+    private static StorePosition higher(StorePosition one, StorePosition other) {
+        return one.revision() >= other.revision() ? one : other;
+    }
+
+    private static void logIgnoredRead(String document, StorePosition read, StorePosition known) {
+        Event.named("read-ignored")
+                .with("document", document)
+                .with("position", read)
+                .with("known", known)
+                .log();
+    }
+
     private void recordReadTime(long readNanos) {
         if (!hasBeenRead || readNanos - readAtNanos > 0) {
             hasBeenRead = true;
--- a/src/main/java/org/auburnhoist/gateway/StorePoller.java
+++ b/src/main/java/org/auburnhoist/gateway/StorePoller.java
@@ -159,7 +159,7 @@
                                 servers.add(server);
                             }
                         });
-                        cache.serversRead(servers, found.revision(), startedNanos, now, "store");
+                        cache.serversRead(servers, found.position(), startedNanos, now, "store");
                     } else {
                         nextServers = readFailed("servers", result, now);
                     }
@@ -225,7 +225,7 @@
                 members.add(known);
             }
         }
-        cache.membersRead(members, found.revision(), "store", nowNanos);
+        cache.membersRead(members, found.position(), "store", nowNanos);
     }
 
     private void readSucceeded(long startedNanos) {
--- a/src/main/java/org/auburnhoist/host/StoreController.java
+++ b/src/main/java/org/auburnhoist/host/StoreController.java
@@ -7,6 +7,7 @@
 import java.util.function.Function;
 import java.util.random.RandomGenerator;
 import org.auburnhoist.core.HostId;
+import org.auburnhoist.core.StorePosition;
 import org.auburnhoist.core.blackboard.Blackboard;
 import org.auburnhoist.core.configuration.ConfigurationHead;
 import org.auburnhoist.core.membership.FreshnessTable;
@@ -162,7 +163,11 @@
 
     private void join(boolean firstOfFleet) {
         if (firstOfFleet) {
-            writeRoster("joined", 0, Roster.bootstrap(self, Roster.DEFAULT_SHARD_COUNT), new CompletableFuture<>());
+            writeRoster(
+                    "joined",
+                    StorePosition.NONE,
+                    Roster.bootstrap(self, Roster.DEFAULT_SHARD_COUNT),
+                    new CompletableFuture<>());
         } else {
             changeRoster("joined", current -> current.join(self));
         }
@@ -191,15 +196,15 @@
                         done.complete(false);
                         return;
                     }
-                    writeRoster(reason, entry.revision(), next, done);
+                    writeRoster(reason, entry.position(), next, done);
                 }));
         return done;
     }
 
-    private void writeRoster(String reason, long expectedRevision, Roster next, CompletableFuture<Boolean> done) {
+    private void writeRoster(String reason, StorePosition expected, Roster next, CompletableFuture<Boolean> done) {
         writing = true;
         byte[] encoded = RosterCodec.encode(next);
-        store.compareAndSwap(StoreKeys.ROSTER, expectedRevision, encoded)
+        store.compareAndSwap(StoreKeys.ROSTER, expected, encoded)
                 .thenAccept(result -> control.execute(now -> {
                     writing = false;
                     Event.named("roster-write")
--- a/src/main/java/org/auburnhoist/load/LocalFleet.java
+++ b/src/main/java/org/auburnhoist/load/LocalFleet.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.auburnhoist.core.StorePosition;
 import org.auburnhoist.core.configuration.ConfigurationChunks;
 import org.auburnhoist.core.configuration.ConfigurationFile;
 import org.auburnhoist.core.configuration.ConfigurationHead;
@@ -155,7 +156,7 @@
         for (ConfigurationFile file : files) {
             for (ConfigurationChunks.Chunk chunk : ConfigurationChunks.split(file.content())) {
                 operatorStore
-                        .compareAndSwap(StoreKeys.CHUNK_PREFIX + chunk.digest(), 0, chunk.content())
+                        .compareAndSwap(StoreKeys.CHUNK_PREFIX + chunk.digest(), StorePosition.NONE, chunk.content())
                         .join();
             }
         }
@@ -170,9 +171,10 @@
         ConfigurationHead.Change change = new ConfigurationHead.Change(
                 head.version() + 1, "local-" + (head.version() + 1), "local-fleet", "", "replaced all files");
         byte[] next = head.next(change, files, Set.of()).toBytes();
-        long revision = first ? 0 : found.entries().get(0).revision();
+        StorePosition expected =
+                first ? StorePosition.NONE : found.entries().get(0).position();
         WriteResult written = operatorStore
-                .compareAndSwap(StoreKeys.CONFIGURATION, revision, next)
+                .compareAndSwap(StoreKeys.CONFIGURATION, expected, next)
                 .join();
         if (!(written instanceof WriteResult.Done)) {
             throw new IllegalStateException("store: expected the head to be written, got " + written);
--- a/src/main/java/org/auburnhoist/peer/MessageFormat.java
+++ b/src/main/java/org/auburnhoist/peer/MessageFormat.java
@@ -16,6 +16,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import org.auburnhoist.core.StorePosition;
 import org.auburnhoist.core.TrafficClass;
 import org.auburnhoist.core.message.Acknowledgement;
 import org.auburnhoist.core.message.AttemptOutcome;
@@ -151,14 +152,15 @@
                             .packString(message.address())
                             .packLong(message.grantId())
                             .packLong(message.retryAfterMillis())
-                            .packLong(message.serversRevision()),
+                            .packLong(message.serversPosition().era())
+                            .packLong(message.serversPosition().revision()),
                     in -> new SlotAnswer(
                             readEnum(in, SlotVerdict.values()),
                             in.unpackString(),
                             in.unpackString(),
                             in.unpackLong(),
                             in.unpackLong(),
-                            in.unpackLong())),
+                            readPosition(in))),
             new MessageFormat<>(15, SlotRelease.class, MessageFormat::writeSlotRelease, MessageFormat::readSlotRelease),
             new MessageFormat<>(
                     16,
@@ -176,11 +178,12 @@
             new MessageFormat<>(
                     18,
                     StatusReport.class,
-                    (message, packer) -> packer.packBoolean(message.ready())
-                            .packLong(message.configurationVersion())
-                            .packLong(message.serversRevision())
-                            .packLong(message.membersRevision()),
-                    in -> new StatusReport(in.unpackBoolean(), in.unpackLong(), in.unpackLong(), in.unpackLong())),
+                    (message, packer) -> {
+                        packer.packBoolean(message.ready()).packLong(message.configurationVersion());
+                        writePosition(packer, message.serversPosition());
+                        writePosition(packer, message.membersPosition());
+                    },
+                    in -> new StatusReport(in.unpackBoolean(), in.unpackLong(), readPosition(in), readPosition(in))),
             new MessageFormat<>(
                     19, StatusDigest.class, MessageFormat::writeStatusDigest, MessageFormat::readStatusDigest),
             new MessageFormat<>(
@@ -323,12 +326,20 @@
         return new StatedLimit(kind, kind == StatedLimit.Kind.LIMITED ? in.unpackDouble() : 0);
     }
 
+    private static void writePosition(MessagePacker packer, StorePosition position) throws IOException {
+        packer.packLong(position.era()).packLong(position.revision());
+    }
+
+    private static StorePosition readPosition(MessageUnpacker in) throws IOException {
+        return new StorePosition(in.unpackLong(), in.unpackLong());
+    }
+
     private static void writeStatusDigest(StatusDigest message, MessagePacker packer) throws IOException {
         packer.packLong(message.storeAgeMillis()).packLong(message.configurationVersion());
         writeBytes(packer, message.configuration());
-        packer.packLong(message.serversRevision());
+        writePosition(packer, message.serversPosition());
         writeBytes(packer, message.servers());
-        packer.packLong(message.membersRevision());
+        writePosition(packer, message.membersPosition());
         writeBytes(packer, message.members());
         packer.packLong(message.memberNamesHash());
         writeBytes(packer, message.contactAges());
@@ -339,9 +350,9 @@
                 in.unpackLong(),
                 in.unpackLong(),
                 readBytes(in),
-                in.unpackLong(),
+                readPosition(in),
                 readBytes(in),
-                in.unpackLong(),
+                readPosition(in),
                 readBytes(in),
                 in.unpackLong(),
                 readBytes(in));
--- a/src/main/java/org/auburnhoist/platform/KvStore.java
+++ b/src/main/java/org/auburnhoist/platform/KvStore.java
@@ -13,6 +13,7 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import org.auburnhoist.core.StorePosition;
 import org.auburnhoist.platform.KvTransport.Reply;
 import org.auburnhoist.store.Entry;
 import org.auburnhoist.store.LeaseResult;
@@ -20,6 +21,7 @@
 import org.auburnhoist.store.Store;
 import org.auburnhoist.store.WatchListener;
 import org.auburnhoist.store.WriteResult;
+import org.jspecify.annotations.Nullable;
 
 /** Client of the platform's key-value store. */
 final class KvStore implements Store {
@@ -48,50 +50,49 @@
                 .call("GET", "/api/kv-key?key=" + encode(key), null, CALL_TIMEOUT)
                 .thenApply(reply -> {
                     if (reply.status() == NOT_FOUND) {
-                        return new ReadResult.Found(
-                                List.of(), reply.body().path("current_rev").asLong(0));
+                        return new ReadResult.Found(List.of(), currentPosition(reply));
                     }
                     if (reply.status() != OK) {
                         return new ReadResult.Unavailable(reply.describe());
                     }
                     return new ReadResult.Found(
-                            List.of(decodeEntry(reply.body())),
-                            reply.body().path("current_rev").asLong(0));
+                            List.of(decodeEntry(reply.body(), reply.era())), currentPosition(reply));
                 });
     }
 
     @Override
     public CompletableFuture<ReadResult> range(String prefix) {
-        return readPages(prefix, "", new ArrayList<>(), Long.MAX_VALUE);
+        return readPages(prefix, "", new ArrayList<>(), null);
     }
 
     private CompletableFuture<ReadResult> readPages(
-            String prefix, String afterKey, List<Entry> entries, long revision) {
+            String prefix, String afterKey, List<Entry> entries, @Nullable StorePosition earliest) {
         String path = "/api/kv-range?path_prefix=" + encode(prefix)
                 + (afterKey.isEmpty() ? "" : "&after=" + encode(afterKey));
         return transport.call("GET", path, null, CALL_TIMEOUT).thenCompose(reply -> {
             if (reply.status() != OK) {
                 return CompletableFuture.completedFuture(new ReadResult.Unavailable(reply.describe()));
             }
-            reply.body().path("items").forEach(item -> entries.add(decodeEntry(item)));
-            // Pages do not form a snapshot; the entries are at least as new as the lowest revision of a page.
-            long oldest = Math.min(revision, reply.body().path("current_rev").asLong(0));
+            reply.body().path("items").forEach(item -> entries.add(decodeEntry(item, reply.era())));
+            // Pages do not form a snapshot; the entries are at least as new as the earliest position of a page.
+            StorePosition current = currentPosition(reply);
+            StorePosition position = earliest == null ? current : current.earlier(earliest);
             if (reply.body().path("has_more").asBoolean(false) && !entries.isEmpty()) {
-                return readPages(prefix, entries.get(entries.size() - 1).key(), entries, oldest);
+                return readPages(prefix, entries.get(entries.size() - 1).key(), entries, position);
             }
-            return CompletableFuture.completedFuture(new ReadResult.Found(entries, oldest));
+            return CompletableFuture.completedFuture(new ReadResult.Found(entries, position));
         });
     }
 
     @Override
-    public CompletableFuture<WriteResult> compareAndSwap(String key, long expectedRevision, byte[] value) {
-        return compareAndSwap(key, expectedRevision, value, 0);
+    public CompletableFuture<WriteResult> compareAndSwap(String key, StorePosition expected, byte[] value) {
+        return compareAndSwap(key, expected, value, 0);
     }
 
     @Override
     public CompletableFuture<WriteResult> compareAndSwap(
-            String key, long expectedRevision, byte[] value, long leaseId) {
-        ObjectNode body = transactionBody(key, expectedRevision);
+            String key, StorePosition expected, byte[] value, long leaseId) {
+        ObjectNode body = transactionBody(key, expected);
         body.putArray("puts")
                 .addObject()
                 .put("key", key)
@@ -102,17 +103,17 @@
     }
 
     @Override
-    public CompletableFuture<WriteResult> compareAndDelete(String key, long expectedRevision) {
-        ObjectNode body = transactionBody(key, expectedRevision);
+    public CompletableFuture<WriteResult> compareAndDelete(String key, StorePosition expected) {
+        ObjectNode body = transactionBody(key, expected);
         body.putArray("puts");
         body.putArray("remove").add(key);
         return write(key, body);
     }
 
-    private static ObjectNode transactionBody(String key, long expectedRevision) {
+    private static ObjectNode transactionBody(String key, StorePosition expected) {
         ObjectNode body = Json.object();
-        ArrayNode expected = body.putArray("expected_revision");
-        expected.addObject().put("key", key).put("revision", expectedRevision);
+        ArrayNode conditions = body.putArray("expected_revision");
+        conditions.addObject().put("key", key).put("revision", expected.revision());
         return body;
     }
 
@@ -120,9 +121,10 @@
         return transport.call("POST", "/api/kv-txn", body, CALL_TIMEOUT).thenApply(reply -> {
             switch (reply.status()) {
                 case OK:
-                    return new WriteResult.Done(reply.body().path("revision").asLong());
+                    return new WriteResult.Done(new StorePosition(
+                            reply.era(), reply.body().path("revision").asLong()));
                 case PRECONDITION_FAILED:
-                    return new WriteResult.Conflict(currentRevision(reply, key));
+                    return new WriteResult.Conflict(positionOf(key, reply));
                 case NOT_FOUND:
                     return new WriteResult.NotDone("the lease has expired");
                 case SERVICE_UNAVAILABLE, TOO_MANY_REQUESTS:
@@ -133,13 +135,17 @@
         });
     }
 
-    private static long currentRevision(Reply reply, String key) {
+    private static StorePosition currentPosition(Reply reply) {
+        return new StorePosition(reply.era(), reply.body().path("current_rev").asLong(0));
+    }
+
+    private static StorePosition positionOf(String key, Reply reply) {
         for (JsonNode item : reply.body().path("items")) {
             if (item.path("key").asText().equals(key)) {
-                return item.path("revision").asLong(0);
+                return new StorePosition(reply.era(), item.path("revision").asLong(0));
             }
         }
-        return 0;
+        return StorePosition.NONE;
     }
 
     @Override
@@ -159,7 +165,8 @@
         if (reply.status() == OK) {
             return new LeaseResult.Granted(
                     reply.body().path("lease").asLong(leaseId),
-                    Duration.ofMillis(reply.body().path("ttl_ms").asLong(0)));
+                    Duration.ofMillis(reply.body().path("ttl_ms").asLong(0)),
+                    reply.era());
         }
         return reply.status() == NOT_FOUND ? new LeaseResult.Expired() : new LeaseResult.Unavailable(reply.describe());
     }
@@ -176,7 +183,7 @@
         transport.close();
     }
 
-    private static Entry decodeEntry(JsonNode item) {
+    private static Entry decodeEntry(JsonNode item, long era) {
         byte[] value;
         try {
             value = item.path("value").binaryValue();
@@ -186,7 +193,7 @@
         return new Entry(
                 item.path("key").asText(),
                 value == null ? new byte[0] : value,
-                item.path("revision").asLong());
+                new StorePosition(era, item.path("revision").asLong()));
     }
 
     private static String encode(String text) {
@@ -212,26 +219,27 @@
             range(prefix).thenAccept(result -> {
                 if (result instanceof ReadResult.Found found) {
                     found.entries().forEach(listener::changed);
-                    poll(found.revision());
+                    poll(found.position());
                 } else {
                     scheduleRetry();
                 }
             });
         }
 
-        private void poll(long revision) {
+        private void poll(StorePosition after) {
             if (closed) {
                 return;
             }
-            String path = "/api/kv-watch?path_prefix=" + encode(prefix) + "&after=" + revision + "&wait_ms="
+            String path = "/api/kv-watch?path_prefix=" + encode(prefix) + "&after=" + after.revision() + "&wait_ms="
                     + WATCH_WAIT.toMillis();
             transport.call("GET", path, null, WATCH_WAIT.plus(CALL_TIMEOUT)).thenAccept(reply -> {
                 if (closed) {
                     return;
                 }
                 if (reply.status() == OK) {
-                    reply.body().path("events").forEach(this::notifyListener);
-                    poll(Math.max(revision, reply.body().path("current_rev").asLong(revision)));
+                    reply.body().path("events").forEach(event -> notifyListener(event, reply.era()));
+                    long current = reply.body().path("current_rev").asLong(after.revision());
+                    poll(new StorePosition(reply.era(), Math.max(after.revision(), current)));
                 } else if (reply.status() == GONE) {
                     readThenPoll();
                 } else {
@@ -241,11 +249,11 @@
             });
         }
 
-        private void notifyListener(JsonNode event) {
+        private void notifyListener(JsonNode event, long era) {
             if (event.path("removed").asBoolean(false)) {
                 listener.deleted(event.path("key").asText());
             } else {
-                listener.changed(decodeEntry(event));
+                listener.changed(decodeEntry(event, era));
             }
         }
 
--- a/src/main/java/org/auburnhoist/platform/KvTransport.java
+++ b/src/main/java/org/auburnhoist/platform/KvTransport.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.TimeUnit;
 import org.apache.hc.core5.concurrent.FutureCallback;
 import org.apache.hc.core5.http.ContentType;
+import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpHost;
 import org.apache.hc.core5.http.HttpResponse;
 import org.apache.hc.core5.http.Message;
@@ -51,12 +52,15 @@
     private static final int KEEP_ALIVE_SECONDS = 1;
 
     private static final int KEEP_ALIVE_PROBES = 2;
+    /** Header of all responses with the number of the store's era. */
+    private static final String ERA = "Store-Era";
     /** Status of a call without a response. */
     private static final int NO_RESPONSE = 0;
 
     private final HttpHost host;
     private final HttpAsyncRequester requester;
     private final ScheduledExecutorService timer;
+    private final StoreEras eras = new StoreEras();
 
     /**
      * Result of a call.
@@ -64,8 +68,9 @@
      * @param status HTTP status, 0 if there is no response
      * @param body body of the response, a missing node if there is none
      * @param reason why there is no response
+     * @param era era of the store that responded, 0 if it does not name it
      */
-    record Reply(int status, JsonNode body, String reason) {
+    record Reply(int status, JsonNode body, String reason, long era) {
         String describe() {
             return status == NO_RESPONSE ? reason : "status " + status;
         }
@@ -151,7 +156,7 @@
         if (body != null) {
             builder.setEntity(Json.write(body).getBytes(StandardCharsets.UTF_8), ContentType.APPLICATION_JSON);
         }
-        Exchange exchange = new Exchange(reply, builder.build());
+        Exchange exchange = new Exchange(reply, builder.build(), eras);
         Future<?> leaseRequest = requester.connect(host, CONNECT_TIMEOUT, null, exchange);
         Future<?> expiry = timer.schedule(
                 () -> {
@@ -171,7 +176,7 @@
     }
 
     private static Reply noResponse(String reason) {
-        return new Reply(NO_RESPONSE, MissingNode.getInstance(), reason);
+        return new Reply(NO_RESPONSE, MissingNode.getInstance(), reason, 0);
     }
 
     /**
@@ -181,12 +186,14 @@
     private static final class Exchange implements FutureCallback<AsyncClientEndpoint> {
         private final CompletableFuture<Reply> reply;
         private final AsyncRequestProducer producer;
+        private final StoreEras eras;
         private @Nullable AsyncClientEndpoint leasedEndpoint;
         private boolean done;
 
-        Exchange(CompletableFuture<Reply> reply, AsyncRequestProducer producer) {
+        Exchange(CompletableFuture<Reply> reply, AsyncRequestProducer producer, StoreEras eras) {
             this.reply = reply;
             this.producer = producer;
+            this.eras = eras;
         }
 
         @Override
@@ -251,14 +258,16 @@
         public void completed(Message<HttpResponse, byte[]> message) {
             byte[] body = message.getBody();
             int status = message.getHead().getCode();
+            Header eraHeader = message.getHead().getFirstHeader(ERA);
+            long era = exchange.eras.eraOf(eraHeader == null ? null : eraHeader.getValue(), System.nanoTime());
             try {
                 JsonNode parsed = body == null || body.length == 0 ? MissingNode.getInstance() : Json.read(body);
-                exchange.complete(new Reply(status, parsed, ""), true);
+                exchange.complete(new Reply(status, parsed, "", era), true);
             } catch (IOException malformed) {
                 exchange.complete(
                         status == 200
                                 ? noResponse("unreadable response")
-                                : new Reply(status, MissingNode.getInstance(), ""),
+                                : new Reply(status, MissingNode.getInstance(), "", era),
                         false);
             }
         }
--- a/src/main/java/org/auburnhoist/platform/RegistrationDecoder.java
+++ b/src/main/java/org/auburnhoist/platform/RegistrationDecoder.java
@@ -4,6 +4,7 @@
 import java.io.IOException;
 import java.util.HashMap;
 import java.util.Map;
+import org.auburnhoist.core.StorePosition;
 import org.auburnhoist.core.configuration.NetworkAddress;
 import org.auburnhoist.core.routing.UpstreamServer;
 import org.auburnhoist.store.Entry;
@@ -15,7 +16,7 @@
     private static final int MAX_REPORTED = 1_000;
 
     private final String prefix;
-    private final Map<String, Long> reportedRevisions = new HashMap<>();
+    private final Map<String, StorePosition> reportedPositions = new HashMap<>();
 
     RegistrationDecoder(String prefix) {
         this.prefix = prefix;
@@ -54,18 +55,18 @@
                 Math.max(0, root.path("warmup_left_ms").asLong(0)));
     }
 
-    /** Logs each revision of an entry once, not on every read. */
+    /** Logs each state of an entry once, not on every read. */
     private @Nullable UpstreamServer reportUnusable(Entry entry, String reason) {
-        if (reportedRevisions.size() >= MAX_REPORTED) {
-            reportedRevisions.clear();
+        if (reportedPositions.size() >= MAX_REPORTED) {
+            reportedPositions.clear();
         }
-        Long loggedRevision = reportedRevisions.put(entry.key(), entry.revision());
-        if (loggedRevision != null && loggedRevision == entry.revision()) {
+        StorePosition logged = reportedPositions.put(entry.key(), entry.position());
+        if (entry.position().equals(logged)) {
             return null;
         }
         Event.named("registration-unusable")
                 .with("key", entry.key())
-                .with("revision", entry.revision())
+                .with("position", entry.position())
                 .with("reason", reason)
                 .log();
         return null;
--- a/src/main/java/org/auburnhoist/store/Entry.java
+++ b/src/main/java/org/auburnhoist/store/Entry.java
@@ -1,11 +1,13 @@
 package org.auburnhoist.store;
 
+import org.auburnhoist.core.StorePosition;
+
 /**
  * A stored key.
  *
  * @param key the key
  * @param value its value
- * @param revision store revision of its last modification
+ * @param position the store's position at its last modification
  */
 @SuppressWarnings("ArrayRecordComponent")
-public record Entry(String key, byte[] value, long revision) {}
+public record Entry(String key, byte[] value, StorePosition position) {}
--- a/src/main/java/org/auburnhoist/store/EtcdJson.java
+++ b/src/main/java/org/auburnhoist/store/EtcdJson.java
@@ -11,6 +11,7 @@
 import java.util.Arrays;
 import java.util.Base64;
 import java.util.List;
+import org.auburnhoist.core.StorePosition;
 
 /** JSON bodies of the etcd v3 HTTP gateway, which encodes bytes as base64 and 64-bit integers as strings. */
 final class EtcdJson {
@@ -99,7 +100,10 @@
 
     static Entry entry(JsonNode pair) {
         byte[] value = Base64.getDecoder().decode(pair.path("value").asText());
-        return new Entry(key(pair), value, pair.path("mod_revision").asLong());
+        return new Entry(
+                key(pair),
+                value,
+                StorePosition.ofRevision(pair.path("mod_revision").asLong()));
     }
 
     static String key(JsonNode pair) {
--- a/src/main/java/org/auburnhoist/store/EtcdStore.java
+++ b/src/main/java/org/auburnhoist/store/EtcdStore.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 import java.util.random.RandomGenerator;
+import org.auburnhoist.core.StorePosition;
 
 /**
  * Client of the platform's etcd store, over the HTTP/JSON gateway of the etcd v3 API.
@@ -77,23 +78,23 @@
     }
 
     @Override
-    public CompletableFuture<WriteResult> compareAndSwap(String key, long expectedRevision, byte[] value) {
-        return compareAndSwap(key, expectedRevision, value, 0);
+    public CompletableFuture<WriteResult> compareAndSwap(String key, StorePosition expected, byte[] value) {
+        return compareAndSwap(key, expected, value, 0);
     }
 
     @Override
     public CompletableFuture<WriteResult> compareAndSwap(
-            String key, long expectedRevision, byte[] value, long leaseId) {
+            String key, StorePosition expected, byte[] value, long leaseId) {
         if (value.length > MAX_VALUE_BYTES) {
             return CompletableFuture.completedFuture(new WriteResult.NotDone(
                     "value: expected at most " + MAX_VALUE_BYTES + " bytes, got " + value.length));
         }
-        return write(EtcdJson.transaction(key, expectedRevision, "request_put", EtcdJson.put(key, value, leaseId)));
+        return write(EtcdJson.transaction(key, expected.revision(), "request_put", EtcdJson.put(key, value, leaseId)));
     }
 
     @Override
-    public CompletableFuture<WriteResult> compareAndDelete(String key, long expectedRevision) {
-        return write(EtcdJson.transaction(key, expectedRevision, "request_delete_range", EtcdJson.get(key)));
+    public CompletableFuture<WriteResult> compareAndDelete(String key, StorePosition expected) {
+        return write(EtcdJson.transaction(key, expected.revision(), "request_delete_range", EtcdJson.get(key)));
     }
 
     @Override
@@ -163,7 +164,7 @@
                 return new ReadResult.Unavailable("expected a response with a revision, got " + answered.body());
             }
             try {
-                return new ReadResult.Found(EtcdJson.entries(answered.body()), revision);
+                return new ReadResult.Found(EtcdJson.entries(answered.body()), StorePosition.ofRevision(revision));
             } catch (IllegalArgumentException cause) {
                 return new ReadResult.Unavailable("invalid base64 in the response: " + cause.getMessage());
             }
@@ -183,11 +184,11 @@
             return new WriteResult.OutcomeUnknown("expected a response with a revision, got " + answered.body());
         }
         if (answered.body().path("succeeded").asBoolean()) {
-            return new WriteResult.Done(revision);
+            return new WriteResult.Done(StorePosition.ofRevision(revision));
         }
         JsonNode current = answered.body().path("responses").path(0).path("response_range");
-        return new WriteResult.Conflict(
-                current.path("kvs").path(0).path("mod_revision").asLong());
+        return new WriteResult.Conflict(StorePosition.ofRevision(
+                current.path("kvs").path(0).path("mod_revision").asLong()));
     }
 
     private static LeaseResult leaseResult(CallResult result) {
@@ -201,7 +202,9 @@
         if (leaseId == 0) {
             return new LeaseResult.Unavailable("expected a response with a lease, got " + answered.body());
         }
-        return seconds > 0 ? new LeaseResult.Granted(leaseId, Duration.ofSeconds(seconds)) : new LeaseResult.Expired();
+        return seconds > 0
+                ? new LeaseResult.Granted(leaseId, Duration.ofSeconds(seconds), 0)
+                : new LeaseResult.Expired();
     }
 
     private static String reason(CallResult result) {
--- a/src/main/java/org/auburnhoist/store/LeaseResult.java
+++ b/src/main/java/org/auburnhoist/store/LeaseResult.java
@@ -9,8 +9,9 @@
      *
      * @param leaseId ID of the lease
      * @param timeToLive granted time, which the caller must count from before it sent the request
+     * @param era era of the store that holds the lease, 0 if the store does not name it
      */
-    record Granted(long leaseId, Duration timeToLive) implements LeaseResult {}
+    record Granted(long leaseId, Duration timeToLive, long era) implements LeaseResult {}
 
     /** The lease has expired. */
     record Expired() implements LeaseResult {}
--- a/src/main/java/org/auburnhoist/store/ReadResult.java
+++ b/src/main/java/org/auburnhoist/store/ReadResult.java
@@ -1,6 +1,7 @@
 package org.auburnhoist.store;
 
 import java.util.List;
+import org.auburnhoist.core.StorePosition;
 
 /** Result of a read. */
 public sealed interface ReadResult {
@@ -8,9 +9,9 @@
      * The read succeeded.
      *
      * @param entries the keys that exist, in key order
-     * @param revision the store's revision at the time of the read
+     * @param position the store's position at the time of the read
      */
-    record Found(List<Entry> entries, long revision) implements ReadResult {
+    record Found(List<Entry> entries, StorePosition position) implements ReadResult {
         /** Copies the list. */
         public Found {
             entries = List.copyOf(entries);
--- a/src/main/java/org/auburnhoist/store/Store.java
+++ b/src/main/java/org/auburnhoist/store/Store.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
+import org.auburnhoist.core.StorePosition;
 
 /**
  * The platform's key-value store.
@@ -16,30 +17,30 @@
     /** Reads one key, linearizably. */
     CompletableFuture<ReadResult> get(String key);
 
-    /** Reads all keys with a prefix at one revision, linearizably. */
+    /** Reads all keys with a prefix at one position, linearizably. */
     CompletableFuture<ReadResult> range(String prefix);
 
     /**
      * Writes a key if it has not changed.
      *
      * @param key the key
-     * @param expectedRevision modification revision that the key must have, 0 if it must be absent
+     * @param expected position of the key's last modification, {@link StorePosition#NONE} if it must be absent
      * @param value the new value
      */
-    CompletableFuture<WriteResult> compareAndSwap(String key, long expectedRevision, byte[] value);
+    CompletableFuture<WriteResult> compareAndSwap(String key, StorePosition expected, byte[] value);
 
     /**
      * Writes a key if it has not changed, and ties it to a lease.
      *
      * @param key the key
-     * @param expectedRevision modification revision that the key must have, 0 if it must be absent
+     * @param expected position of the key's last modification, {@link StorePosition#NONE} if it must be absent
      * @param value the new value
      * @param leaseId the key is deleted when this lease expires
      */
-    CompletableFuture<WriteResult> compareAndSwap(String key, long expectedRevision, byte[] value, long leaseId);
+    CompletableFuture<WriteResult> compareAndSwap(String key, StorePosition expected, byte[] value, long leaseId);
 
-    /** Deletes a key if it has the expected modification revision. */
-    CompletableFuture<WriteResult> compareAndDelete(String key, long expectedRevision);
+    /** Deletes a key if its last modification is the expected one. */
+    CompletableFuture<WriteResult> compareAndDelete(String key, StorePosition expected);
 
     /** Grants a lease that expires unless it is renewed within the time to live. */
     CompletableFuture<LeaseResult> grantLease(Duration timeToLive);
--- a/src/main/java/org/auburnhoist/store/WriteResult.java
+++ b/src/main/java/org/auburnhoist/store/WriteResult.java
@@ -1,20 +1,22 @@
 package org.auburnhoist.store;
 
+import org.auburnhoist.core.StorePosition;
+
 /** Result of a conditional write. */
 public sealed interface WriteResult {
     /**
      * The write took effect.
      *
-     * @param revision the key's new modification revision
+     * @param position the store's position at this modification of the key
      */
-    record Done(long revision) implements WriteResult {}
+    record Done(StorePosition position) implements WriteResult {}
 
     /**
-     * The key did not have the expected revision; nothing was written.
+     * The key was not as expected; nothing was written.
      *
-     * @param currentRevision the key's revision, 0 if it is absent
+     * @param currentPosition position of the key's last modification, {@link StorePosition#NONE} if it is absent
      */
-    record Conflict(long currentRevision) implements WriteResult {}
+    record Conflict(StorePosition currentPosition) implements WriteResult {}
 
     /**
      * The store provably did not execute the request; nothing was written.
--- a/src/test/java/org/auburnhoist/cli/FaultInjectingStore.java
+++ b/src/test/java/org/auburnhoist/cli/FaultInjectingStore.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
+import org.auburnhoist.core.StorePosition;
 import org.auburnhoist.store.Entry;
 import org.auburnhoist.store.LeaseResult;
 import org.auburnhoist.store.ReadResult;
@@ -65,7 +66,7 @@
         }
         Entry entry = entries.get(key);
         return CompletableFuture.completedFuture(
-                new ReadResult.Found(entry == null ? List.of() : List.of(entry), revision));
+                new ReadResult.Found(entry == null ? List.of() : List.of(entry), StorePosition.ofRevision(revision)));
     }
 
     @Override
@@ -74,13 +75,15 @@
                 .filter(entry -> entry.key().startsWith(prefix))
                 .toList();
         return CompletableFuture.completedFuture(
-                unavailable ? new ReadResult.Unavailable("away") : new ReadResult.Found(found, revision));
+                unavailable
+                        ? new ReadResult.Unavailable("away")
+                        : new ReadResult.Found(found, StorePosition.ofRevision(revision)));
     }
 
     @Override
-    public CompletableFuture<WriteResult> compareAndSwap(String key, long expectedRevision, byte[] value) {
+    public CompletableFuture<WriteResult> compareAndSwap(String key, StorePosition expected, byte[] value) {
         if (!key.equals(StoreKeys.CONFIGURATION)) {
-            return CompletableFuture.completedFuture(write(key, expectedRevision, value, HeadWriteOutcome.NORMAL));
+            return CompletableFuture.completedFuture(write(key, expected, value, HeadWriteOutcome.NORMAL));
         }
         HeadWriteOutcome plan = headWrites.isEmpty() ? HeadWriteOutcome.NORMAL : headWrites.remove(0);
         Runnable before = beforeHeadWrite;
@@ -88,12 +91,12 @@
         before.run();
         Runnable after = afterHeadWrite;
         afterHeadWrite = () -> {};
-        WriteResult result = write(key, expectedRevision, value, plan);
+        WriteResult result = write(key, expected, value, plan);
         after.run();
         return CompletableFuture.completedFuture(result);
     }
 
-    private WriteResult write(String key, long expectedRevision, byte[] value, HeadWriteOutcome plan) {
+    private WriteResult write(String key, StorePosition expected, byte[] value, HeadWriteOutcome plan) {
         if (unavailable) {
             return new WriteResult.NotDone("away");
         }
@@ -101,12 +104,12 @@
             return new WriteResult.OutcomeUnknown("request lost");
         }
         Entry entry = entries.get(key);
-        long current = entry == null ? 0 : entry.revision();
+        StorePosition current = entry == null ? StorePosition.NONE : entry.position();
         WriteResult result = new WriteResult.Conflict(current);
-        if (current == expectedRevision) {
+        if (current.equals(expected)) {
             revision++;
-            entries.put(key, new Entry(key, value.clone(), revision));
-            result = new WriteResult.Done(revision);
+            entries.put(key, new Entry(key, value.clone(), StorePosition.ofRevision(revision)));
+            result = new WriteResult.Done(StorePosition.ofRevision(revision));
         }
         if (plan == HeadWriteOutcome.NORMAL) {
             return result;
@@ -117,23 +120,23 @@
 
     @Override
     public CompletableFuture<WriteResult> compareAndSwap(
-            String key, long expectedRevision, byte[] value, long leaseId) {
+            String key, StorePosition expected, byte[] value, long leaseId) {
         throw new UnsupportedOperationException("leases");
     }
 
     @Override
-    public CompletableFuture<WriteResult> compareAndDelete(String key, long expectedRevision) {
+    public CompletableFuture<WriteResult> compareAndDelete(String key, StorePosition expected) {
         if (unavailable) {
             return CompletableFuture.completedFuture(new WriteResult.NotDone("away"));
         }
         Entry entry = entries.get(key);
-        long current = entry == null ? 0 : entry.revision();
-        if (current == 0 || current != expectedRevision) {
+        StorePosition current = entry == null ? StorePosition.NONE : entry.position();
+        if (entry == null || !current.equals(expected)) {
             return CompletableFuture.completedFuture(new WriteResult.Conflict(current));
         }
         revision++;
         entries.remove(key);
-        return CompletableFuture.completedFuture(new WriteResult.Done(revision));
+        return CompletableFuture.completedFuture(new WriteResult.Done(StorePosition.ofRevision(revision)));
     }
 
     @Override
--- a/src/test/java/org/auburnhoist/cli/HostsRebuildTest.java
+++ b/src/test/java/org/auburnhoist/cli/HostsRebuildTest.java
@@ -5,6 +5,7 @@
 
 import java.nio.file.Path;
 import java.util.Objects;
+import org.auburnhoist.core.StorePosition;
 import org.auburnhoist.core.membership.Roster;
 import org.auburnhoist.core.membership.RosterCodec;
 import org.auburnhoist.store.StoreKeys;
@@ -32,7 +33,8 @@
                 .join(RolloutMonitorTest.member("host-2", 2))
                 .join(RolloutMonitorTest.member("host-3", 3))
                 .join(RolloutMonitorTest.member("host-3", 4));
-        store.compareAndSwap(StoreKeys.ROSTER, 0, RosterCodec.encode(roster)).join();
+        store.compareAndSwap(StoreKeys.ROSTER, StorePosition.NONE, RosterCodec.encode(roster))
+                .join();
     }
 
     private Roster roster() {
--- a/src/test/java/org/auburnhoist/gateway/DepartedServerTest.java
+++ b/src/test/java/org/auburnhoist/gateway/DepartedServerTest.java
@@ -8,6 +8,7 @@
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
 import org.auburnhoist.core.HostId;
+import org.auburnhoist.core.StorePosition;
 import org.auburnhoist.core.TrafficClass;
 import org.auburnhoist.core.dispatch.LimitShares;
 import org.auburnhoist.core.membership.FleetMember;
@@ -62,7 +63,12 @@
         }
 
         void read(long revision, UpstreamServer... servers) {
-            cache.serversRead(List.of(servers), revision, network.nowNanos(), network.nowNanos(), "store");
+            cache.serversRead(
+                    List.of(servers),
+                    StorePosition.ofRevision(revision),
+                    network.nowNanos(),
+                    network.nowNanos(),
+                    "store");
         }
 
         /** Requests a slot and returns it with the time of virtual milliseconds that the network needs. */
--- a/src/test/java/org/auburnhoist/gateway/RegistrationFleet.java
+++ b/src/test/java/org/auburnhoist/gateway/RegistrationFleet.java
@@ -13,6 +13,7 @@
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.auburnhoist.core.HostId;
+import org.auburnhoist.core.StorePosition;
 import org.auburnhoist.core.membership.CoordinatorSelector;
 import org.auburnhoist.core.membership.FleetCodec;
 import org.auburnhoist.core.message.Acknowledgement;
@@ -120,7 +121,8 @@
         @Override
         public CompletableFuture<ReadResult> get(String key) {
             byte[] version = "1".getBytes(StandardCharsets.UTF_8);
-            return read(() -> new ReadResult.Found(List.of(new Entry(key, version, 1)), revision));
+            return read(() ->
+                    new ReadResult.Found(List.of(new Entry(key, version, StorePosition.ofRevision(1))), position()));
         }
 
         @Override
@@ -137,17 +139,18 @@
         }
 
         @Override
-        public CompletableFuture<WriteResult> compareAndSwap(String key, long expectedRevision, byte[] value) {
+        public CompletableFuture<WriteResult> compareAndSwap(String key, StorePosition expected, byte[] value) {
             throw new UnsupportedOperationException();
         }
 
         @Override
-        public CompletableFuture<WriteResult> compareAndSwap(String key, long expected, byte[] value, long leaseId) {
+        public CompletableFuture<WriteResult> compareAndSwap(
+                String key, StorePosition expected, byte[] value, long leaseId) {
             throw new UnsupportedOperationException();
         }
 
         @Override
-        public CompletableFuture<WriteResult> compareAndDelete(String key, long expectedRevision) {
+        public CompletableFuture<WriteResult> compareAndDelete(String key, StorePosition expected) {
             throw new UnsupportedOperationException();
         }
 
@@ -173,21 +176,25 @@
         hosts.forEach(VirtualNetwork.Node::start);
     }
 
+    private StorePosition position() {
+        return StorePosition.ofRevision(revision);
+    }
+
     private ReadResult readMembers() {
         return new ReadResult.Found(
                 hosts.stream()
-                        .map(host ->
-                                new Entry(GatewayKeys.memberKey(host.name), FleetCodec.member(host.member()), revision))
+                        .map(host -> new Entry(
+                                GatewayKeys.memberKey(host.name), FleetCodec.member(host.member()), position()))
                         .toList(),
-                revision);
+                position());
     }
 
     private ReadResult readServers() {
         List<Entry> entries = new ArrayList<>();
         for (int server = 0; server < SERVERS; server++) {
-            entries.add(new Entry("i-" + server, new byte[] {(byte) (leaving.contains(server) ? 1 : 0)}, 1));
+            entries.add(new Entry("i-" + server, new byte[] {(byte) (leaving.contains(server) ? 1 : 0)}, position()));
         }
-        return new ReadResult.Found(entries, revision);
+        return new ReadResult.Found(entries, position());
     }
 
     void runUntil(double second) {
--- a/src/test/java/org/auburnhoist/gateway/SlotFleet.java
+++ b/src/test/java/org/auburnhoist/gateway/SlotFleet.java
@@ -10,6 +10,7 @@
 import java.util.function.Consumer;
 import java.util.stream.IntStream;
 import org.auburnhoist.core.HostId;
+import org.auburnhoist.core.StorePosition;
 import org.auburnhoist.core.TrafficClass;
 import org.auburnhoist.core.dispatch.FloorSettings;
 import org.auburnhoist.core.dispatch.LimitShares;
@@ -114,7 +115,7 @@
 
         private SlotBroker broker() {
             StoreCache cache = new StoreCache(new VersionOnlyBinding(), fleet, () -> {}, () -> {}, () -> {});
-            cache.serversRead(servers, 1, now(), now(), "store");
+            cache.serversRead(servers, StorePosition.ofRevision(1), now(), now(), "store");
             return new SlotBroker(
                     fleet,
                     cache,
--- a/src/test/java/org/auburnhoist/gateway/StoreCacheTest.java
+++ b/src/test/java/org/auburnhoist/gateway/StoreCacheTest.java
@@ -7,6 +7,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import org.auburnhoist.core.HostId;
+import org.auburnhoist.core.StorePosition;
 import org.auburnhoist.core.membership.FleetMember;
 import org.auburnhoist.core.membership.FleetView;
 import org.auburnhoist.core.message.StatusDigest;
@@ -44,7 +45,7 @@
     private static StatusDigest digestAt(long nowNanos, StoreCache recipient) {
         StoreCache coordinator = newCache("host-1");
         coordinator.configurationRead(configuration(4), "store");
-        coordinator.serversRead(List.of(SERVER), 40, 10 * SECOND, 10 * SECOND, "store");
+        coordinator.serversRead(List.of(SERVER), StorePosition.ofRevision(40), 10 * SECOND, 10 * SECOND, "store");
         return coordinator.digestFor(recipient.report(false), true, nowNanos);
     }
 
@@ -65,7 +66,7 @@
         assertEquals(List.of(), starting.servers());
         assertTrue(starting.hasRejectedStaleDigest());
         starting.configurationRead(configuration(5), "store");
-        starting.serversRead(List.of(), 50, 20 * SECOND, 20 * SECOND, "store");
+        starting.serversRead(List.of(), StorePosition.ofRevision(50), 20 * SECOND, 20 * SECOND, "store");
         starting.digestReceived(digestAt(21 * SECOND, starting), "host-1", 21 * SECOND, 21 * SECOND);
         assertEquals(5, starting.router().configuration().version());
         assertEquals(List.of(), starting.servers());
@@ -77,9 +78,9 @@
     @Test
     void aLaterReadWithoutAChangeIsNotReplacedByAnEarlierDigest() {
         StoreCache running = newCache("host-2");
-        running.serversRead(List.of(), 30, 5 * SECOND, 5 * SECOND, "store");
+        running.serversRead(List.of(), StorePosition.ofRevision(30), 5 * SECOND, 5 * SECOND, "store");
         StatusDigest early = digestAt(11 * SECOND, running);
-        running.serversRead(List.of(), 50, 11 * SECOND, 11 * SECOND, "store");
+        running.serversRead(List.of(), StorePosition.ofRevision(50), 11 * SECOND, 11 * SECOND, "store");
         running.digestReceived(early, "host-1", 11 * SECOND, 12 * SECOND);
         assertEquals(List.of(), running.servers());
         assertEquals(0, digestAt(12 * SECOND, running).servers().length);
@@ -95,9 +96,11 @@
         StoreCache running = newCache(fleet);
         StoreCache coordinator = newCache("host-1");
         List<FleetMember> coordinatorMembers = List.of(member("host-1"), member("host-2"), member("host-3"));
-        running.membersRead(List.of(member("host-1"), member("host-2")), 30, "store", 5 * SECOND);
-        coordinator.membersRead(coordinatorMembers, 40, "store", 8 * SECOND);
-        running.membersRead(List.of(member("host-1"), member("host-2")), 50, "store", 11 * SECOND);
+        running.membersRead(
+                List.of(member("host-1"), member("host-2")), StorePosition.ofRevision(30), "store", 5 * SECOND);
+        coordinator.membersRead(coordinatorMembers, StorePosition.ofRevision(40), "store", 8 * SECOND);
+        running.membersRead(
+                List.of(member("host-1"), member("host-2")), StorePosition.ofRevision(50), "store", 11 * SECOND);
         StatusDigest digest = coordinator.digestFor(running.report(true), true, 12 * SECOND);
         running.digestReceived(digest, "host-1", 12 * SECOND, 12 * SECOND);
         assertEquals(coordinatorMembers, fleet.members());
@@ -118,7 +121,7 @@
     void aRunningHostAdoptsNewerDocuments() {
         StoreCache running = newCache("host-2");
         running.configurationRead(configuration(3), "store");
-        running.serversRead(List.of(), 30, 5 * SECOND, 5 * SECOND, "store");
+        running.serversRead(List.of(), StorePosition.ofRevision(30), 5 * SECOND, 5 * SECOND, "store");
         running.digestReceived(digestAt(20 * SECOND, running), "host-1", 20 * SECOND, 20 * SECOND);
         assertEquals(4, running.router().configuration().version());
         assertEquals(List.of(SERVER), running.servers());
@@ -132,13 +135,13 @@
     void aServerThatAHostKeepsAfterItsOwnOutageIsNotPassedOn() {
         StoreCache returned = newCache("host-1");
         returned.registrationGrace(now -> now < 23 * SECOND);
-        returned.serversRead(List.of(SERVER), 40, 10 * SECOND, 10 * SECOND, "store");
+        returned.serversRead(List.of(SERVER), StorePosition.ofRevision(40), 10 * SECOND, 10 * SECOND, "store");
         StoreCache inContact = newCache("host-2");
-        inContact.serversRead(List.of(SERVER), 40, 10 * SECOND, 10 * SECOND, "store");
-        inContact.serversRead(List.of(), 50, 15 * SECOND, 15 * SECOND, "store");
-        returned.serversRead(List.of(NEW_SERVER), 60, 21 * SECOND, 21 * SECOND, "store");
+        inContact.serversRead(List.of(SERVER), StorePosition.ofRevision(40), 10 * SECOND, 10 * SECOND, "store");
+        inContact.serversRead(List.of(), StorePosition.ofRevision(50), 15 * SECOND, 15 * SECOND, "store");
+        returned.serversRead(List.of(NEW_SERVER), StorePosition.ofRevision(60), 21 * SECOND, 21 * SECOND, "store");
         assertEquals(List.of(SERVER, NEW_SERVER), returned.servers(), "kept until its registration may be back");
-        assertEquals(0, returned.registeredRevision("i-1"));
+        assertEquals(StorePosition.NONE, returned.registeredPosition("i-1"));
         StatusDigest digest = returned.digestFor(inContact.report(true), true, 21 * SECOND);
         inContact.digestReceived(digest, "host-1", 21 * SECOND, 21 * SECOND);
         assertEquals(List.of(NEW_SERVER), inContact.servers());
@@ -153,11 +156,11 @@
         StoreCache reporting = newCache("host-2");
         for (StoreCache cache : List.of(reading, reporting)) {
             cache.registrationGrace(now -> now < 23 * SECOND);
-            cache.serversRead(List.of(SERVER), 40, 10 * SECOND, 10 * SECOND, "store");
-            assertEquals(40, cache.registeredRevision("i-1"));
+            cache.serversRead(List.of(SERVER), StorePosition.ofRevision(40), 10 * SECOND, 10 * SECOND, "store");
+            assertEquals(StorePosition.ofRevision(40), cache.registeredPosition("i-1"));
         }
-        reading.serversRead(List.of(), 60, 21 * SECOND, 21 * SECOND, "store");
-        assertEquals(0, reading.registeredRevision("i-1"));
+        reading.serversRead(List.of(), StorePosition.ofRevision(60), 21 * SECOND, 21 * SECOND, "store");
+        assertEquals(StorePosition.NONE, reading.registeredPosition("i-1"));
         StatusDigest digest = reading.digestFor(reporting.report(true), true, 21 * SECOND);
         reporting.digestReceived(digest, "host-1", 21 * SECOND, 21 * SECOND);
         assertEquals(List.of(SERVER), reporting.servers());
--- a/src/test/java/org/auburnhoist/host/HostProcessTest.java
+++ b/src/test/java/org/auburnhoist/host/HostProcessTest.java
@@ -56,7 +56,7 @@
                     .entries()
                     .get(0);
             Roster next = RosterCodec.decode(entry.value()).get().remove(Set.of(member));
-            written = store.compareAndSwap(StoreKeys.ROSTER, entry.revision(), RosterCodec.encode(next))
+            written = store.compareAndSwap(StoreKeys.ROSTER, entry.position(), RosterCodec.encode(next))
                             .join()
                     instanceof WriteResult.Done;
         }
--- a/src/test/java/org/auburnhoist/host/ScenarioStore.java
+++ b/src/test/java/org/auburnhoist/host/ScenarioStore.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Supplier;
+import org.auburnhoist.core.StorePosition;
 import org.auburnhoist.store.LeaseResult;
 import org.auburnhoist.store.ReadResult;
 import org.auburnhoist.store.Store;
@@ -77,12 +78,12 @@
     }
 
     @Override
-    public CompletableFuture<WriteResult> compareAndSwap(String key, long expectedRevision, byte[] value) {
+    public CompletableFuture<WriteResult> compareAndSwap(String key, StorePosition expected, byte[] value) {
         if (disconnected) {
             return CompletableFuture.completedFuture(new WriteResult.NotDone("disconnected"));
         }
         boolean lost = loseHeadAnswer && key.equals(StoreKeys.CONFIGURATION);
-        return store.compareAndSwap(key, expectedRevision, value).thenApply(result -> {
+        return store.compareAndSwap(key, expected, value).thenApply(result -> {
             loseHeadAnswer &= !lost;
             return lost ? new WriteResult.OutcomeUnknown("the answer is lost") : result;
         });
@@ -90,13 +91,13 @@
 
     @Override
     public CompletableFuture<WriteResult> compareAndSwap(
-            String key, long expectedRevision, byte[] value, long leaseId) {
-        return store.compareAndSwap(key, expectedRevision, value, leaseId);
+            String key, StorePosition expected, byte[] value, long leaseId) {
+        return store.compareAndSwap(key, expected, value, leaseId);
     }
 
     @Override
-    public CompletableFuture<WriteResult> compareAndDelete(String key, long expectedRevision) {
-        return store.compareAndDelete(key, expectedRevision);
+    public CompletableFuture<WriteResult> compareAndDelete(String key, StorePosition expected) {
+        return store.compareAndDelete(key, expected);
     }
 
     @Override
--- a/src/test/java/org/auburnhoist/host/TestFleet.java
+++ b/src/test/java/org/auburnhoist/host/TestFleet.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.function.BooleanSupplier;
 import java.util.function.UnaryOperator;
+import org.auburnhoist.core.StorePosition;
 import org.auburnhoist.core.configuration.ConfigurationChunks;
 import org.auburnhoist.core.configuration.ConfigurationFile;
 import org.auburnhoist.core.configuration.ConfigurationHead;
@@ -83,7 +84,7 @@
         ConfigurationFile file = ConfigurationFile.of("fleet.yaml", yaml);
         for (ConfigurationChunks.Chunk chunk : ConfigurationChunks.split(file.content())) {
             operatorStore
-                    .compareAndSwap(StoreKeys.CHUNK_PREFIX + chunk.digest(), 0, chunk.content())
+                    .compareAndSwap(StoreKeys.CHUNK_PREFIX + chunk.digest(), StorePosition.NONE, chunk.content())
                     .join();
         }
         ReadResult read = operatorStore.get(StoreKeys.CONFIGURATION).join();
@@ -93,14 +94,16 @@
         ConfigurationHead current = found.entries().isEmpty()
                 ? ConfigurationHead.NONE
                 : ConfigurationHead.parse(found.entries().get(0).value()).get();
-        long revision = found.entries().isEmpty() ? 0 : found.entries().get(0).revision();
+        StorePosition expected = found.entries().isEmpty()
+                ? StorePosition.NONE
+                : found.entries().get(0).position();
         ConfigurationHead next = current.next(
                 new ConfigurationHead.Change(
                         current.version() + 1, "change", "test", "2026-12-04T00:00:00Z", "fleet.yaml"),
                 List.of(file),
                 java.util.Set.of());
         WriteResult written = operatorStore
-                .compareAndSwap(StoreKeys.CONFIGURATION, revision, next.toBytes())
+                .compareAndSwap(StoreKeys.CONFIGURATION, expected, next.toBytes())
                 .join();
         if (!(written instanceof WriteResult.Done)) {
             throw new AssertionError("apply: expected Done, got " + written);
@@ -113,7 +116,7 @@
                 (ReadResult.Found) operatorStore.range(StoreKeys.CURRENT_PREFIX).join();
         found.entries()
                 .forEach(entry -> operatorStore
-                        .compareAndDelete(entry.key(), entry.revision())
+                        .compareAndDelete(entry.key(), entry.position())
                         .join());
     }
 
--- a/src/test/java/org/auburnhoist/peer/MessageCodecTest.java
+++ b/src/test/java/org/auburnhoist/peer/MessageCodecTest.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import org.auburnhoist.core.StorePosition;
 import org.auburnhoist.core.TrafficClass;
 import org.auburnhoist.core.message.Acknowledgement;
 import org.auburnhoist.core.message.AttemptOutcome;
@@ -56,7 +57,8 @@
                     List.of(),
                     new SchedulingParameters(3, 800, 2, "cypress", List.of("i-1", "i-2"), List.of("i-3"))),
             new SlotAnswer(SlotVerdict.GRANTED, "ledger-2", "10.0.0.1:80", 9, 0),
-            new SlotAnswer(SlotVerdict.GRANTED, "ledger-2", "10.0.0.1:80", 9, 0).withServersRevision(84),
+            new SlotAnswer(SlotVerdict.GRANTED, "ledger-2", "10.0.0.1:80", 9, 0)
+                    .withServersPosition(new StorePosition(3, 84)),
             new SlotRequest(
                     "ledger",
                     "book",
@@ -73,7 +75,7 @@
                             List.of(),
                             List.of(),
                             List.of(new ReportedLimit("ledger-1", 5, 1.25, 300)))),
-            new StatusReport(true, 12, 77, 78),
+            new StatusReport(true, 12, new StorePosition(2, 77), new StorePosition(3, 78)),
             new SlotRelease("ledger", 9, AttemptOutcome.TIMEOUT, 1_500_000),
             new SlotRelease("ledger", 9, AttemptOutcome.SUCCESS, 1, new ServerNotice(true, 250, StatedLimit.of(1.25))),
             new SlotRelease("ledger", 9, AttemptOutcome.SUCCESS, 1, new ServerNotice(false, 0, StatedLimit.UNLIMITED)),
@@ -91,14 +93,22 @@
     @Test
     void aStatusDigestIsEncodedAndDecoded() throws Exception {
         StatusDigest digest = new StatusDigest(
-                -1, 12, new byte[] {1}, 77, new byte[] {2, 3}, 78, new byte[] {}, 79, new byte[] {0, 1, -1});
+                -1,
+                12,
+                new byte[] {1},
+                new StorePosition(2, 77),
+                new byte[] {2, 3},
+                new StorePosition(3, 78),
+                new byte[] {},
+                79,
+                new byte[] {0, 1, -1});
         StatusDigest decoded = (StatusDigest)
                 MessageCodec.decode(MessageCodec.encode(0, digest)).message();
         assertEquals(-1, decoded.storeAgeMillis());
         assertArrayEquals(digest.configuration(), decoded.configuration());
-        assertEquals(77, decoded.serversRevision());
+        assertEquals(digest.serversPosition(), decoded.serversPosition());
         assertArrayEquals(digest.servers(), decoded.servers());
-        assertEquals(78, decoded.membersRevision());
+        assertEquals(digest.membersPosition(), decoded.membersPosition());
         assertEquals(79, decoded.memberNamesHash());
         assertArrayEquals(digest.contactAges(), decoded.contactAges());
     }
--- a/src/test/java/org/auburnhoist/platform/DecodersTest.java
+++ b/src/test/java/org/auburnhoist/platform/DecodersTest.java
@@ -12,6 +12,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
+import org.auburnhoist.core.StorePosition;
 import org.auburnhoist.core.TrafficClass;
 import org.auburnhoist.core.configuration.Sha256;
 import org.auburnhoist.core.dispatch.FloorSettings;
@@ -102,7 +103,7 @@
     }
 
     private static Entry entry(String text) {
-        return new Entry("servers/i-1", bytes(text), 3);
+        return new Entry("servers/i-1", bytes(text), StorePosition.ofRevision(3));
     }
 
     @Test
--- a/src/test/java/org/auburnhoist/platform/KvStoreTest.java
+++ b/src/test/java/org/auburnhoist/platform/KvStoreTest.java
@@ -21,6 +21,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import org.auburnhoist.core.StorePosition;
 import org.auburnhoist.store.Entry;
 import org.auburnhoist.store.LeaseResult;
 import org.auburnhoist.store.ReadResult;
@@ -52,22 +53,28 @@
     private long revisionOf(String key) {
         ReadResult.Found found =
                 assertInstanceOf(ReadResult.Found.class, store.get(key).join());
-        return found.entries().stream().mapToLong(Entry::revision).findFirst().orElse(0);
+        return found.entries().stream()
+                .mapToLong(entry -> entry.position().revision())
+                .findFirst()
+                .orElse(0);
     }
 
     @Test
     void writesTakeEffectOnlyIfTheirConditionHolds() {
         assertInstanceOf(
-                WriteResult.Done.class, store.compareAndSwap("a/b", 0, VALUE).join());
+                WriteResult.Done.class,
+                store.compareAndSwap("a/b", StorePosition.NONE, VALUE).join());
         long revision = revisionOf("a/b");
         assertEquals(
-                new WriteResult.Conflict(revision),
-                store.compareAndSwap("a/b", 0, VALUE).join());
+                new WriteResult.Conflict(StorePosition.ofRevision(revision)),
+                store.compareAndSwap("a/b", StorePosition.NONE, VALUE).join());
         assertEquals(
-                new WriteResult.Conflict(0),
-                store.compareAndSwap("a/c", 7, VALUE).join());
+                new WriteResult.Conflict(StorePosition.NONE),
+                store.compareAndSwap("a/c", StorePosition.ofRevision(7), VALUE).join());
         assertInstanceOf(
-                WriteResult.Done.class, store.compareAndDelete("a/b", revision).join());
+                WriteResult.Done.class,
+                store.compareAndDelete("a/b", StorePosition.ofRevision(revision))
+                        .join());
         assertEquals(0, revisionOf("a/b"));
     }
 
@@ -75,13 +82,14 @@
     void rejectedWritesAreDistinguishedFromUnknownOutcomes() {
         fakeStore.failWith(503);
         assertInstanceOf(
-                WriteResult.NotDone.class, store.compareAndSwap("a/b", 0, VALUE).join());
+                WriteResult.NotDone.class,
+                store.compareAndSwap("a/b", StorePosition.NONE, VALUE).join());
         assertInstanceOf(ReadResult.Unavailable.class, store.get("a/b").join());
         fakeStore.failWith(0);
         fakeStore.dropWriteResponses(true);
         assertInstanceOf(
                 WriteResult.OutcomeUnknown.class,
-                store.compareAndSwap("a/b", 0, VALUE).join());
+                store.compareAndSwap("a/b", StorePosition.NONE, VALUE).join());
         fakeStore.dropWriteResponses(false);
         assertTrue(revisionOf("a/b") > 0, "the write without a response took effect");
     }
@@ -202,7 +210,8 @@
                 store.grantLease(Duration.ofSeconds(15)).join());
         assertInstanceOf(
                 WriteResult.Done.class,
-                store.compareAndSwap("h/1", 0, VALUE, granted.leaseId()).join());
+                store.compareAndSwap("h/1", StorePosition.NONE, VALUE, granted.leaseId())
+                        .join());
         assertInstanceOf(
                 LeaseResult.Granted.class, store.keepAlive(granted.leaseId()).join());
         fakeStore.expireAllLeases();
@@ -211,7 +220,8 @@
         assertEquals(0, revisionOf("h/1"));
         assertInstanceOf(
                 WriteResult.NotDone.class,
-                store.compareAndSwap("h/1", 0, VALUE, granted.leaseId()).join());
+                store.compareAndSwap("h/1", StorePosition.NONE, VALUE, granted.leaseId())
+                        .join());
     }
 
     @Test
--- a/src/test/java/org/auburnhoist/store/EtcdStoreTest.java
+++ b/src/test/java/org/auburnhoist/store/EtcdStoreTest.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.atomic.AtomicLong;
+import org.auburnhoist.core.StorePosition;
 import org.auburnhoist.emulator.StoreEmulator;
 import org.auburnhoist.emulator.StoreFault;
 import org.junit.jupiter.api.AfterEach;
@@ -44,13 +45,14 @@
 
     @Test
     void readReturnsTheWrittenValueAndAStaleRevisionConflicts() {
-        WriteResult.Done first = assertInstanceOf(WriteResult.Done.class, write(0, "one"));
-        WriteResult.Done second = assertInstanceOf(WriteResult.Done.class, write(first.revision(), "two"));
-        WriteResult.Conflict conflict = assertInstanceOf(WriteResult.Conflict.class, write(first.revision(), "three"));
-        assertEquals(second.revision(), conflict.currentRevision());
-        assertEquals(new WriteResult.Conflict(0), write("/test/absent", 9, "x"));
+        WriteResult.Done first = assertInstanceOf(WriteResult.Done.class, write(StorePosition.NONE, "one"));
+        WriteResult.Done second = assertInstanceOf(WriteResult.Done.class, write(first.position(), "two"));
+        WriteResult.Conflict conflict = assertInstanceOf(WriteResult.Conflict.class, write(first.position(), "three"));
+        assertEquals(second.position(), conflict.currentPosition());
+        assertEquals(
+                new WriteResult.Conflict(StorePosition.NONE), write("/test/absent", StorePosition.ofRevision(9), "x"));
         Entry entry = found(KEY).entries().get(0);
-        assertEquals(second.revision(), entry.revision());
+        assertEquals(second.position(), entry.position());
         assertArrayEquals(bytes("two"), entry.value());
         assertEquals(new StoreCounts(1, 4), new StoreCounts(store.counts()));
         assertEquals(new StoreCounts(1, 4), new StoreCounts(emulator.counts()));
@@ -58,21 +60,21 @@
 
     @Test
     void rangeReturnsOnlyKeysWithThePrefixInKeyOrder() {
-        write("/test/b", 0, "2");
-        write("/test/a", 0, "1");
-        write("/test0", 0, "after the prefix");
+        write("/test/b", StorePosition.NONE, "2");
+        write("/test/a", StorePosition.NONE, "1");
+        write("/test0", StorePosition.NONE, "after the prefix");
         ReadResult.Found found =
                 assertInstanceOf(ReadResult.Found.class, store.range("/test/").join());
         assertEquals(
                 List.of("/test/a", "/test/b"),
                 found.entries().stream().map(Entry::key).toList());
-        assertEquals(emulator.revision(), found.revision());
+        assertEquals(StorePosition.ofRevision(emulator.revision()), found.position());
     }
 
     @Test
     void lostResponseIsOutcomeUnknownAndTheWriteTookEffect() {
         emulator.injectFaultOnce(StoreCallKind.WRITE, new StoreFault.DropResponse());
-        assertInstanceOf(WriteResult.OutcomeUnknown.class, write(0, "one"));
+        assertInstanceOf(WriteResult.OutcomeUnknown.class, write(StorePosition.NONE, "one"));
         assertEquals(1, found(KEY).entries().size());
         assertEquals(1, emulator.counts().of(StoreCallKind.WRITE), "the client must not send the write again");
     }
@@ -80,10 +82,10 @@
     @Test
     void lostRequestAndTimedOutProposalAreOutcomeUnknown() {
         emulator.injectFaultOnce(StoreCallKind.WRITE, new StoreFault.DropRequest());
-        assertInstanceOf(WriteResult.OutcomeUnknown.class, write(0, "one"));
+        assertInstanceOf(WriteResult.OutcomeUnknown.class, write(StorePosition.NONE, "one"));
         assertEquals(0, found(KEY).entries().size());
         emulator.injectFaultOnce(StoreCallKind.WRITE, new StoreFault.TimeOutAfterEffect());
-        assertInstanceOf(WriteResult.OutcomeUnknown.class, write(0, "one"));
+        assertInstanceOf(WriteResult.OutcomeUnknown.class, write(StorePosition.NONE, "one"));
         assertEquals(1, found(KEY).entries().size());
     }
 
@@ -93,7 +95,9 @@
         emulator.injectFaultForAllCalls(new StoreFault.NeverAnswer());
         assertInstanceOf(
                 WriteResult.OutcomeUnknown.class,
-                shortTimeoutStore.compareAndSwap(KEY, 0, bytes("one")).join());
+                shortTimeoutStore
+                        .compareAndSwap(KEY, StorePosition.NONE, bytes("one"))
+                        .join());
         assertInstanceOf(
                 ReadResult.Unavailable.class, shortTimeoutStore.get(KEY).join());
         assertInstanceOf(
@@ -104,13 +108,13 @@
     @Test
     void refusedConnectionAndRejectionAreNotDone() throws Exception {
         emulator.injectFaultOnce(StoreCallKind.WRITE, new StoreFault.Reject());
-        assertInstanceOf(WriteResult.NotDone.class, write(0, "one"));
+        assertInstanceOf(WriteResult.NotDone.class, write(StorePosition.NONE, "one"));
         emulator.refuseConnections();
         // A pooled connection may break only after the write was sent, so a new client is used to see the refusal.
         EtcdStore newClient = client(Duration.ofSeconds(30), emulator.address());
         assertInstanceOf(
                 WriteResult.NotDone.class,
-                newClient.compareAndSwap(KEY, 0, bytes("one")).join());
+                newClient.compareAndSwap(KEY, StorePosition.NONE, bytes("one")).join());
         assertInstanceOf(ReadResult.Unavailable.class, store.get(KEY).join());
         emulator.acceptConnections();
         assertEquals(0, found(KEY).entries().size());
@@ -118,7 +122,7 @@
 
     @Test
     void stateSurvivesWhileConnectionsAreRefused() throws Exception {
-        write(0, "one");
+        write(StorePosition.NONE, "one");
         emulator.refuseConnections();
         emulator.acceptConnections();
         assertEquals(1, found(KEY).entries().size());
@@ -132,14 +136,18 @@
             EtcdStore refusingFirst = client(Duration.ofSeconds(30), refusing.address(), emulator.address());
             assertInstanceOf(
                     WriteResult.Done.class,
-                    refusingFirst.compareAndSwap(KEY, 0, bytes("one")).join());
+                    refusingFirst
+                            .compareAndSwap(KEY, StorePosition.NONE, bytes("one"))
+                            .join());
 
             losing.injectFaultForAllCalls(new StoreFault.DropRequest());
             EtcdStore losingFirst = client(Duration.ofSeconds(30), losing.address(), emulator.address());
             long writes = emulator.counts().of(StoreCallKind.WRITE);
             assertInstanceOf(
                     WriteResult.OutcomeUnknown.class,
-                    losingFirst.compareAndSwap(KEY, 0, bytes("two")).join());
+                    losingFirst
+                            .compareAndSwap(KEY, StorePosition.NONE, bytes("two"))
+                            .join());
             assertEquals(writes, emulator.counts().of(StoreCallKind.WRITE));
             assertInstanceOf(ReadResult.Found.class, losingFirst.get(KEY).join());
         }
@@ -150,7 +158,8 @@
         LeaseResult.Granted lease = assertInstanceOf(
                 LeaseResult.Granted.class,
                 store.grantLease(Duration.ofSeconds(5)).join());
-        store.compareAndSwap(KEY, 0, bytes("held"), lease.leaseId()).join();
+        store.compareAndSwap(KEY, StorePosition.NONE, bytes("held"), lease.leaseId())
+                .join();
         clock.addAndGet(Duration.ofSeconds(4).toNanos());
         assertInstanceOf(
                 LeaseResult.Granted.class, store.keepAlive(lease.leaseId()).join());
@@ -163,7 +172,8 @@
         assertEquals(new LeaseResult.Expired(), store.keepAlive(lease.leaseId()).join());
         assertInstanceOf(
                 WriteResult.NotDone.class,
-                store.compareAndSwap(KEY, 0, bytes("late"), lease.leaseId()).join());
+                store.compareAndSwap(KEY, StorePosition.NONE, bytes("late"), lease.leaseId())
+                        .join());
     }
 
     @Test
@@ -172,15 +182,15 @@
         store.watch("/test/", recorder(seen));
         assertEquals("interrupted", seen.take());
         assertEquals(1, emulator.openWatches());
-        WriteResult.Done done = assertInstanceOf(WriteResult.Done.class, write(0, "one"));
+        WriteResult.Done done = assertInstanceOf(WriteResult.Done.class, write(StorePosition.NONE, "one"));
         assertEquals("changed /test/a one", seen.take());
-        store.compareAndDelete(KEY, done.revision()).join();
+        store.compareAndDelete(KEY, done.position()).join();
         assertEquals("deleted /test/a", seen.take());
 
         emulator.refuseConnections();
         emulator.acceptConnections();
         assertEquals("interrupted", seen.take());
-        client(Duration.ofSeconds(30), emulator.address()).compareAndSwap(KEY, 0, bytes("two"));
+        client(Duration.ofSeconds(30), emulator.address()).compareAndSwap(KEY, StorePosition.NONE, bytes("two"));
         assertEquals("changed /test/a two", seen.take());
         emulator.interruptWatches();
         assertEquals("interrupted", seen.take());
@@ -239,12 +249,12 @@
         };
     }
 
-    private WriteResult write(long expectedRevision, String value) {
-        return write(KEY, expectedRevision, value);
+    private WriteResult write(StorePosition expected, String value) {
+        return write(KEY, expected, value);
     }
 
-    private WriteResult write(String key, long expectedRevision, String value) {
-        return store.compareAndSwap(key, expectedRevision, bytes(value)).join();
+    private WriteResult write(String key, StorePosition expected, String value) {
+        return store.compareAndSwap(key, expected, bytes(value)).join();
     }
 
     private ReadResult.Found found(String key) {
