Add a failing test of a store that was restored from an older copy

The simulated store keeps copies and is restored from them; its writers write again within two seconds.

--- a/src/test/java/org/auburnhoist/gateway/RegistrationFleet.java
+++ b/src/test/java/org/auburnhoist/gateway/RegistrationFleet.java
@@ -1,6 +1,5 @@
 package org.auburnhoist.gateway;
 
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -11,11 +10,9 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
-import java.util.function.Supplier;
 import org.auburnhoist.core.HostId;
 import org.auburnhoist.core.StorePosition;
 import org.auburnhoist.core.membership.CoordinatorSelector;
-import org.auburnhoist.core.membership.FleetCodec;
 import org.auburnhoist.core.message.Acknowledgement;
 import org.auburnhoist.core.message.Message;
 import org.auburnhoist.core.message.StatusReport;
@@ -36,13 +33,17 @@
     private static final long READ_NANOS = 4 * VirtualNetwork.MILLI;
     private static final Duration STORE_TIMEOUT = Duration.ofSeconds(1);
     private static final int SERVERS = 30;
+    /** Time in which writers write again what a restored store has lost. */
+    private static final double REWRITE_SECONDS = 2;
+    /** Time after which the registration of a silent server is removed. */
+    private static final double SILENCE_SECONDS = 4.5;
 
     private final VirtualNetwork network = new VirtualNetwork();
     private final SplittableRandom random;
     private final List<Host> hosts = new ArrayList<>();
     private final Set<String> withoutStore = new HashSet<>();
-    private final Set<Integer> leaving = new HashSet<>();
-    private long revision = 1;
+    private final RegistrationStore content = new RegistrationStore();
+    private boolean storeAvailable = true;
 
     /** Simulated time at which each server began to leave. */
     private final Map<Integer, Long> leftAt = new HashMap<>();
@@ -70,7 +71,8 @@
                     () -> {},
                     random.split(),
                     network.nowNanos());
-            poller.joined((ReadResult.Found) readMembers(), network.nowNanos());
+            content.join(member(), network.nowNanos());
+            poller.joined(content.read(GatewayKeys.MEMBERS), network.nowNanos());
             schedule(Duration.ofNanos(random.nextLong(TICK_NANOS)), this::tick);
         }
 
@@ -96,8 +98,9 @@
     private static final class RegistrationBinding extends VersionOnlyBinding {
         @Override
         public UpstreamServer decodeServer(Entry registration) {
-            boolean isLeaving = registration.value()[0] == 1;
-            return new UpstreamServer(registration.key(), 5, "pay", "10.0.0.1:80", "a", 2, isLeaving, 0);
+            String id = registration.key().substring(serversPrefix().length());
+            boolean isLeaving = RegistrationStore.isLeaving(registration);
+            return new UpstreamServer(id, 5, "pay", "10.0.0.1:" + id.substring(2), "a", 2, isLeaving, 0);
         }
     }
 
@@ -108,29 +111,27 @@
             this.host = host;
         }
 
-        private CompletableFuture<ReadResult> read(Supplier<ReadResult> content) {
+        private CompletableFuture<ReadResult> read(String prefix) {
             CompletableFuture<ReadResult> result = new CompletableFuture<>();
             if (withoutStore.contains(host.name)) {
                 host.schedule(STORE_TIMEOUT, now -> result.complete(new ReadResult.Unavailable("no response")));
+            } else if (storeAvailable) {
+                host.schedule(Duration.ofNanos(READ_NANOS), now -> result.complete(content.read(prefix)));
             } else {
-                host.schedule(Duration.ofNanos(READ_NANOS), now -> result.complete(content.get()));
+                host.schedule(
+                        Duration.ofNanos(READ_NANOS), now -> result.complete(new ReadResult.Unavailable("reset")));
             }
             return result;
         }
 
         @Override
         public CompletableFuture<ReadResult> get(String key) {
-            byte[] version = "1".getBytes(StandardCharsets.UTF_8);
-            return read(() ->
-                    new ReadResult.Found(List.of(new Entry(key, version, StorePosition.ofRevision(1))), position()));
+            return read(key);
         }
 
         @Override
         public CompletableFuture<ReadResult> range(String prefix) {
-            return read(
-                    prefix.equals(GatewayKeys.MEMBERS)
-                            ? RegistrationFleet.this::readMembers
-                            : RegistrationFleet.this::readServers);
+            return read(prefix);
         }
 
         @Override
@@ -173,28 +174,12 @@
         for (int number = 0; number < size; number++) {
             hosts.add(new Host());
         }
-        hosts.forEach(VirtualNetwork.Node::start);
-    }
-
-    private StorePosition position() {
-        return StorePosition.ofRevision(revision);
-    }
-
-    private ReadResult readMembers() {
-        return new ReadResult.Found(
-                hosts.stream()
-                        .map(host -> new Entry(
-                                GatewayKeys.memberKey(host.name), FleetCodec.member(host.member()), position()))
-                        .toList(),
-                position());
-    }
-
-    private ReadResult readServers() {
-        List<Entry> entries = new ArrayList<>();
         for (int server = 0; server < SERVERS; server++) {
-            entries.add(new Entry("i-" + server, new byte[] {(byte) (leaving.contains(server) ? 1 : 0)}, position()));
+            content.register(server, 0);
         }
-        return new ReadResult.Found(entries, position());
+        content.configure(1, 0);
+        hosts.forEach(host -> content.join(host.member(), 0));
+        hosts.forEach(VirtualNetwork.Node::start);
     }
 
     void runUntil(double second) {
@@ -209,12 +194,39 @@
     /** Lets a server begin to leave at a time. */
     void leave(int server, double second) {
         schedule(second, () -> {
-            revision++;
-            leaving.add(server);
+            content.leave(server, network.nowNanos());
             leftAt.put(server, network.nowNanos());
         });
     }
 
+    /** Lets a server end, which removes its registration. */
+    void end(int server, double second) {
+        schedule(second, () -> content.end(server, network.nowNanos()));
+    }
+
+    /** Writes a version of the configuration. */
+    void configure(long version, double second) {
+        schedule(second, () -> content.configure(version, network.nowNanos()));
+    }
+
+    /**
+     * Takes the store away for some time and restores it from a copy. What servers, operators and hosts wrote since the
+     * copy is written again within two seconds of the return.
+     */
+    void restoreStore(double second, double secondsAway, double secondsBack) {
+        schedule(second, () -> storeAvailable = false);
+        double back = second + secondsAway;
+        schedule(back, () -> {
+            content.restore((long) ((second - secondsBack) * VirtualNetwork.SECOND), network.nowNanos());
+            storeAvailable = true;
+            content.outdatedKeys()
+                    .forEach(key -> schedule(
+                            back + random.nextDouble(REWRITE_SECONDS),
+                            () -> content.writeAgain(key, network.nowNanos())));
+        });
+        schedule(back + SILENCE_SECONDS, () -> content.expireEnded(network.nowNanos()));
+    }
+
     /** Kills the host that the first calm host takes for the coordinator. */
     void killCoordinator() {
         coordinator().kill(() -> {});
@@ -257,11 +269,29 @@
     /** Whether all calm hosts know that a server is leaving. */
     boolean isKnownEverywhere(int server) {
         return hosts.stream().filter(Host::isCalm).allMatch(host -> {
-            UpstreamServer known = host.cache.server("i-" + server);
+            UpstreamServer known = host.cache.server(RegistrationStore.serverName(server));
             return known != null && known.leaving();
         });
     }
 
+    /** Number of running hosts that would send requests to a server. */
+    long hostsThatUse(int server) {
+        return hosts.stream()
+                .filter(host -> host.running)
+                .map(host -> host.cache.server(RegistrationStore.serverName(server)))
+                .filter(known -> known != null && !known.leaving())
+                .count();
+    }
+
+    /** Lowest version of the configuration that a running host serves; hosts without a configuration serve none. */
+    long lowestVersionServed() {
+        return hosts.stream()
+                .filter(host -> host.running && host.cache.hasConfiguration())
+                .mapToLong(host -> host.cache.router().configuration().version())
+                .min()
+                .orElse(0);
+    }
+
     /** Milliseconds since a server began to leave. */
     long millisSinceLeft(int server) {
         return (network.nowNanos() - leftAt.get(server)) / VirtualNetwork.MILLI;
