Restart the watch, and ignore late responses, when the store's era changes

A watch continued from a revision of the earlier era: once the restored store had given out that revision again, changes below it were never told (KvStoreTest aWatchReportsChangesBelowItsRevisionAfterTheStoreWasRestored). A read whose pages came from both sides of the return was taken for one read.

A later era counts once two responses have named it, so one malformed header does not make the following responses look outdated; a response of an earlier era is not used.

--- a/src/main/java/org/auburnhoist/platform/KvStore.java
+++ b/src/main/java/org/auburnhoist/platform/KvStore.java
@@ -46,18 +46,15 @@
 
     @Override
     public CompletableFuture<ReadResult> get(String key) {
-        return transport
-                .call("GET", "/api/kv-key?key=" + encode(key), null, CALL_TIMEOUT)
-                .thenApply(reply -> {
-                    if (reply.status() == NOT_FOUND) {
-                        return new ReadResult.Found(List.of(), currentPosition(reply));
-                    }
-                    if (reply.status() != OK) {
-                        return new ReadResult.Unavailable(reply.describe());
-                    }
-                    return new ReadResult.Found(
-                            List.of(decodeEntry(reply.body(), reply.era())), currentPosition(reply));
-                });
+        return transport.read("/api/kv-key?key=" + encode(key), CALL_TIMEOUT).thenApply(reply -> {
+            if (reply.status() == NOT_FOUND) {
+                return new ReadResult.Found(List.of(), currentPosition(reply));
+            }
+            if (reply.status() != OK) {
+                return new ReadResult.Unavailable(reply.describe());
+            }
+            return new ReadResult.Found(List.of(decodeEntry(reply.body(), reply.era())), currentPosition(reply));
+        });
     }
 
     @Override
@@ -69,13 +66,17 @@
             String prefix, String afterKey, List<Entry> entries, @Nullable StorePosition earliest) {
         String path = "/api/kv-range?path_prefix=" + encode(prefix)
                 + (afterKey.isEmpty() ? "" : "&after=" + encode(afterKey));
-        return transport.call("GET", path, null, CALL_TIMEOUT).thenCompose(reply -> {
+        return transport.read(path, CALL_TIMEOUT).thenCompose(reply -> {
             if (reply.status() != OK) {
                 return CompletableFuture.completedFuture(new ReadResult.Unavailable(reply.describe()));
             }
             reply.body().path("items").forEach(item -> entries.add(decodeEntry(item, reply.era())));
             // Pages do not form a snapshot; the entries are at least as new as the earliest position of a page.
             StorePosition current = currentPosition(reply);
+            if (earliest != null && current.era() != earliest.era()) {
+                return CompletableFuture.completedFuture(
+                        new ReadResult.Unavailable("the store was restored during the read"));
+            }
             StorePosition position = earliest == null ? current : current.earlier(earliest);
             if (reply.body().path("has_more").asBoolean(false) && !entries.isEmpty()) {
                 return readPages(prefix, entries.get(entries.size() - 1).key(), entries, position);
@@ -236,7 +237,10 @@
                 if (closed) {
                     return;
                 }
-                if (reply.status() == OK) {
+                if (reply.status() == OK && reply.era() != after.era()) {
+                    // The revision is of an earlier era, so that the store may have left out changes.
+                    readThenPoll();
+                } else if (reply.status() == OK) {
                     reply.body().path("events").forEach(event -> notifyListener(event, reply.era()));
                     long current = reply.body().path("current_rev").asLong(after.revision());
                     poll(new StorePosition(reply.era(), Math.max(after.revision(), current)));
--- a/src/main/java/org/auburnhoist/platform/KvTransport.java
+++ b/src/main/java/org/auburnhoist/platform/KvTransport.java
@@ -69,8 +69,9 @@
      * @param body body of the response, a missing node if there is none
      * @param reason why there is no response
      * @param era era of the store that responded, 0 if it does not name it
+     * @param eraConfirmed whether another response has named this era, or the store names none
      */
-    record Reply(int status, JsonNode body, String reason, long era) {
+    record Reply(int status, JsonNode body, String reason, long era, boolean eraConfirmed) {
         String describe() {
             return status == NO_RESPONSE ? reason : "status " + status;
         }
@@ -169,6 +170,18 @@
         return reply;
     }
 
+    /** Makes a read, and repeats it once if its response is the first to name a higher era of the store. */
+    CompletableFuture<Reply> read(String path, Duration timeout) {
+        return call("GET", path, null, timeout).thenCompose(first -> {
+            if (first.eraConfirmed()) {
+                return CompletableFuture.completedFuture(first);
+            }
+            return call("GET", path, null, timeout)
+                    .thenApply(
+                            second -> second.eraConfirmed() ? second : noResponse("unconfirmed era " + second.era()));
+        });
+    }
+
     @Override
     public void close() {
         requester.close(CloseMode.IMMEDIATE);
@@ -176,7 +189,7 @@
     }
 
     private static Reply noResponse(String reason) {
-        return new Reply(NO_RESPONSE, MissingNode.getInstance(), reason, 0);
+        return new Reply(NO_RESPONSE, MissingNode.getInstance(), reason, 0, true);
     }
 
     /**
@@ -259,15 +272,21 @@
             byte[] body = message.getBody();
             int status = message.getHead().getCode();
             Header eraHeader = message.getHead().getFirstHeader(ERA);
-            long era = exchange.eras.eraOf(eraHeader == null ? null : eraHeader.getValue(), System.nanoTime());
+            StoreEras.ResponseEra era =
+                    exchange.eras.eraOf(eraHeader == null ? null : eraHeader.getValue(), System.nanoTime());
+            if (era.standing() == StoreEras.Standing.OUTDATED) {
+                exchange.complete(noResponse("response of the earlier era " + era.number()), true);
+                return;
+            }
+            boolean confirmed = era.standing() == StoreEras.Standing.CURRENT;
             try {
                 JsonNode parsed = body == null || body.length == 0 ? MissingNode.getInstance() : Json.read(body);
-                exchange.complete(new Reply(status, parsed, "", era), true);
+                exchange.complete(new Reply(status, parsed, "", era.number(), confirmed), true);
             } catch (IOException malformed) {
                 exchange.complete(
                         status == 200
                                 ? noResponse("unreadable response")
-                                : new Reply(status, MissingNode.getInstance(), "", era),
+                                : new Reply(status, MissingNode.getInstance(), "", era.number(), confirmed),
                         false);
             }
         }
--- a/src/test/java/org/auburnhoist/platform/FakeKvStore.java
+++ b/src/test/java/org/auburnhoist/platform/FakeKvStore.java
@@ -46,9 +46,15 @@
     private int compactions;
     private int waitingWatches;
     private long nextLease = 100;
+    private long era = 1;
+    private Copy copy = new Copy(Map.of(), Map.of(), 1, 100);
     private int failWith;
     private boolean writeResponsesDropped;
 
+    /** What the store held at a time. */
+    private record Copy(
+            Map<String, ObjectNode> items, Map<Long, Long> leaseExpiryNanos, long revision, long nextLease) {}
+
     FakeKvStore() throws IOException {
         server = ServerBootstrap.bootstrap()
                 .setLocalAddress(InetAddress.getLoopbackAddress())
@@ -79,6 +85,44 @@
         notifyAll();
     }
 
+    /** Makes a copy of everything. */
+    synchronized void takeCopy() {
+        copy = new Copy(Map.copyOf(items), Map.copyOf(leaseExpiryNanos), revision, nextLease);
+    }
+
+    /** Comes back from the copy and begins a new era; revisions and leases are given out again. */
+    synchronized void restoreCopy() {
+        items.clear();
+        items.putAll(copy.items());
+        leaseExpiryNanos.clear();
+        leaseExpiryNanos.putAll(copy.leaseExpiryNanos());
+        revision = copy.revision();
+        nextLease = copy.nextLease();
+        history.clear();
+        compactedRevision = 0;
+        era++;
+    }
+
+    /** The value of a key, or an empty text. */
+    synchronized String value(String key) {
+        ObjectNode item = items.get(key);
+        byte[] bytes = Base64.getDecoder()
+                .decode(item == null ? "" : item.path("value").asText());
+        return new String(bytes, StandardCharsets.UTF_8);
+    }
+
+    /** The leases of the keys with a prefix. */
+    synchronized List<Long> leases(String prefix) {
+        return items.values().stream()
+                .filter(item -> item.path("key").asText().startsWith(prefix))
+                .map(item -> item.path("lease").asLong())
+                .toList();
+    }
+
+    synchronized long revision() {
+        return revision;
+    }
+
     /** Writes an entry without a lease, as operators and servers do. */
     synchronized void put(String key, String value) {
         put(key, value.getBytes(StandardCharsets.UTF_8), 0);
@@ -130,6 +174,7 @@
                 : MAPPER.readTree(EntityUtils.toByteArray(request.getEntity()));
         ObjectNode responseBody = MAPPER.createObjectNode();
         int status;
+        long eraAtResponse;
         synchronized (this) {
             calls.add(request.getMethod() + " " + path);
             expireLeases();
@@ -138,8 +183,10 @@
                 response.setCode(500);
                 throw new IOException("the response is dropped");
             }
+            eraAtResponse = era;
         }
         response.setCode(status);
+        response.setHeader("Store-Era", eraAtResponse);
         response.setEntity(new StringEntity(responseBody.toString(), ContentType.APPLICATION_JSON));
     }
 
--- a/src/test/java/org/auburnhoist/platform/KvStoreTest.java
+++ b/src/test/java/org/auburnhoist/platform/KvStoreTest.java
@@ -66,15 +66,14 @@
                 store.compareAndSwap("a/b", StorePosition.NONE, VALUE).join());
         long revision = revisionOf("a/b");
         assertEquals(
-                new WriteResult.Conflict(StorePosition.ofRevision(revision)),
+                new WriteResult.Conflict(new StorePosition(1, revision)),
                 store.compareAndSwap("a/b", StorePosition.NONE, VALUE).join());
         assertEquals(
                 new WriteResult.Conflict(StorePosition.NONE),
-                store.compareAndSwap("a/c", StorePosition.ofRevision(7), VALUE).join());
+                store.compareAndSwap("a/c", new StorePosition(1, 7), VALUE).join());
         assertInstanceOf(
                 WriteResult.Done.class,
-                store.compareAndDelete("a/b", StorePosition.ofRevision(revision))
-                        .join());
+                store.compareAndDelete("a/b", new StorePosition(1, revision)).join());
         assertEquals(0, revisionOf("a/b"));
     }
 
@@ -244,6 +243,60 @@
         }
     }
 
+    /**
+     * Guards against changes that a watch never tells: it continues from a revision that the restored store gives out
+     * again for a later change.
+     */
+    @Test
+    void aWatchReportsChangesBelowItsRevisionAfterTheStoreWasRestored() throws Exception {
+        fakeStore.put("op/config", "old");
+        fakeStore.takeCopy();
+        BlockingQueue<String> reported = new LinkedBlockingQueue<>();
+        for (int change = 0; change < 5; change++) {
+            fakeStore.put("other/" + change, "lost");
+        }
+        long watchedRevision = fakeStore.revision();
+        try (AutoCloseable watch = store.watch("op/", new RecordingListener(reported))) {
+            assertEquals("old", reported.poll(5, TimeUnit.SECONDS));
+            while (fakeStore.waitingWatches() == 0) {
+                Thread.sleep(5);
+            }
+            fakeStore.restoreCopy();
+            fakeStore.put("op/config", "new");
+            while (fakeStore.revision() < watchedRevision) {
+                fakeStore.put("other/again", "value");
+            }
+            fakeStore.put("op/more", "later");
+            List<String> values = new ArrayList<>();
+            String value;
+            while ((value = reported.poll(2, TimeUnit.SECONDS)) != null) {
+                values.add(value);
+            }
+            assertTrue(values.contains("new"), "reported: " + values);
+            assertTrue(values.contains("later"), "reported: " + values);
+            assertTrue(watch != null);
+        }
+    }
+
+    /** Guards against a single malformed response that makes all later ones look outdated. */
+    @Test
+    void aReadOfTheFirstResponseOfALaterEraIsRepeated() {
+        fakeStore.put("op/config", "1");
+        fakeStore.takeCopy();
+        assertEquals(1, positionOf("op/config").era());
+        assertEquals(1, positionOf("op/config").era());
+        fakeStore.restoreCopy();
+        int callsBefore = fakeStore.calls().size();
+        assertEquals(2, positionOf("op/config").era());
+        assertEquals(2, fakeStore.calls().size() - callsBefore, "the first response is not used by itself");
+        assertEquals(2, positionOf("op/config").era());
+        assertEquals(3, fakeStore.calls().size() - callsBefore);
+    }
+
+    private StorePosition positionOf(String key) {
+        return assertInstanceOf(ReadResult.Found.class, store.get(key).join()).position();
+    }
+
     /** Guards against a watch that reuses the connection of a shorter call and ends with the timeout of that call. */
     @Test
     void aWatchContinuesWhileNothingChanges() throws Exception {
