Order what the store says by its era, and keep what is known against a copy

Cause: lists of servers and members, reports, digests and grants were ordered by the store's revision alone. After the return all reads had lower revisions and were dropped, but their time was recorded, so every host took its old list for fresh. Class: a number that is only ordered within a scope is compared beyond it.

Positions are now compared by era first.

--- a/src/main/java/org/auburnhoist/gateway/FleetSync.java
+++ b/src/main/java/org/auburnhoist/gateway/FleetSync.java
@@ -1,6 +1,9 @@
 package org.auburnhoist.gateway;
 
 import java.time.Duration;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
 import java.util.function.BooleanSupplier;
 import java.util.random.RandomGenerator;
 import org.auburnhoist.core.HostId;
@@ -28,6 +31,9 @@
             Duration.ofMillis(100).toNanos();
 
     private static final Duration REPORT_TIMEOUT = Duration.ofMillis(400);
+    /** A starting host asks this many hosts for a configuration before it takes that of the store. */
+    private static final int MAX_HOSTS_ASKED_AT_START = 5;
+
     private static final long SUSPECT_NANOS = Duration.ofSeconds(2).toNanos();
     /** A host that has received no report for this long stops acting as the coordinator. */
     private static final long COORDINATOR_TIMEOUT_NANOS =
@@ -40,11 +46,13 @@
     private final HostCalls peers;
     private final BooleanSupplier ready;
     private final RandomGenerator random;
+    private final String selfName;
     private final CoordinatorSelector coordinatorSelector;
     private long nextReport;
     private boolean reporting;
     private long lastReportReceivedAt;
     private boolean hasReceivedReport;
+    private final Set<String> hostsAskedAtStart = new HashSet<>();
 
     FleetSync(
             FleetView fleet,
@@ -59,6 +67,7 @@
         this.peers = peers;
         this.ready = ready;
         this.random = random;
+        this.selfName = selfName;
         this.coordinatorSelector = new CoordinatorSelector(fleet, selfName);
         this.nextReport = nowNanos;
     }
@@ -77,6 +86,10 @@
         hasReceivedReport = true;
         lastReportReceivedAt = nowNanos;
         fleet.recordReport(from.name(), report.ready(), nowNanos);
+        FleetMember reporter = fleet.member(from.name());
+        if (report.configurationVersion() > cache.configurationVersion() && reporter != null && !reporting) {
+            report(reporter, nowNanos);
+        }
         return cache.digestFor(report, ready.getAsBoolean(), nowNanos);
     }
 
@@ -90,12 +103,30 @@
         nextReport = nowNanos + (long) (interval * (0.9 + 0.2 * random.nextDouble()));
         if (coordinator != null) {
             report(coordinator, nowNanos);
+        } else if (cache.awaitsPeers()) {
+            askAnotherAtStart(nowNanos);
+        }
+    }
+
+    /** Asks another host if this one has just started and the hosts asked so far had no configuration. */
+    private void askAnotherAtStart(long nowNanos) {
+        List<FleetMember> others = fleet.members().stream()
+                .filter(member -> !member.id().name().equals(selfName))
+                .filter(member -> !hostsAskedAtStart.contains(member.id().name()))
+                .toList();
+        if (cache.hasConfiguration() || others.isEmpty() || hostsAskedAtStart.size() >= MAX_HOSTS_ASKED_AT_START) {
+            cache.peersAsked();
+        } else {
+            report(others.get(random.nextInt(others.size())), nowNanos);
         }
     }
 
     private void report(FleetMember coordinator, long nowNanos) {
         reporting = true;
         String name = coordinator.id().name();
+        if (cache.awaitsPeers()) {
+            hostsAskedAtStart.add(name);
+        }
         peers.call(
                 MemberCalls.parseAddress(coordinator.peerAddress()),
                 cache.report(ready.getAsBoolean()),
@@ -113,6 +144,9 @@
                         fleet.suspect(name, now + SUSPECT_NANOS);
                         nextReport = coordinatorSelector.isSelf(now) ? nextReport : now;
                     }
+                    if (cache.awaitsPeers()) {
+                        askAnotherAtStart(now);
+                    }
                 });
     }
 }
--- a/src/main/java/org/auburnhoist/gateway/SlotBroker.java
+++ b/src/main/java/org/auburnhoist/gateway/SlotBroker.java
@@ -237,7 +237,7 @@
         }
         // The dispatcher may know of a new server before this host does.
         boolean usable =
-                slot.serversPosition().revision() > cache.serversKnownPosition().revision();
+                !cache.isHeldBack(slot.server()) && slot.serversPosition().isReachedAfter(cache.serversKnownPosition());
         if (!usable) {
             FleetMember dispatcher = slot.dispatcher();
             Event.named("grant-outdated")
--- a/src/main/java/org/auburnhoist/gateway/StoreCache.java
+++ b/src/main/java/org/auburnhoist/gateway/StoreCache.java
@@ -9,8 +9,10 @@
 import java.util.Objects;
 import java.util.Set;
 import java.util.function.Function;
+import java.util.function.LongConsumer;
 import java.util.function.LongPredicate;
 import java.util.stream.Collectors;
+import org.auburnhoist.core.HostId;
 import org.auburnhoist.core.StorePosition;
 import org.auburnhoist.core.membership.FleetCodec;
 import org.auburnhoist.core.membership.FleetMember;
@@ -44,6 +46,8 @@
     private final Runnable membersChanged;
     private volatile TrafficRouter router = TrafficRouter.of(TrafficConfiguration.NONE);
     private byte[] configuration = NO_DOCUMENT;
+    private boolean awaitsPeers;
+    private byte @Nullable [] keptBackConfiguration;
     /** The servers that the store lists. */
     private List<UpstreamServer> registered = List.of();
     /** The servers in use: the registered ones and those whose registration may have expired in a store outage. */
@@ -66,6 +70,15 @@
     private byte[] membersDocument = NO_DOCUMENT;
     private StorePosition membersPosition = StorePosition.NONE;
     private StorePosition membersReadPosition = StorePosition.NONE;
+    /** Latest position of a document that was read by this host or by one that sent it a digest. */
+    private StorePosition latestPosition = StorePosition.NONE;
+
+    private final Departures<ServerIncarnation> departedServers = new Departures<>();
+    private final Departures<HostId> departedMembers = new Departures<>();
+    private LongConsumer storeRestored = readNanos -> {};
+    /** IDs of registered servers that are not used, because only a copy of the store lists them. */
+    private Set<String> heldBackIds = Set.of();
+
     private boolean hasBeenRead;
     private long readAtNanos;
     private boolean directReadFailed;
@@ -84,6 +97,21 @@
         this.membersChanged = membersChanged;
     }
 
+    /** One start of a server. */
+    private record ServerIncarnation(String id, long startedMillis) {
+        static ServerIncarnation of(UpstreamServer server) {
+            return new ServerIncarnation(server.id(), server.startedMillis());
+        }
+    }
+
+    /**
+     * Sets what is called when the store was restored from a copy, with the time of the read that has shown it. It is
+     * called before the documents of that read are adopted.
+     */
+    void onStoreRestored(LongConsumer listener) {
+        storeRestored = listener;
+    }
+
     /** Sets how to tell whether healthy servers may be missing from the store's list at a time, after an outage. */
     void registrationGrace(LongPredicate mayLack) {
         mayLackRegistrations = mayLack;
@@ -94,6 +122,11 @@
         return router;
     }
 
+    /** Version of the configuration in force, 0 if there is none. */
+    long configurationVersion() {
+        return router.configuration().version();
+    }
+
     boolean hasConfiguration() {
         return router.configuration().version() > 0;
     }
@@ -140,8 +173,39 @@
         return staleDigestRejected;
     }
 
-    /** Adopts a configuration if it is newer than the current one. */
+    /**
+     * Keeps back what this host reads of the configuration until running hosts were asked: a store that was restored
+     * from a copy holds an older one until the operator has written the newest one again.
+     */
+    void awaitPeers() {
+        awaitsPeers = true;
+    }
+
+    /** Whether running hosts are still to be asked for a newer configuration. */
+    boolean awaitsPeers() {
+        return awaitsPeers;
+    }
+
+    /** Lets the configuration of the store count, since running hosts were asked for a newer one. */
+    void peersAsked() {
+        awaitsPeers = false;
+        byte[] stored = keptBackConfiguration;
+        keptBackConfiguration = null;
+        if (stored != null) {
+            adoptConfiguration(stored, "store");
+        }
+    }
+
+    /** Adopts a configuration of the store if it is newer than the current one. */
     void configurationRead(byte[] stored, String source) {
+        if (awaitsPeers) {
+            keptBackConfiguration = stored;
+        } else {
+            adoptConfiguration(stored, source);
+        }
+    }
+
+    private void adoptConfiguration(byte[] stored, String source) {
         TrafficConfiguration decoded;
         try {
             decoded = binding.decodeConfiguration(stored);
@@ -166,36 +230,55 @@
 
     /** Adopts the servers that the store held at a position, read at or after {@code readNanos}. */
     void serversRead(List<UpstreamServer> read, StorePosition position, long readNanos, long nowNanos, String source) {
-        recordReadTime(readNanos);
-        if (position.revision() < serversReadPosition.revision()) {
+        if (serversReadPosition.isOfLaterEraThan(position)) {
             logIgnoredRead("servers", position, serversReadPosition);
             return;
         }
+        recordReadTime(readNanos);
+        if (serversReadPosition.isReachedAfter(position)) {
+            return;
+        }
+        detectRestore(position, readNanos);
         serversReadPosition = position;
         List<UpstreamServer> sorted = new ArrayList<>(read);
         sorted.sort(Comparator.comparing(UpstreamServer::id));
         if (!equalIgnoringWarmup(sorted, registered)) {
-            adoptServers(sorted, FleetCodec.servers(sorted), position, source);
+            adoptServers(sorted, FleetCodec.servers(sorted), position, nowNanos, source);
         } else {
             // A later read without a change is newer than what another host adopted in between.
             serversConfirmedPosition = position;
+            if (position.isOfLaterEraThan(serversPosition)) {
+                // Another host may have adopted a different list of the same era.
+                serversPosition = position;
+            }
         }
         updateServersInUse(nowNanos);
     }
 
-    private void adoptServers(List<UpstreamServer> next, byte[] document, StorePosition position, String source) {
+    private void adoptServers(
+            List<UpstreamServer> next, byte[] document, StorePosition position, long nowNanos, String source) {
         logServers(next, position, source);
+        departedServers.listReplaced(
+                registered.stream().map(ServerIncarnation::of).toList(),
+                next.stream().map(ServerIncarnation::of).toList(),
+                next.stream()
+                        .filter(UpstreamServer::leaving)
+                        .map(ServerIncarnation::of)
+                        .toList(),
+                position.isOfLaterEraThan(serversPosition),
+                nowNanos);
         registered = List.copyOf(next);
         serversDocument = document;
         serversPosition = position;
         serversConfirmedPosition = position;
-        serversReadPosition = higher(serversReadPosition, position);
+        serversReadPosition = serversReadPosition.later(position);
     }
 
     /** Keeps or drops the servers whose registration may have expired. Must be called a few times a second. */
     void updateServersInUse(long nowNanos) {
-        List<UpstreamServer> next = withExpiredRegistrations(nowNanos);
-        expiredIds = next.size() == registered.size() ? Set.of() : expiredAmong(next);
+        List<UpstreamServer> believed = withoutHeldBack(nowNanos);
+        List<UpstreamServer> next = withExpiredRegistrations(believed, nowNanos);
+        expiredIds = next.size() == believed.size() ? Set.of() : expiredAmong(next);
         if (next == servers || equalIgnoringWarmup(next, servers)) {
             return;
         }
@@ -205,6 +288,20 @@
         serversChanged.run();
     }
 
+    /** The registered servers without those that have left and are listed only by a copy of the store. */
+    private List<UpstreamServer> withoutHeldBack(long nowNanos) {
+        heldBackIds = registered.stream()
+                .filter(server -> !server.leaving())
+                .filter(server -> departedServers.isHeldBack(ServerIncarnation.of(server), nowNanos))
+                .map(UpstreamServer::id)
+                .collect(Collectors.toSet());
+        return heldBackIds.isEmpty()
+                ? registered
+                : registered.stream()
+                        .filter(server -> !heldBackIds.contains(server.id()))
+                        .toList();
+    }
+
     private Set<String> expiredAmong(List<UpstreamServer> used) {
         Set<String> ids = used.stream().map(UpstreamServer::id).collect(Collectors.toCollection(HashSet::new));
         registered.forEach(server -> ids.remove(server.id()));
@@ -216,9 +313,9 @@
      * expired while the store was unavailable, and the servers get a grace period to register again. Each host decides
      * this by itself: after a cut of one host only, the other hosts have read that the servers have left.
      */
-    private List<UpstreamServer> withExpiredRegistrations(long nowNanos) {
+    private List<UpstreamServer> withExpiredRegistrations(List<UpstreamServer> believed, long nowNanos) {
         if (!mayLackRegistrations.test(nowNanos)) {
-            return registered;
+            return believed;
         }
         Set<String> ids = new HashSet<>();
         Set<String> addresses = new HashSet<>();
@@ -226,7 +323,7 @@
             ids.add(server.id());
             addresses.add(server.address());
         }
-        List<UpstreamServer> result = new ArrayList<>(registered);
+        List<UpstreamServer> result = new ArrayList<>(believed);
         for (UpstreamServer known : servers) {
             if (!ids.contains(known.id()) && !addresses.contains(known.address()) && !known.leaving()) {
                 result.add(known);
@@ -247,11 +344,14 @@
     }
 
     /** Adopts the members that the store held at a position. */
-    void membersRead(List<FleetMember> read, StorePosition position, String source, long nowNanos) {
-        if (position.revision() < membersReadPosition.revision()) {
-            logIgnoredRead("members", position, membersReadPosition);
+    void membersRead(List<FleetMember> read, StorePosition position, String source, long readNanos, long nowNanos) {
+        if (membersReadPosition.isReachedAfter(position)) {
+            if (membersReadPosition.isOfLaterEraThan(position)) {
+                logIgnoredRead("members", position, membersReadPosition);
+            }
             return;
         }
+        detectRestore(position, readNanos);
         membersReadPosition = position;
         List<FleetMember> sorted = new ArrayList<>(read);
         sorted.sort(Comparator.comparing(member -> member.id().name()));
@@ -267,10 +367,16 @@
                 .with("position", position)
                 .with("source", source)
                 .log();
+        departedMembers.listReplaced(
+                members.stream().map(FleetMember::id).toList(),
+                next.stream().map(FleetMember::id).toList(),
+                next.stream().filter(FleetMember::leaving).map(FleetMember::id).toList(),
+                position.isOfLaterEraThan(membersPosition),
+                nowNanos);
         members = List.copyOf(next);
         membersDocument = document;
         membersPosition = position;
-        membersReadPosition = higher(membersReadPosition, position);
+        membersReadPosition = membersReadPosition.later(position);
         fleet.members(next, nowNanos);
         membersChanged.run();
     }
@@ -289,9 +395,9 @@
                 version,
                 report.configurationVersion() < version ? configuration : NO_DOCUMENT,
                 serversPosition,
-                report.serversPosition().revision() < serversPosition.revision() ? serversDocument : NO_DOCUMENT,
+                serversPosition.isReachedAfter(report.serversPosition()) ? serversDocument : NO_DOCUMENT,
                 membersPosition,
-                report.membersPosition().revision() < membersPosition.revision() ? membersDocument : NO_DOCUMENT,
+                membersPosition.isReachedAfter(report.membersPosition()) ? membersDocument : NO_DOCUMENT,
                 fleet.memberNamesHash(),
                 fleet.contactAges(selfReady, nowNanos));
     }
@@ -305,9 +411,11 @@
         }
         try {
             if (digest.configuration().length > 0) {
-                configurationRead(FleetCodec.inflate(digest.configuration()), from);
+                adoptConfiguration(FleetCodec.inflate(digest.configuration()), from);
             }
-            if (digest.members().length > 0 && digest.membersPosition().revision() > membersPosition.revision()) {
+            long readNanos = digest.storeAgeMillis() < 0 ? nowNanos : askedNanos - digest.storeAgeMillis() * 1_000_000L;
+            if (digest.members().length > 0 && digest.membersPosition().isReachedAfter(membersPosition)) {
+                detectRestore(digest.membersPosition(), readNanos);
                 adoptMembers(
                         FleetCodec.members(digest.members()),
                         digest.members(),
@@ -315,9 +423,14 @@
                         from,
                         nowNanos);
             }
-            if (digest.servers().length > 0
-                    && digest.serversPosition().revision() > serversConfirmedPosition.revision()) {
-                adoptServers(FleetCodec.servers(digest.servers()), digest.servers(), digest.serversPosition(), from);
+            if (digest.servers().length > 0 && digest.serversPosition().isReachedAfter(serversConfirmedPosition)) {
+                detectRestore(digest.serversPosition(), readNanos);
+                adoptServers(
+                        FleetCodec.servers(digest.servers()),
+                        digest.servers(),
+                        digest.serversPosition(),
+                        nowNanos,
+                        from);
                 updateServersInUse(nowNanos);
             }
         } catch (IOException cause) {
@@ -351,8 +464,31 @@
         }
     }
 
-    private static StorePosition higher(StorePosition one, StorePosition other) {
-        return one.revision() >= other.revision() ? one : other;
+    /** Whether a registered server is not used, because it has left and only a copy of the store lists it. */
+    boolean isHeldBack(String server) {
+        return heldBackIds.contains(server);
+    }
+
+    /** Whether a member has left, so that its entry comes from a copy of the store. */
+    boolean isHeldBack(HostId member, long nowNanos) {
+        return departedMembers.isHeldBack(member, nowNanos);
+    }
+
+    /** Notices a later era of the store before what was read in it is adopted. */
+    private void detectRestore(StorePosition position, long readNanos) {
+        if (!latestPosition.equals(StorePosition.NONE) && position.isOfLaterEraThan(latestPosition)) {
+            Event.named("store-restored")
+                    .with("earlier", latestPosition)
+                    .with("position", position)
+                    .with("servers", registered.size())
+                    .with("members", members.size())
+                    .with("configuration", router.configuration().version())
+                    .warn();
+            departedServers.storeRestored(readNanos);
+            departedMembers.storeRestored(readNanos);
+            storeRestored.accept(readNanos);
+        }
+        latestPosition = latestPosition.later(position);
     }
 
     private static void logIgnoredRead(String document, StorePosition read, StorePosition known) {
--- a/src/main/java/org/auburnhoist/gateway/StoreOutage.java
+++ b/src/main/java/org/auburnhoist/gateway/StoreOutage.java
@@ -6,6 +6,8 @@
  * Tracks the last outage of the store. Healthy servers may be missing from the store after it, because their
  * registrations have expired during the outage; they register again shortly.
  *
+ * <p>A store that is restored from a copy lacks registrations for the same time, however short the outage was.
+ *
  * <p>The outage ends with the first successful read, by this host or by one that sent it a digest. A host that seldom
  * reads the store directly would otherwise mistake a removal long after the outage for an expired registration.
  */
@@ -25,6 +27,8 @@
     private long lastFailure;
     private long endedAt;
     private boolean registrationsMayHaveExpired;
+    private boolean restored;
+    private long restoredAt;
 
     /**
      * Records a failed read.
@@ -59,8 +63,16 @@
         return startedNanos - failedSince;
     }
 
+    /** Records that the store was restored from a copy, which may lack registrations, as a read has shown. */
+    void storeRestored(long startedNanos) {
+        restored = true;
+        restoredAt = startedNanos;
+    }
+
     /** Whether a missing server may still register again. */
     boolean mayLackRegistrations(long nowNanos) {
-        return registrationsMayHaveExpired && nowNanos - endedAt <= REGISTRATION_GRACE_NANOS;
+        boolean expired = registrationsMayHaveExpired && nowNanos - endedAt <= REGISTRATION_GRACE_NANOS;
+        boolean lost = restored && nowNanos - restoredAt <= REGISTRATION_GRACE_NANOS;
+        return expired || lost;
     }
 }
--- a/src/main/java/org/auburnhoist/gateway/StorePoller.java
+++ b/src/main/java/org/auburnhoist/gateway/StorePoller.java
@@ -6,7 +6,9 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
+import org.auburnhoist.core.StorePosition;
 import org.auburnhoist.core.membership.FleetCodec;
 import org.auburnhoist.core.membership.FleetMember;
 import org.auburnhoist.core.membership.FleetView;
@@ -54,6 +56,7 @@
     private boolean readingDirectly;
     private @Nullable AutoCloseable watch;
     private final StoreOutage outage = new StoreOutage();
+    private Consumer<StorePosition> membersReadListener = position -> {};
 
     StorePoller(
             Store store,
@@ -74,16 +77,23 @@
         this.ownEntryMissing = ownEntryMissing;
         this.retryDelay = new RetryDelay(random);
         cache.registrationGrace(outage::mayLackRegistrations);
+        cache.onStoreRestored(outage::storeRestored);
         this.nextServers = nowNanos;
         this.startupWaitUntil = nowNanos;
         this.nextConfiguration = nowNanos;
         this.nextMembers = nowNanos;
     }
 
+    /** Sets what is called with the store's position after each read of the members. */
+    void onMembersRead(Consumer<StorePosition> listener) {
+        membersReadListener = listener;
+    }
+
     /** Adopts the members that were read at startup; the coordinator among them sends the rest. */
     void joined(ReadResult.Found found, long nowNanos) {
-        membersRead(found, nowNanos);
+        membersRead(found, nowNanos, nowNanos);
         startupWaitUntil = nowNanos + STARTUP_WAIT_NANOS;
+        cache.awaitPeers();
     }
 
     /** Starts the reads that are due. Must be called a few times a second. */
@@ -96,6 +106,9 @@
         }
         cache.updateServersInUse(nowNanos);
         updateWatch(coordinator);
+        if (cache.awaitsPeers() && startupWaitUntil - nowNanos <= 0) {
+            cache.peersAsked();
+        }
         boolean waitsForCoordinator = startupWaitUntil - nowNanos > 0 && !cache.hasRejectedStaleDigest();
         boolean readsDirectly = !coordinator && stale && !waitsForCoordinator;
         logReadMode(readsDirectly, age);
@@ -189,14 +202,14 @@
                     if (result instanceof ReadResult.Found found) {
                         readSucceeded(startedNanos);
                         nextMembers = startedNanos + MEMBERS_INTERVAL_NANOS;
-                        membersRead(found, now);
+                        membersRead(found, startedNanos, now);
                     } else {
                         nextMembers = readFailed("members", result, now);
                     }
                 }));
     }
 
-    private void membersRead(ReadResult.Found found, long nowNanos) {
+    private void membersRead(ReadResult.Found found, long readNanos, long nowNanos) {
         List<FleetMember> members = new ArrayList<>();
         Set<String> names = new HashSet<>();
         for (Entry entry : found.entries()) {
@@ -205,8 +218,10 @@
             }
             try {
                 FleetMember member = FleetCodec.member(entry.value());
-                members.add(member);
-                names.add(member.id().name());
+                if (!cache.isHeldBack(member.id(), nowNanos)) {
+                    members.add(member);
+                    names.add(member.id().name());
+                }
             } catch (IOException cause) {
                 Event.named("member-unreadable")
                         .with("key", entry.key())
@@ -225,7 +240,8 @@
                 members.add(known);
             }
         }
-        cache.membersRead(members, found.position(), "store", nowNanos);
+        cache.membersRead(members, found.position(), "store", readNanos, nowNanos);
+        membersReadListener.accept(found.position());
     }
 
     private void readSucceeded(long startedNanos) {
--- a/src/test/java/org/auburnhoist/gateway/DepartedServerTest.java
+++ b/src/test/java/org/auburnhoist/gateway/DepartedServerTest.java
@@ -63,12 +63,11 @@
         }
 
         void read(long revision, UpstreamServer... servers) {
-            cache.serversRead(
-                    List.of(servers),
-                    StorePosition.ofRevision(revision),
-                    network.nowNanos(),
-                    network.nowNanos(),
-                    "store");
+            read(StorePosition.ofRevision(revision), servers);
+        }
+
+        void read(StorePosition position, UpstreamServer... servers) {
+            cache.serversRead(List.of(servers), position, network.nowNanos(), network.nowNanos(), "store");
         }
 
         /** Requests a slot and returns it with the time of virtual milliseconds that the network needs. */
@@ -122,6 +121,17 @@
         assertFalse(other.broker.isUsable(other.acquire()));
     }
 
+    /** Guards against the grant of a dispatcher that has not read the store since it was restored from a copy. */
+    @Test
+    void theGrantOfADispatcherOfAnEarlierEraIsNotUsed() {
+        dispatcher.read(new StorePosition(1, REVISION), server(1));
+        other.read(new StorePosition(1, REVISION), server(1), server(2));
+        other.read(new StorePosition(2, REVISION - 5), server(2));
+        other.read(new StorePosition(2, REVISION - 4), server(2));
+        network.runUntil(network.nowNanos() / (double) VirtualNetwork.SECOND + 1);
+        assertFalse(other.broker.isUsable(other.acquire()), "revision 10 of the earlier era is older than 6");
+    }
+
     /** Guards against new servers that get no requests until every host has read of them. */
     @Test
     void aServerThatOnlyTheDispatcherKnowsYetIsUsed() {
--- a/src/test/java/org/auburnhoist/gateway/RegistrationFleet.java
+++ b/src/test/java/org/auburnhoist/gateway/RegistrationFleet.java
@@ -191,6 +191,11 @@
         network.at((long) (second * VirtualNetwork.SECOND), now -> work.run());
     }
 
+    /** Registers a server that is ready. */
+    void register(int server, double second) {
+        schedule(second, () -> content.register(server, network.nowNanos()));
+    }
+
     /** Lets a server begin to leave at a time. */
     void leave(int server, double second) {
         schedule(second, () -> {
@@ -232,6 +237,11 @@
         coordinator().kill(() -> {});
     }
 
+    /** Kills some calm hosts. */
+    void killHosts(int count) {
+        hosts.stream().filter(Host::isCalm).limit(count).toList().forEach(host -> host.kill(() -> {}));
+    }
+
     /** Cuts the coordinator off from all other hosts and from the store. */
     void cutCoordinator(double seconds) {
         Host cut = coordinator();
--- a/src/test/java/org/auburnhoist/gateway/StoreCacheTest.java
+++ b/src/test/java/org/auburnhoist/gateway/StoreCacheTest.java
@@ -97,10 +97,18 @@
         StoreCache coordinator = newCache("host-1");
         List<FleetMember> coordinatorMembers = List.of(member("host-1"), member("host-2"), member("host-3"));
         running.membersRead(
-                List.of(member("host-1"), member("host-2")), StorePosition.ofRevision(30), "store", 5 * SECOND);
-        coordinator.membersRead(coordinatorMembers, StorePosition.ofRevision(40), "store", 8 * SECOND);
+                List.of(member("host-1"), member("host-2")),
+                StorePosition.ofRevision(30),
+                "store",
+                5 * SECOND,
+                5 * SECOND);
+        coordinator.membersRead(coordinatorMembers, StorePosition.ofRevision(40), "store", 8 * SECOND, 8 * SECOND);
         running.membersRead(
-                List.of(member("host-1"), member("host-2")), StorePosition.ofRevision(50), "store", 11 * SECOND);
+                List.of(member("host-1"), member("host-2")),
+                StorePosition.ofRevision(50),
+                "store",
+                11 * SECOND,
+                11 * SECOND);
         StatusDigest digest = coordinator.digestFor(running.report(true), true, 12 * SECOND);
         running.digestReceived(digest, "host-1", 12 * SECOND, 12 * SECOND);
         assertEquals(coordinatorMembers, fleet.members());
@@ -149,6 +157,29 @@
         assertEquals(List.of(NEW_SERVER), returned.servers());
     }
 
+    /** Guards against the older list of a read that began before the store was restored and whose response comes late. */
+    @Test
+    void aLateReadOfAnEarlierEraIsIgnored() {
+        StoreCache cache = newCache("host-2");
+        cache.serversRead(List.of(SERVER), new StorePosition(1, 40), 5 * SECOND, 5 * SECOND, "store");
+        cache.serversRead(List.of(NEW_SERVER), new StorePosition(2, 30), 20 * SECOND, 20 * SECOND, "store");
+        cache.serversRead(List.of(SERVER), new StorePosition(1, 45), 21 * SECOND, 21 * SECOND, "store");
+        assertEquals(List.of(NEW_SERVER), cache.servers());
+        assertEquals(2 * SECOND, cache.storeAgeNanos(22 * SECOND), "an ignored read does not make the list fresh");
+    }
+
+    /** Guards against two hosts that hold different lists under one number, so that neither sends its list. */
+    @Test
+    void aListOfTheSameRevisionInALaterEraIsSent() {
+        StoreCache reading = newCache("host-1");
+        StoreCache reporting = newCache("host-2");
+        reporting.serversRead(List.of(SERVER), new StorePosition(1, 40), 5 * SECOND, 5 * SECOND, "store");
+        reading.serversRead(List.of(NEW_SERVER), new StorePosition(2, 40), 20 * SECOND, 20 * SECOND, "store");
+        StatusDigest digest = reading.digestFor(reporting.report(true), true, 20 * SECOND);
+        reporting.digestReceived(digest, "host-1", 20 * SECOND, 20 * SECOND);
+        assertEquals(List.of(NEW_SERVER), reporting.servers());
+    }
+
     /** Guards against hosts that drop a healthy server after an outage because they read of it from another host. */
     @Test
     void everyHostKeepsExpiredRegistrationsForItselfAfterAnOutageOfTheStore() {
