Renew leases and the fleet's secret after the store was restored

A lease counts only in the era that granted it. The coordinator writes the secret once in each later era, and a host that restarts waits 3 s for it before it creates one. PlatformHostTest#hostsRegisterAgainAfterTheStoreWasRestored.

--- a/src/main/java/org/auburnhoist/gateway/FleetBootstrap.java
+++ b/src/main/java/org/auburnhoist/gateway/FleetBootstrap.java
@@ -22,6 +22,11 @@
     private static final int SECRET_BYTES = 16;
     /** Hosts of a new fleet spread their first reads over this time, so that one of them creates the secret. */
     private static final long FIRST_START_SPREAD_NANOS = Duration.ofMillis(400).toNanos();
+    /**
+     * A store that was restored from a copy may lack the secret until a running host has written it again; a host that
+     * restarts creates one only after this time.
+     */
+    private static final long SECRET_WAIT_NANOS = Duration.ofSeconds(3).toNanos();
     /** Hosts that restart together spread their reads over this time, a multiple of the store's response time. */
     private static final long RESTART_SPREAD_NANOS = Duration.ofMillis(40).toNanos();
 
@@ -29,6 +34,9 @@
     private final ControlThread control;
     private final RetryDelay retryDelay;
     private final RandomGenerator random;
+    private boolean firstStart;
+    private boolean secretMissing;
+    private long secretMissingSinceNanos;
     private final CompletableFuture<BootstrapState> result = new CompletableFuture<>();
 
     /**
@@ -53,6 +61,7 @@
      * @return completes on the control thread when the secret is known
      */
     CompletableFuture<BootstrapState> load(boolean firstStart) {
+        this.firstStart = firstStart;
         long spread = (long) ((firstStart ? FIRST_START_SPREAD_NANOS : RESTART_SPREAD_NANOS) * random.nextDouble());
         control.schedule(Duration.ofNanos(spread), now -> read());
         return result;
@@ -69,7 +78,11 @@
                                 return;
                             }
                         }
-                        createSecret(found);
+                        if (mayCreateSecret(now)) {
+                            createSecret(found);
+                        } else {
+                            retry();
+                        }
                     } else {
                         Event.named("fleet-not-read").with("result", answer).warn();
                         retry();
@@ -77,6 +90,14 @@
                 }));
     }
 
+    private boolean mayCreateSecret(long nowNanos) {
+        if (!secretMissing) {
+            secretMissing = true;
+            secretMissingSinceNanos = nowNanos;
+        }
+        return firstStart || nowNanos - secretMissingSinceNanos >= SECRET_WAIT_NANOS;
+    }
+
     private void createSecret(ReadResult.Found found) {
         byte[] bytes = new byte[SECRET_BYTES];
         new SecureRandom().nextBytes(bytes);
--- a/src/main/java/org/auburnhoist/gateway/GatewayHost.java
+++ b/src/main/java/org/auburnhoist/gateway/GatewayHost.java
@@ -220,13 +220,14 @@
             closer.register(
                     PeerServer.start(peerSettings, settings.peerAddress(), group, this::handlePeerRequest, traffic));
             PeerClient client = closer.register(new PeerClient(peerSettings, group, timer, traffic));
-            join(new PeerCalls(client, control), state.entries());
+            join(new PeerCalls(client, control), state);
         } catch (IOException cause) {
             Event.named("peers-not-started").with("cause", cause).warn();
         }
     }
 
-    private void join(PeerCalls peers, ReadResult.Found entries) {
+    private void join(PeerCalls peers, FleetBootstrap.BootstrapState state) {
+        ReadResult.Found entries = state.entries();
         long now = System.nanoTime();
         SlotBroker slots =
                 new SlotBroker(fleet, cache, peers, control, self, settings, random, lease::isHeld, startNanos);
@@ -244,6 +245,8 @@
                         quotas.resumeOwnership();
                     }
                 });
+        poller.onMembersRead(new SecretRestorer(
+                store, control, state.secret(), entries.position().era())::storeRead);
         poller.joined(entries, now);
         joined = true;
         tick(now);
--- a/src/main/java/org/auburnhoist/gateway/MembershipLease.java
+++ b/src/main/java/org/auburnhoist/gateway/MembershipLease.java
@@ -31,6 +31,9 @@
     private final String key;
     private FleetMember member;
     private long leaseId;
+    /** Era of the store that granted the lease; a store that is restored from a copy may have lost it. */
+    private long leaseEra;
+
     private StorePosition position = StorePosition.NONE;
     private boolean registered;
     private boolean busy;
@@ -99,6 +102,7 @@
                 .thenAccept(result -> control.execute(now -> {
                     if (result instanceof LeaseResult.Granted granted) {
                         leaseId = granted.leaseId();
+                        leaseEra = granted.era();
                         validUntilNanos = nowNanos + granted.timeToLive().toNanos();
                         register(nowNanos);
                     } else {
@@ -110,7 +114,11 @@
     private void register(long startedNanos) {
         store.compareAndSwap(key, position, FleetCodec.member(member), leaseId)
                 .thenAccept(result -> control.execute(now -> {
-                    if (result instanceof WriteResult.Done done) {
+                    if (result instanceof WriteResult.Done done
+                            && done.position().era() > leaseEra) {
+                        position = done.position();
+                        leaseLost("the store was restored", now);
+                    } else if (result instanceof WriteResult.Done done) {
                         position = done.position();
                         succeeded();
                         registered = true;
@@ -135,17 +143,17 @@
     private void renew(long startedNanos) {
         store.keepAlive(leaseId)
                 .thenAccept(result -> control.execute(now -> {
-                    if (result instanceof LeaseResult.Granted granted) {
+                    if (result instanceof LeaseResult.Granted granted && granted.era() > leaseEra) {
+                        // The ID may have been given out again, so the lease may be another host's.
+                        position = StorePosition.NONE;
+                        leaseLost("the store was restored", now);
+                    } else if (result instanceof LeaseResult.Granted granted) {
                         succeeded();
                         validUntilNanos = startedNanos + granted.timeToLive().toNanos();
                         nextActionNanos = startedNanos + RENEWAL_INTERVAL_NANOS;
                     } else if (result instanceof LeaseResult.Expired) {
-                        Event.named("lease-expired").with("host", member.id()).warn();
-                        leaseId = 0;
-                        registered = false;
-                        busy = false;
                         position = StorePosition.NONE;
-                        nextActionNanos = now;
+                        leaseLost("it has expired", now);
                     } else {
                         long remainingNanos = validUntilNanos - SAFETY_MARGIN_NANOS - now;
                         failed("lease-not-renewed", result, now, retryDelay.nextNanos(remainingNanos));
@@ -153,6 +161,18 @@
                 }));
     }
 
+    /** Requests a new lease at once. */
+    private void leaseLost(String reason, long nowNanos) {
+        Event.named("lease-lost")
+                .with("host", member.id())
+                .with("reason", reason)
+                .warn();
+        leaseId = 0;
+        registered = false;
+        busy = false;
+        nextActionNanos = nowNanos;
+    }
+
     private void succeeded() {
         busy = false;
         retryDelay.reset();
--- a/src/test/java/org/auburnhoist/platform/PlatformHostTest.java
+++ b/src/test/java/org/auburnhoist/platform/PlatformHostTest.java
@@ -16,6 +16,7 @@
 import java.net.http.HttpResponse;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ThreadLocalRandom;
@@ -58,6 +59,7 @@
         store.put("servers/i-1", first.registration("ledger", "ready"));
         store.put("servers/i-2", second.registration("ledger", "ready"));
         store.put("servers/i-9", "of another writer");
+        store.takeCopy();
         for (int number = 1; number <= 3; number++) {
             GatewaySettings settings = settings("host-" + number);
             hosts.add(settings);
@@ -229,6 +231,22 @@
         hosts.forEach(host -> assertEquals(401, pay(host, "k1").statusCode(), "an older version is never applied"));
     }
 
+    /**
+     * Guards against a fleet that falls apart after the store was restored: two hosts renew one lease that was given out
+     * again, or a host that starts later creates another secret, which the running hosts do not accept.
+     */
+    @Test
+    void hostsRegisterAgainAfterTheStoreWasRestored() throws Exception {
+        String secret = store.value("auburnhoist/secret");
+        store.restoreCopy();
+        assertEquals("", store.value("auburnhoist/secret"), "the copy is older than the secret");
+        await(() -> store.leases("auburnhoist/hosts/").size() == 3, "all hosts are registered again");
+        await(() -> new HashSet<>(store.leases("auburnhoist/hosts/")).size() == 3, "each host has its own lease");
+        await(() -> secret.equals(store.value("auburnhoist/secret")), "the secret is back");
+        hosts.forEach(host -> assertEquals(200, pay(host, "k1").statusCode()));
+        hosts.forEach(host -> assertEquals(3, addresses(host).size()));
+    }
+
     @Test
     void theTeamsLimitHoldsOverAllHosts() throws Exception {
         store.put("op/config", configuration(9, "k1", 4));
