Do not make a host the coordinator because a starting host asks it

A starting host asks up to five hosts for a configuration. A report without a configuration no longer counts as one to the coordinator.

--- a/src/main/java/org/auburnhoist/gateway/FleetSync.java
+++ b/src/main/java/org/auburnhoist/gateway/FleetSync.java
@@ -83,8 +83,11 @@
 
     /** Answers another host's report. */
     StatusDigest handleReport(HostId from, StatusReport report, long nowNanos) {
-        hasReceivedReport = true;
-        lastReportReceivedAt = nowNanos;
+        if (report.configurationVersion() > 0) {
+            // A starting host asks several hosts, which need not read the store for it.
+            hasReceivedReport = true;
+            lastReportReceivedAt = nowNanos;
+        }
         fleet.recordReport(from.name(), report.ready(), nowNanos);
         FleetMember reporter = fleet.member(from.name());
         if (report.configurationVersion() > cache.configurationVersion() && reporter != null && !reporting) {
