--- a/src/test/java/org/auburnhoist/platform/DecodersTest.java
+++ b/src/test/java/org/auburnhoist/platform/DecodersTest.java
@@ -102,6 +102,41 @@
         }
     }
 
+    /** Guards against a process that ends, or stops reading the list, because of one entry of another writer. */
+    @Test
+    void oddEntriesAreIgnoredAndNeverThrow() {
+        String valid = "{\"service\":\"pay\",\"address\":\"10.0.0.9:8080\",\"slots\":2,\"state\":\"ready\",\"born\":5}";
+        for (String text : List.of(
+                "[".repeat(200_000),
+                "{\"a\":".repeat(100_000),
+                valid.replace("\"born\"", "\"x\":" + "[".repeat(70) + "]".repeat(70) + ",\"born\""),
+                valid.replace(":2,", ":99999999999999999999,"),
+                valid.replace(":2,", ":4294967298,"),
+                valid.replace(":2,", ":2147483647,"),
+                valid.replace(":2,", ":" + "9".repeat(5_000) + ","),
+                valid.replace(":2,", ":1e999,"),
+                valid.replace(":2,", ":-2,"),
+                valid.replace(":5}", ":99999999999999999999}"),
+                valid.replace(":5}", ":5.5}"),
+                valid.replace("8080", "0"),
+                valid.replace("8080", "65536"),
+                valid.replace("8080", "99999999999"),
+                valid.replace("10.0.0.9", "10.0.0.999"))) {
+            assertNull(
+                    new RegistrationDecoder("servers/").decode(entry(text)),
+                    text.substring(0, Math.min(120, text.length())));
+        }
+        for (String id : List.of("", "i\r\nX-Tenant: a", "i 1", "\u00e9")) {
+            assertNull(new RegistrationDecoder("servers/")
+                    .decode(new Entry("servers/" + id, bytes(valid), StorePosition.ofRevision(3))));
+        }
+        for (String warmUp : List.of("1e999", "99999999999999999999", "-1e999", "9223372036854775807", "\"x\"")) {
+            String text = valid.replace("\"born\"", "\"warmup_left_ms\":" + warmUp + ",\"born\"");
+            UpstreamServer server = new RegistrationDecoder("servers/").decode(entry(text));
+            assertTrue(server != null && server.warmUpMillis() >= 0 && server.warmUpMillis() <= 600_000, text);
+        }
+    }
+
     private static Entry entry(String text) {
         return new Entry("servers/i-1", bytes(text), StorePosition.ofRevision(3));
     }
