Believe a server's refusal only if it names the attempt

A faulty server may write an earlier refusal once more on a kept connection. One with the earlier attempt's ID was recognised; one without an ID was taken for the refusal of the running request: callers got 503 (not run) for a request that ran, and it could run a second time elsewhere. Servers echo the ID in all responses, so such a response is now a failure with unknown outcome.

--- a/src/main/java/org/auburnhoist/platform/PlatformWireRules.java
+++ b/src/main/java/org/auburnhoist/platform/PlatformWireRules.java
@@ -70,13 +70,16 @@
 
     @Override
     public AttemptOutcome attemptOutcome(int status, List<Map.Entry<String, String>> headers) {
-        if (status == MISDIRECTED) {
-            return AttemptOutcome.MISDIRECTED;
-        }
-        if (firstValue(headers, NOT_EXECUTED) != null) {
-            return AttemptOutcome.REJECTED;
+        // A refusal without the attempt's ID may be an earlier one that a faulty server has written once more.
+        if (firstValue(headers, ATTEMPT_ID) != null) {
+            if (status == MISDIRECTED) {
+                return AttemptOutcome.MISDIRECTED;
+            }
+            if (firstValue(headers, NOT_EXECUTED) != null) {
+                return AttemptOutcome.REJECTED;
+            }
         }
-        return status >= 500 || !mayForwardResponse(status, headers)
+        return status >= 500 || !mayForwardResponse(status, headers) || firstValue(headers, NOT_EXECUTED) != null
                 ? AttemptOutcome.SERVER_ERROR
                 : AttemptOutcome.SUCCESS;
     }
--- a/src/test/java/org/auburnhoist/platform/PlatformHostTest.java
+++ b/src/test/java/org/auburnhoist/platform/PlatformHostTest.java
@@ -32,6 +32,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 
 /** Guards against faults of the request path on the platform, with several hosts and fakes of the platform's parts. */
 class PlatformHostTest {
@@ -210,6 +212,38 @@
         assertTrue(rejected.headers().firstValue("Retry-After").isPresent());
     }
 
+    /**
+     * Guards against the promise that a request has not run, and against a second run, if a faulty server writes an
+     * earlier refusal once more while it runs the request.
+     */
+    @ParameterizedTest
+    @EnumSource(names = {"REPEATED_REFUSAL", "REPEATED_REFUSAL_WITHOUT_ID"})
+    void aRepeatedRefusalStatesNothingAboutThisRequest(FakeUpstreamServer.Mode mode) {
+        assertEquals(200, pay(hosts.get(0), "k1").statusCode());
+        first.mode(mode);
+        second.mode(mode);
+        int before = first.requests().size() + second.requests().size();
+        assertEquals(502, pay(hosts.get(0), "k1").statusCode());
+        assertEquals(before + 1, first.requests().size() + second.requests().size(), "runs of the request");
+    }
+
+    /** Guards against hosts that end or stop following the list because of one odd entry of another writer. */
+    @Test
+    void hostsFollowTheListBesideOddEntries() throws Exception {
+        String registration = first.registration("ledger", "ready");
+        store.put("servers/i-3", "[".repeat(100_000));
+        store.put("servers/i-4", registration.replace("\"slots\":2", "\"slots\":" + "9".repeat(5_000)));
+        store.put("servers/i-5", registration.replaceFirst("127\\.0\\.0\\.1:[0-9]+", "127.0.0.1:70000"));
+        store.put("servers/i-6", registration.replace("\"born\":5", "\"born\":1e999"));
+        store.put("servers/i-1", first.registration("ledger", "draining"));
+        Thread.sleep(2_000);
+        int before = first.requests().size();
+        for (int request = 0; request < 12; request++) {
+            assertEquals(200, pay(hosts.get(request % 3), "k1").statusCode());
+        }
+        assertEquals(before, first.requests().size(), "requests to the leaving server");
+    }
+
     @Test
     void aResponseToAnotherAttemptIsNeverForwarded() {
         first.mode(FakeUpstreamServer.Mode.WRONG_ATTEMPT_ID);
