Send a list of servers that differs, not only one that has changed since

What callers could see: requests to a server that has gone, from a host that read its registration between two reads of the coordinator. The coordinator's list had changed and changed back, so its position stayed lower than the host's, and it never sent its list.

Reports carry a hash of the list, which without a change is 9 bytes each half second; a coordinator sends its list if the hashes differ and the host has not read later. Members are still sent by position; the same trace is possible there (by reading).

--- a/src/main/java/org/auburnhoist/core/message/StatusDigest.java
+++ b/src/main/java/org/auburnhoist/core/message/StatusDigest.java
@@ -8,7 +8,7 @@
  * @param storeAgeMillis how long ago the coordinator last read the store successfully, negative if it never did
  * @param configurationVersion version of the coordinator's traffic configuration
  * @param configuration the compressed configuration, empty if the reporting host has it
- * @param serversPosition store position of the coordinator's list of servers
+ * @param serversPosition latest store position at which the coordinator's list of servers is known to hold
  * @param servers the compressed list, empty if the reporting host has it
  * @param membersPosition store position of the coordinator's list of members
  * @param members the compressed list, empty if the reporting host has it
--- a/src/main/java/org/auburnhoist/core/message/StatusReport.java
+++ b/src/main/java/org/auburnhoist/core/message/StatusReport.java
@@ -8,8 +8,13 @@
  * @param ready whether it accepts callers
  * @param configurationVersion version of its traffic configuration, 0 if it has none
  * @param serversPosition store position at which it last read the servers or received them
+ * @param serversHash hash of its list of servers
  * @param membersPosition store position of its list of members
  */
 public record StatusReport(
-        boolean ready, long configurationVersion, StorePosition serversPosition, StorePosition membersPosition)
+        boolean ready,
+        long configurationVersion,
+        StorePosition serversPosition,
+        long serversHash,
+        StorePosition membersPosition)
         implements Message {}
--- a/src/main/java/org/auburnhoist/gateway/StoreCache.java
+++ b/src/main/java/org/auburnhoist/gateway/StoreCache.java
@@ -13,6 +13,7 @@
 import java.util.function.LongPredicate;
 import java.util.stream.Collectors;
 import org.auburnhoist.core.HostId;
+import org.auburnhoist.core.StableHash;
 import org.auburnhoist.core.StorePosition;
 import org.auburnhoist.core.membership.FleetCodec;
 import org.auburnhoist.core.membership.FleetMember;
@@ -59,9 +60,9 @@
     private LongPredicate mayLackRegistrations = now -> false;
     private Map<String, UpstreamServer> serversById = Map.of();
     private Map<String, List<UpstreamServer>> serversByService = Map.of();
-    private byte[] serversDocument = NO_DOCUMENT;
-    /** Position at which the servers last changed. */
-    private StorePosition serversPosition = StorePosition.NONE;
+    private byte[] serversDocument = FleetCodec.servers(List.of());
+    /** Tells different lists of registered servers apart. */
+    private long serversHash = hashOf(List.of());
     /** Latest position up to which the servers are known to be unchanged. */
     private StorePosition serversConfirmedPosition = StorePosition.NONE;
 
@@ -247,10 +248,6 @@
         } else {
             // A later read without a change is newer than what another host adopted in between.
             serversConfirmedPosition = position;
-            if (position.isOfLaterEraThan(serversPosition)) {
-                // Another host may have adopted a different list of the same era.
-                serversPosition = position;
-            }
         }
         updateServersInUse(nowNanos);
     }
@@ -265,11 +262,11 @@
                         .filter(UpstreamServer::leaving)
                         .map(ServerIncarnation::of)
                         .toList(),
-                position.isOfLaterEraThan(serversPosition),
+                position.isOfLaterEraThan(serversConfirmedPosition),
                 nowNanos);
         registered = List.copyOf(next);
         serversDocument = document;
-        serversPosition = position;
+        serversHash = hashOf(next);
         serversConfirmedPosition = position;
         serversReadPosition = serversReadPosition.later(position);
     }
@@ -384,7 +381,8 @@
     /** The report that this host sends to a coordinator. */
     StatusReport report(boolean ready) {
         // Live members stay listed without a store entry, so lists of the same position may differ between hosts.
-        return new StatusReport(ready, router.configuration().version(), serversConfirmedPosition, membersPosition);
+        return new StatusReport(
+                ready, router.configuration().version(), serversConfirmedPosition, serversHash, membersPosition);
     }
 
     /** The digest of what a reporting host does not have yet. */
@@ -394,14 +392,23 @@
                 hasBeenRead ? Math.max(0, (nowNanos - readAtNanos) / 1_000_000L) : -1,
                 version,
                 report.configurationVersion() < version ? configuration : NO_DOCUMENT,
-                serversPosition,
-                serversPosition.isReachedAfter(report.serversPosition()) ? serversDocument : NO_DOCUMENT,
+                serversConfirmedPosition,
+                lacksServers(report) ? serversDocument : NO_DOCUMENT,
                 membersPosition,
                 membersPosition.isReachedAfter(report.membersPosition()) ? membersDocument : NO_DOCUMENT,
                 fleet.memberNamesHash(),
                 fleet.contactAges(selfReady, nowNanos));
     }
 
+    /**
+     * Whether a reporting host has another list that is not newer. Positions alone do not tell: a list may have changed
+     * and changed back between two reads of this host, and the reporting host may have read it in between.
+     */
+    private boolean lacksServers(StatusReport report) {
+        return report.serversHash() != serversHash
+                && !report.serversPosition().isReachedAfter(serversConfirmedPosition);
+    }
+
     /** Adopts the newer parts of a digest that a coordinator was asked for at {@code askedNanos}. */
     void digestReceived(StatusDigest digest, String from, long askedNanos, long nowNanos) {
         if (isTooStaleAtStartup(digest)) {
@@ -423,7 +430,7 @@
                         from,
                         nowNanos);
             }
-            if (digest.servers().length > 0 && digest.serversPosition().isReachedAfter(serversConfirmedPosition)) {
+            if (digest.servers().length > 0 && !serversConfirmedPosition.isReachedAfter(digest.serversPosition())) {
                 detectRestore(digest.serversPosition(), readNanos);
                 adoptServers(
                         FleetCodec.servers(digest.servers()),
@@ -506,6 +513,27 @@
         }
     }
 
+    private static long hashOf(List<UpstreamServer> servers) {
+        StringBuilder text = new StringBuilder();
+        for (UpstreamServer server : servers) {
+            text.append(server.id())
+                    .append(' ')
+                    .append(server.startedMillis())
+                    .append(' ')
+                    .append(server.address())
+                    .append(' ')
+                    .append(server.service())
+                    .append(' ')
+                    .append(server.slots())
+                    .append(' ')
+                    .append(server.leaving())
+                    .append(' ')
+                    .append(server.dataCentre())
+                    .append('\n');
+        }
+        return StableHash.of(text.toString());
+    }
+
     /**
      * Compares servers without their remaining warm-up time, which changes continuously and matters only for new
      * servers.
--- a/src/main/java/org/auburnhoist/peer/MessageFormat.java
+++ b/src/main/java/org/auburnhoist/peer/MessageFormat.java
@@ -181,9 +181,11 @@
                     (message, packer) -> {
                         packer.packBoolean(message.ready()).packLong(message.configurationVersion());
                         writePosition(packer, message.serversPosition());
+                        packer.packLong(message.serversHash());
                         writePosition(packer, message.membersPosition());
                     },
-                    in -> new StatusReport(in.unpackBoolean(), in.unpackLong(), readPosition(in), readPosition(in))),
+                    in -> new StatusReport(
+                            in.unpackBoolean(), in.unpackLong(), readPosition(in), in.unpackLong(), readPosition(in))),
             new MessageFormat<>(
                     19, StatusDigest.class, MessageFormat::writeStatusDigest, MessageFormat::readStatusDigest),
             new MessageFormat<>(
--- a/src/test/java/org/auburnhoist/peer/MessageCodecTest.java
+++ b/src/test/java/org/auburnhoist/peer/MessageCodecTest.java
@@ -75,7 +75,7 @@
                             List.of(),
                             List.of(),
                             List.of(new ReportedLimit("ledger-1", 5, 1.25, 300)))),
-            new StatusReport(true, 12, new StorePosition(2, 77), new StorePosition(3, 78)),
+            new StatusReport(true, 12, new StorePosition(2, 77), 1L << 60, new StorePosition(3, 78)),
             new SlotRelease("ledger", 9, AttemptOutcome.TIMEOUT, 1_500_000),
             new SlotRelease("ledger", 9, AttemptOutcome.SUCCESS, 1, new ServerNotice(true, 250, StatedLimit.of(1.25))),
             new SlotRelease("ledger", 9, AttemptOutcome.SUCCESS, 1, new ServerNotice(false, 0, StatedLimit.UNLIMITED)),
