Move the list of servers out of the cache

ServerList holds the registered servers, which of them are in use, and the positions; moved, with shorter names, no decision changed.

--- a/src/main/java/org/auburnhoist/gateway/StoreCache.java
+++ b/src/main/java/org/auburnhoist/gateway/StoreCache.java
@@ -3,17 +3,10 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
-import java.util.Objects;
-import java.util.Set;
-import java.util.function.Function;
 import java.util.function.LongConsumer;
 import java.util.function.LongPredicate;
-import java.util.stream.Collectors;
 import org.auburnhoist.core.HostId;
-import org.auburnhoist.core.StableHash;
 import org.auburnhoist.core.StorePosition;
 import org.auburnhoist.core.membership.FleetCodec;
 import org.auburnhoist.core.membership.FleetMember;
@@ -43,30 +36,12 @@
     private final PlatformBinding binding;
     private final FleetView fleet;
     private final Runnable configurationChanged;
-    private final Runnable serversChanged;
+    private final ServerList servers;
     private final Runnable membersChanged;
     private volatile TrafficRouter router = TrafficRouter.of(TrafficConfiguration.NONE);
     private byte[] configuration = NO_DOCUMENT;
     private boolean awaitsPeers;
     private byte @Nullable [] keptBackConfiguration;
-    /** The servers that the store lists. */
-    private List<UpstreamServer> registered = List.of();
-    /** The servers in use: the registered ones and those whose registration may have expired in a store outage. */
-    private List<UpstreamServer> servers = List.of();
-
-    /** IDs of the servers in use that are not registered. */
-    private Set<String> expiredIds = Set.of();
-
-    private LongPredicate mayLackRegistrations = now -> false;
-    private Map<String, UpstreamServer> serversById = Map.of();
-    private Map<String, List<UpstreamServer>> serversByService = Map.of();
-    private byte[] serversDocument = FleetCodec.servers(List.of());
-    /** Tells different lists of registered servers apart. */
-    private long serversHash = hashOf(List.of());
-    /** Latest position up to which the servers are known to be unchanged. */
-    private StorePosition serversConfirmedPosition = StorePosition.NONE;
-
-    private StorePosition serversReadPosition = StorePosition.NONE;
     private List<FleetMember> members = List.of();
     private byte[] membersDocument = NO_DOCUMENT;
     private StorePosition membersPosition = StorePosition.NONE;
@@ -74,13 +49,9 @@
     /** Latest position of a document that was read by this host or by one that sent it a digest. */
     private StorePosition latestPosition = StorePosition.NONE;
 
-    private final Departures<ServerIncarnation> departedServers = new Departures<>();
     private final Departures<HostId> departedMembers = new Departures<>();
     private LongConsumer storeRestored = readNanos -> {};
     private volatile long storeReturns;
-    /** IDs of registered servers that are not used, because only a copy of the store lists them. */
-    private Set<String> heldBackIds = Set.of();
-
     private boolean hasBeenRead;
     private long readAtNanos;
     private boolean directReadFailed;
@@ -95,17 +66,10 @@
         this.binding = binding;
         this.fleet = fleet;
         this.configurationChanged = configurationChanged;
-        this.serversChanged = serversChanged;
+        this.servers = new ServerList(serversChanged);
         this.membersChanged = membersChanged;
     }
 
-    /** One start of a server. */
-    private record ServerIncarnation(String id, long startedMillis) {
-        static ServerIncarnation of(UpstreamServer server) {
-            return new ServerIncarnation(server.id(), server.startedMillis());
-        }
-    }
-
     /**
      * Sets what is called when the store was restored from a copy, with the time of the read that has shown it. It is
      * called before the documents of that read are adopted.
@@ -116,7 +80,7 @@
 
     /** Sets how to tell whether healthy servers may be missing from the store's list at a time, after an outage. */
     void registrationGrace(LongPredicate mayLack) {
-        mayLackRegistrations = mayLack;
+        servers.registrationGrace(mayLack);
     }
 
     /** The router of the newest configuration; may be called from any thread. */
@@ -134,30 +98,28 @@
     }
 
     List<UpstreamServer> servers() {
-        return servers;
+        return servers.inUse();
     }
 
     /** A registered server by ID, or null. */
     @Nullable
     UpstreamServer server(String id) {
-        return serversById.get(id);
+        return servers.byId(id);
     }
 
     /** The registered servers of a service. */
     List<UpstreamServer> serversOf(String service) {
-        return serversByService.getOrDefault(service, List.of());
+        return servers.ofService(service);
     }
 
     /** Position of the store at which the registered servers were last known. */
     StorePosition serversKnownPosition() {
-        return serversReadPosition;
+        return servers.readPosition();
     }
 
     /** The same if a server is among the registered ones, {@link StorePosition#NONE} for one that is only kept. */
     StorePosition registeredPosition(String server) {
-        return serversById.containsKey(server) && !expiredIds.contains(server)
-                ? serversReadPosition
-                : StorePosition.NONE;
+        return servers.registeredPosition(server);
     }
 
     /** Nanoseconds since the servers were last read from the store, by this host or by one that sent it a digest. */
@@ -237,113 +199,20 @@
 
     /** Adopts the servers that the store held at a position, read at or after {@code readNanos}. */
     void serversRead(List<UpstreamServer> read, StorePosition position, long readNanos, long nowNanos, String source) {
-        if (serversReadPosition.isOfLaterEraThan(position)) {
-            logIgnoredRead("servers", position, serversReadPosition);
+        if (servers.readPosition().isOfLaterEraThan(position)) {
+            logIgnoredRead("servers", position, servers.readPosition());
             return;
         }
         recordReadTime(readNanos);
-        if (serversReadPosition.isReachedAfter(position)) {
-            return;
+        if (!servers.readPosition().isReachedAfter(position)) {
+            detectRestore(position, readNanos);
+            servers.read(read, position, source, nowNanos);
         }
-        detectRestore(position, readNanos);
-        serversReadPosition = position;
-        List<UpstreamServer> sorted = new ArrayList<>(read);
-        sorted.sort(Comparator.comparing(UpstreamServer::id));
-        if (!equalIgnoringWarmup(sorted, registered)) {
-            adoptServers(sorted, FleetCodec.servers(sorted), position, nowNanos, source);
-        } else {
-            // A later read without a change is newer than what another host adopted in between.
-            serversConfirmedPosition = position;
-        }
-        updateServersInUse(nowNanos);
-    }
-
-    private void adoptServers(
-            List<UpstreamServer> next, byte[] document, StorePosition position, long nowNanos, String source) {
-        logServers(next, position, source);
-        departedServers.listReplaced(
-                registered.stream().map(ServerIncarnation::of).toList(),
-                next.stream().map(ServerIncarnation::of).toList(),
-                next.stream()
-                        .filter(UpstreamServer::leaving)
-                        .map(ServerIncarnation::of)
-                        .toList(),
-                position.isOfLaterEraThan(serversConfirmedPosition),
-                nowNanos);
-        registered = List.copyOf(next);
-        serversDocument = document;
-        serversHash = hashOf(next);
-        serversConfirmedPosition = position;
-        serversReadPosition = serversReadPosition.later(position);
     }
 
     /** Keeps or drops the servers whose registration may have expired. Must be called a few times a second. */
     void updateServersInUse(long nowNanos) {
-        List<UpstreamServer> believed = withoutHeldBack(nowNanos);
-        List<UpstreamServer> next = withExpiredRegistrations(believed, nowNanos);
-        expiredIds = next.size() == believed.size() ? Set.of() : expiredAmong(next);
-        if (next == servers || equalIgnoringWarmup(next, servers)) {
-            return;
-        }
-        servers = List.copyOf(next);
-        serversById = next.stream().collect(Collectors.toMap(UpstreamServer::id, Function.identity(), (a, b) -> a));
-        serversByService = next.stream().collect(Collectors.groupingBy(UpstreamServer::service));
-        serversChanged.run();
-    }
-
-    /** The registered servers without those that have left and are listed only by a copy of the store. */
-    private List<UpstreamServer> withoutHeldBack(long nowNanos) {
-        heldBackIds = registered.stream()
-                .filter(server -> !server.leaving())
-                .filter(server -> departedServers.isHeldBack(ServerIncarnation.of(server), nowNanos))
-                .map(UpstreamServer::id)
-                .collect(Collectors.toSet());
-        return heldBackIds.isEmpty()
-                ? registered
-                : registered.stream()
-                        .filter(server -> !heldBackIds.contains(server.id()))
-                        .toList();
-    }
-
-    private Set<String> expiredAmong(List<UpstreamServer> used) {
-        Set<String> ids = used.stream().map(UpstreamServer::id).collect(Collectors.toCollection(HashSet::new));
-        registered.forEach(server -> ids.remove(server.id()));
-        return ids;
-    }
-
-    /**
-     * Adds the servers in use that are not registered shortly after a store outage. Their registrations may have
-     * expired while the store was unavailable, and the servers get a grace period to register again. Each host decides
-     * this by itself: after a cut of one host only, the other hosts have read that the servers have left.
-     */
-    private List<UpstreamServer> withExpiredRegistrations(List<UpstreamServer> believed, long nowNanos) {
-        if (!mayLackRegistrations.test(nowNanos)) {
-            return believed;
-        }
-        Set<String> ids = new HashSet<>();
-        Set<String> addresses = new HashSet<>();
-        for (UpstreamServer server : registered) {
-            ids.add(server.id());
-            addresses.add(server.address());
-        }
-        List<UpstreamServer> result = new ArrayList<>(believed);
-        for (UpstreamServer known : servers) {
-            if (!ids.contains(known.id()) && !addresses.contains(known.address()) && !known.leaving()) {
-                result.add(known);
-            }
-        }
-        result.sort(Comparator.comparing(UpstreamServer::id));
-        return result;
-    }
-
-    private void logServers(List<UpstreamServer> next, StorePosition position, String source) {
-        long leaving = next.stream().filter(UpstreamServer::leaving).count();
-        Event.named("servers-adopted")
-                .with("count", next.size())
-                .with("leaving", leaving)
-                .with("position", position)
-                .with("source", source)
-                .log();
+        servers.updateInUse(nowNanos);
     }
 
     /** Adopts the members that the store held at a position. */
@@ -388,7 +257,7 @@
     StatusReport report(boolean ready) {
         // Live members stay listed without a store entry, so lists of the same position may differ between hosts.
         return new StatusReport(
-                ready, router.configuration().version(), serversConfirmedPosition, serversHash, membersPosition);
+                ready, router.configuration().version(), servers.position(), servers.hash(), membersPosition);
     }
 
     /** The digest of what a reporting host does not have yet. */
@@ -398,8 +267,8 @@
                 hasBeenRead ? Math.max(0, (nowNanos - readAtNanos) / 1_000_000L) : -1,
                 version,
                 report.configurationVersion() < version ? configuration : NO_DOCUMENT,
-                serversConfirmedPosition,
-                lacksServers(report) ? serversDocument : NO_DOCUMENT,
+                servers.position(),
+                lacksServers(report) ? servers.document() : NO_DOCUMENT,
                 membersPosition,
                 membersPosition.isReachedAfter(report.membersPosition()) ? membersDocument : NO_DOCUMENT,
                 fleet.memberNamesHash(),
@@ -411,8 +280,8 @@
      * and changed back between two reads of this host, and the reporting host may have read it in between.
      */
     private boolean lacksServers(StatusReport report) {
-        return report.serversHash() != serversHash
-                && !report.serversPosition().isReachedAfter(serversConfirmedPosition);
+        return report.serversHash() != servers.hash()
+                && !report.serversPosition().isReachedAfter(servers.position());
     }
 
     /** Adopts the newer parts of a digest that a coordinator was asked for at {@code askedNanos}. */
@@ -436,15 +305,9 @@
                         from,
                         nowNanos);
             }
-            if (digest.servers().length > 0 && !serversConfirmedPosition.isReachedAfter(digest.serversPosition())) {
+            if (digest.servers().length > 0 && !servers.position().isReachedAfter(digest.serversPosition())) {
                 detectRestore(digest.serversPosition(), readNanos);
-                adoptServers(
-                        FleetCodec.servers(digest.servers()),
-                        digest.servers(),
-                        digest.serversPosition(),
-                        nowNanos,
-                        from);
-                updateServersInUse(nowNanos);
+                servers.received(digest.servers(), digest.serversPosition(), from, nowNanos);
             }
         } catch (IOException cause) {
             Event.named("digest-unreadable")
@@ -479,7 +342,7 @@
 
     /** Whether a registered server is not used, because it has left and only a copy of the store lists it. */
     boolean isHeldBack(String server) {
-        return heldBackIds.contains(server);
+        return servers.isHeldBack(server);
     }
 
     /** Whether a member has left, so that its entry comes from a copy of the store. */
@@ -493,12 +356,12 @@
             Event.named("store-restored")
                     .with("earlier", latestPosition)
                     .with("position", position)
-                    .with("servers", registered.size())
+                    .with("servers", servers.registered().size())
                     .with("members", members.size())
                     .with("configuration", router.configuration().version())
                     .warn();
             storeReturns++;
-            departedServers.storeRestored(readNanos);
+            servers.storeRestored(readNanos);
             departedMembers.storeRestored(readNanos);
             storeRestored.accept(readNanos);
         }
@@ -519,49 +382,4 @@
             readAtNanos = readNanos;
         }
     }
-
-    private static long hashOf(List<UpstreamServer> servers) {
-        StringBuilder text = new StringBuilder();
-        for (UpstreamServer server : servers) {
-            text.append(server.id())
-                    .append(' ')
-                    .append(server.startedMillis())
-                    .append(' ')
-                    .append(server.address())
-                    .append(' ')
-                    .append(server.service())
-                    .append(' ')
-                    .append(server.slots())
-                    .append(' ')
-                    .append(server.leaving())
-                    .append(' ')
-                    .append(server.dataCentre())
-                    .append('\n');
-        }
-        return StableHash.of(text.toString());
-    }
-
-    /**
-     * Compares servers without their remaining warm-up time, which changes continuously and matters only for new
-     * servers.
-     */
-    private static boolean equalIgnoringWarmup(List<UpstreamServer> left, List<UpstreamServer> right) {
-        if (left.size() != right.size()) {
-            return false;
-        }
-        for (int index = 0; index < left.size(); index++) {
-            UpstreamServer one = left.get(index);
-            UpstreamServer other = right.get(index);
-            if (!one.id().equals(other.id())
-                    || one.startedMillis() != other.startedMillis()
-                    || !one.address().equals(other.address())
-                    || !one.service().equals(other.service())
-                    || one.slots() != other.slots()
-                    || one.leaving() != other.leaving()
-                    || !Objects.equals(one.dataCentre(), other.dataCentre())) {
-                return false;
-            }
-        }
-        return true;
-    }
 }
--- a/src/test/java/org/auburnhoist/gateway/RestoredStoreTest.java
+++ b/src/test/java/org/auburnhoist/gateway/RestoredStoreTest.java
@@ -115,7 +115,7 @@
         }
     }
 
-    /** Guards against an older configuration, with a withdrawn key, on a host that starts before it is written again. */
+    /** Guards against an older configuration, with a withdrawn key, on a host that starts before the rewriting. */
     @ParameterizedTest
     @ValueSource(ints = {36, 98, 143})
     void aHostThatStartsAfterTheReturnServesTheNewestConfiguration(int hosts) {
--- a/src/test/java/org/auburnhoist/gateway/StoreCacheTest.java
+++ b/src/test/java/org/auburnhoist/gateway/StoreCacheTest.java
@@ -157,7 +157,7 @@
         assertEquals(List.of(NEW_SERVER), returned.servers());
     }
 
-    /** Guards against the older list of a read that began before the store was restored and whose response comes late. */
+    /** Guards against the older list of a read that began before the store was restored and whose response is late. */
     @Test
     void aLateReadOfAnEarlierEraIsIgnored() {
         StoreCache cache = newCache("host-2");
--- a/src/test/java/org/auburnhoist/platform/PlatformHostTest.java
+++ b/src/test/java/org/auburnhoist/platform/PlatformHostTest.java
@@ -266,8 +266,8 @@
     }
 
     /**
-     * Guards against a fleet that falls apart after the store was restored: two hosts renew one lease that was given out
-     * again, or a host that starts later creates another secret, which the running hosts do not accept.
+     * Guards against a fleet that falls apart after the store was restored: two hosts renew one lease that was given
+     * out again, or a host that starts later creates another secret, which the running hosts do not accept.
      */
     @Test
     void hostsRegisterAgainAfterTheStoreWasRestored() throws Exception {
--- a/src/test/java/org/auburnhoist/proxy/TruncatedHeadTest.java
+++ b/src/test/java/org/auburnhoist/proxy/TruncatedHeadTest.java
@@ -9,8 +9,8 @@
 import org.junit.jupiter.api.Timeout;
 
 /**
- * Guards against a success with an empty or short body, framed as whole, if a server closes its connection in the middle
- * of the head of its response.
+ * Guards against a success with an empty or short body, framed as whole, if a server closes its connection in the
+ * middle of the head of its response.
  */
 @Timeout(120)
 class TruncatedHeadTest extends ProxyTestBase {
