--- a/review/standins/Upstream.java
+++ b/review/standins/Upstream.java
@@ -12,7 +12,8 @@
 class Upstream {
     final String id;
     final Fleet fleet;
-    private final InetSocketAddress address;
+    final String service;
+    final InetSocketAddress address;
     private final long born = System.currentTimeMillis();
     private volatile String state = "ready";
     volatile int workMillis;
@@ -26,7 +27,12 @@
     static final Map<String, Long> DONE = new ConcurrentHashMap<>();
 
     Upstream(String id, Fleet fleet, int workMillis) throws IOException {
+        this(id, fleet, Fleet.SERVICE, workMillis);
+    }
+
+    Upstream(String id, Fleet fleet, String service, int workMillis) throws IOException {
         this.id = id;
+        this.service = service;
         this.fleet = fleet;
         this.workMillis = workMillis;
         address = new InetSocketAddress("127.0.2.1", Fleet.freePort());
@@ -46,7 +52,7 @@
     private void register() {
         fleet.store.put(
                 "servers/" + id,
-                "{\"service\":\"" + Fleet.SERVICE + "\",\"address\":\"" + address.getHostString() + ":"
+                "{\"service\":\"" + service + "\",\"address\":\"" + address.getHostString() + ":"
                         + address.getPort() + "\",\"zone\":\"cairo-zamalek\",\"version\":\"v1\",\"slots\":6,\"state\":\""
                         + state + "\",\"warmup_left_ms\":0,\"sequence\":" + sequence++ + ",\"born\":" + born + "}");
     }
@@ -58,9 +64,13 @@
                 return;
             }
             register();
+            registered();
         }
     }
 
+    /** Called after each heartbeat. */
+    void registered() {}
+
     static void sleep(long millis) {
         try {
             Thread.sleep(millis);
@@ -140,7 +150,7 @@
 
     final void ran(String attempt, Http request) {
         int count = RUNS.computeIfAbsent(attempt, key -> new AtomicInteger()).incrementAndGet();
-        fleet.log("server " + id + " runs " + attempt + " (" + count + ") " + request.startLine);
+        fleet.log("server " + id + " of " + service + " runs " + attempt + " (" + count + ") " + request.startLine);
     }
 
     void respond(Http request, OutputStream out) throws IOException {
