--- a/review/standins/PoisonCase.java
+++ b/review/standins/PoisonCase.java
@@ -9,8 +9,8 @@
 import java.util.concurrent.ConcurrentHashMap;
 
 /**
- * A request that crashes each server that begins to run it comes again and again, while the entry hosts are restarted
- * in turn, as for a new release.
+ * A request that crashes each server that begins to run it comes again and again. With "roll" the entry hosts are
+ * restarted in turn meanwhile, as for a new release; with "dark" the servers crash with their machines, silently.
  */
 final class PoisonCase {
     private static final String POISON = "/pay/poison";
@@ -20,6 +20,9 @@
     /** Milliseconds at which attempts of the request have crashed a server, by attempt. */
     private static final Map<String, Long> CRASHES = new ConcurrentHashMap<>();
 
+    private static boolean dark;
+    private static boolean poisonous = true;
+
     /** A server that crashes when it begins to run the request and is back after some seconds. */
     private static final class CrashingUpstream extends Upstream {
         CrashingUpstream(String id, Fleet fleet) throws IOException {
@@ -28,11 +31,15 @@
 
         @Override
         boolean answer(Http head, Socket socket) throws IOException {
-            if (head.startLine.contains(POISON) && head.header("X-Target-Instance").equals(id)) {
+            if (poisonous && head.startLine.contains(POISON) && head.header("X-Target-Instance").equals(id)) {
                 String attempt = head.header("X-Attempt-Id");
                 ran(attempt, head);
                 CRASHES.putIfAbsent(attempt, fleet.millis());
-                crash();
+                if (dark) {
+                    darken();
+                } else {
+                    crash();
+                }
                 daemon(() -> {
                     sleep(BACK_AFTER_MILLIS);
                     try {
@@ -41,8 +48,12 @@
                         fleet.log("the server did not come back: " + taken.getMessage());
                     }
                 });
+                sleep(dark ? 600_000 : 0);
                 return false;
             }
+            if (isDark()) {
+                sleep(600_000);
+            }
             return super.answer(head, socket);
         }
     }
@@ -51,6 +62,8 @@
 
     public static void main(String[] arguments) throws Exception {
         boolean trouble = !"0".equals(System.getenv("TROUBLE"));
+        dark = arguments[1].equals("dark");
+        poisonous = trouble || !dark;
         Fleet fleet = new Fleet(arguments[0]);
         fleet.store.put("op/config", Fleet.configuration(1, 1000, 1000));
         for (int number = 1; number <= 6; number++) {
@@ -73,7 +86,7 @@
         boolean rolling = false;
         int next = 0;
         while (fleet.millis() < end) {
-            if (trouble && !rolling && fleet.millis() > rollAt) {
+            if (trouble && !dark && !rolling && fleet.millis() > rollAt) {
                 rolling = true;
                 roll.start();
             }
@@ -90,6 +103,10 @@
         }
 
         List<Long> crashTimes = CRASHES.values().stream().sorted().toList();
+        if (!poisonous) {
+            long ok = attempts.stream().filter(attempt -> attempt.status() == 200).count();
+            fleet.finish(ok == 0 ? 2 : 0, "attempts: " + attempts.size() + ", served: " + ok + ", crashes: 0");
+        }
         if (crashTimes.size() < 3) {
             fleet.finish(2, "the case could not run: " + crashTimes.size() + " crashes");
         }
--- a/review/standins/Upstream.java
+++ b/review/standins/Upstream.java
@@ -21,6 +21,7 @@
     private final ServerSocket listener;
     private final java.util.Set<Socket> sockets = ConcurrentHashMap.newKeySet();
     private volatile boolean crashed;
+    private volatile boolean isDark;
     /** How often each attempt has run. */
     static final Map<String, AtomicInteger> RUNS = new ConcurrentHashMap<>();
     /** When the server has finished its work on an attempt. */
@@ -94,6 +95,22 @@
         });
     }
 
+    /** Loses power: nothing is answered on the open connections, new ones aren't accepted, and nothing is closed. */
+    final void darken() throws IOException {
+        fleet.log("server " + id + " loses power");
+        isDark = true;
+        crashed = true;
+        listener.close();
+        daemon(() -> {
+            sleep(4_500);
+            fleet.store.remove("servers/" + id);
+        });
+    }
+
+    final boolean isDark() {
+        return isDark;
+    }
+
     private void accept() {
         while (true) {
             try {
@@ -143,6 +160,9 @@
         }
         ran(attempt, request);
         sleep(workMillis);
+        if (isDark) {
+            sleep(600_000);
+        }
         DONE.put(attempt, fleet.millis());
         respond(request, out);
         return true;
