--- a/review/standins/DescriptorCase.java
+++ b/review/standins/DescriptorCase.java
@@ -21,6 +21,7 @@
     private static final int CONTACT_MILLIS = 3_000;
 
     public static void main(String[] arguments) throws Exception {
+        Fleet.exitWithTwoOnFailure();
         boolean trouble = !"0".equals(System.getenv("TROUBLE"));
         Fleet fleet = new Fleet(arguments[0]);
         fleet.store.put("op/config", Fleet.configuration(1, 1000, 1000));
@@ -69,6 +70,9 @@
                     answers.release();
                 });
             } catch (IOException refused) {
+                if (String.valueOf(refused.getMessage()).contains("Too many open files")) {
+                    fleet.finish(2, "the case could not run: this process may open too few files itself");
+                }
                 refusedInARow++;
                 fleet.log("a connection to " + host.name + " was not accepted: " + refused.getMessage());
             }
--- a/review/standins/EntryCase.java
+++ b/review/standins/EntryCase.java
@@ -43,6 +43,7 @@
     }
 
     public static void main(String[] arguments) throws Exception {
+        Fleet.exitWithTwoOnFailure();
         boolean trouble = !"0".equals(System.getenv("TROUBLE"));
         Fleet fleet = new Fleet(arguments[0]);
         fleet.store.put("op/config", Fleet.configuration(1, 1000, 1000));
--- a/review/standins/Fleet.java
+++ b/review/standins/Fleet.java
@@ -95,6 +95,14 @@
         Runtime.getRuntime().addShutdownHook(new Thread(this::end));
     }
 
+    /** Lets the case end with 2, could not run, if its main thread fails. */
+    static void exitWithTwoOnFailure() {
+        Thread.currentThread().setUncaughtExceptionHandler((thread, cause) -> {
+            cause.printStackTrace();
+            System.exit(2);
+        });
+    }
+
     static synchronized int freePort() throws IOException {
         while (true) {
             int port = 20_000 + (int) (Math.random() * 12_000);
--- a/review/standins/PoisonCase.java
+++ b/review/standins/PoisonCase.java
@@ -61,6 +61,7 @@
     private record Attempt(String id, Fleet.Host host, long sentMillis, int status) {}
 
     public static void main(String[] arguments) throws Exception {
+        Fleet.exitWithTwoOnFailure();
         boolean trouble = !"0".equals(System.getenv("TROUBLE"));
         dark = arguments[1].equals("dark");
         poisonous = trouble || !dark;
--- a/review/standins/StopCase.java
+++ b/review/standins/StopCase.java
@@ -9,6 +9,7 @@
     private static final long GRACE_MILLIS = 6_000;
 
     public static void main(String[] arguments) throws Exception {
+        Fleet.exitWithTwoOnFailure();
         boolean trouble = !"0".equals(System.getenv("TROUBLE"));
         Fleet fleet = new Fleet(arguments[0]);
         fleet.store.put("op/config", Fleet.configuration(1, 1000, 1000));
