--- a/review/standins/StopCase.java
+++ b/review/standins/StopCase.java
@@ -1,12 +1,16 @@
+import java.net.Socket;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 
 /** SIGTERM of an entry host whose callers keep connections open, as long as they may keep its address. */
 final class StopCase {
     private static final int CALLERS = 60;
     private static final long GRACE_MILLIS = 6_000;
+    private static final double MAX_TTL_SECONDS = 5;
 
     public static void main(String[] arguments) throws Exception {
         Fleet.exitWithTwoOnFailure();
@@ -21,9 +25,9 @@
         Thread.sleep(4_000);
         Fleet.Host stopped = hosts.get(0);
 
-        // Each caller asks for the addresses at a time of its own and uses them for 3 x ttl_s = 6 s. It has one open
-        // connection to the host, on which it has got one answer, and sends its next booking 0.2 s before it would ask
-        // for the addresses again.
+        // Each caller asks for the addresses at a time of its own and uses them for three times the ttl_s of the answer. It
+        // has one open connection to the host, on which it has got one answer, and sends its next booking 0.2 s before
+        // it would ask for the addresses again.
         long signalAt = fleet.millis() + 8_000;
         ConcurrentLinkedQueue<Client.Result> results = new ConcurrentLinkedQueue<>();
         List<Thread> threads = new ArrayList<>();
@@ -79,9 +83,15 @@
             Fleet fleet, Fleet.Host host, long resolvedAt, ConcurrentLinkedQueue<Client.Result> results) {
         try {
             sleepUntil(fleet, resolvedAt);
+            long askedAt = fleet.millis();
+            double seconds = validSeconds(host);
+            if (seconds < 0) {
+                fleet.log("the answer doesn't name " + host.name);
+                return;
+            }
             Client client = new Client(fleet, host.address());
             results.add(client.book());
-            sleepUntil(fleet, resolvedAt + 5_800);
+            sleepUntil(fleet, askedAt + (long) (3_000 * Math.min(MAX_TTL_SECONDS, seconds)) - 200);
             results.add(client.book());
             client.close();
         } catch (Exception refused) {
@@ -89,6 +99,23 @@
         }
     }
 
+    /** Asks the directory for the addresses; returns their {@code ttl_s}, or -1 if the host isn't among them. */
+    private static double validSeconds(Fleet.Host host) throws Exception {
+        try (Socket socket = new Socket()) {
+            socket.connect(host.directoryAddress(), 1_000);
+            socket.setSoTimeout(2_000);
+            socket.getOutputStream()
+                    .write(("GET /api/resolve?name=pay.example&region=cairo&zone=cairo-zamalek HTTP/1.1\r\n"
+                                    + "Host: directory\r\nConnection: close\r\n\r\n")
+                            .getBytes());
+            Http answer = Http.read(socket.getInputStream(), true);
+            String body = answer == null ? "" : new String(answer.body);
+            String address = host.ip + ":" + host.address().getPort();
+            Matcher ttl = Pattern.compile("\"ttl_s\":([0-9.]+)").matcher(body);
+            return body.contains(address) && ttl.find() ? Double.parseDouble(ttl.group(1)) : -1;
+        }
+    }
+
     private static void sleepUntil(Fleet fleet, long millis) throws InterruptedException {
         Thread.sleep(Math.max(0, millis - fleet.millis()));
     }
