--- a/review/standins/PoisonCase.java
+++ b/review/standins/PoisonCase.java
@@ -67,7 +67,7 @@
         poisonous = trouble || !dark;
         Fleet fleet = new Fleet(arguments[0]);
         fleet.store.put("op/config", Fleet.configuration(1, 1000, 1000));
-        for (int number = 1; number <= 6; number++) {
+        for (int number = 1; number <= 8; number++) {
             new CrashingUpstream("i-" + Fleet.newId(), fleet);
         }
         List<Fleet.Host> hosts = fleet.startHosts(3, Map.of());
