Name the requests that a planned stop cuts, and count each once

The log said "requests_in_progress=10" and "requests_cut=4", which counted each request twice, as an exchange and as a forwarding, and named none. So it could not tell requests from before the listener closed from later ones, nor those at a server from those that wait for one.

host-stopped now counts each request once, and a line request-cut for each gives its id, path, age and whether it was sent to a server.

--- a/src/main/java/org/auburnhoist/gateway/GatewayShutdown.java
+++ b/src/main/java/org/auburnhoist/gateway/GatewayShutdown.java
@@ -1,10 +1,12 @@
 package org.auburnhoist.gateway;
 
 import java.time.Duration;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.LongConsumer;
 import org.auburnhoist.host.ControlThread;
 import org.auburnhoist.proxy.ProxyServer;
+import org.auburnhoist.proxy.UnfinishedRequest;
 import org.auburnhoist.support.Event;
 
 /**
@@ -57,7 +59,7 @@
     private void stopAccepting(long nowNanos) {
         proxy.stopAccepting();
         Event.named("stopped-accepting")
-                .with("requests_in_progress", proxy.requestsInProgress())
+                .with("requests_in_progress", proxy.unfinishedRequests().size())
                 .log();
         awaitRequests(nowNanos);
     }
@@ -70,9 +72,18 @@
             return;
         }
         end.run();
+        List<UnfinishedRequest> cut = proxy.unfinishedRequests();
+        for (UnfinishedRequest request : cut) {
+            Event.named("request-cut")
+                    .with("id", request.requestId())
+                    .with("path", request.path())
+                    .with("age_millis", request.ageMillis())
+                    .with("sent", request.sent())
+                    .warn();
+        }
         Event.named("host-stopped")
                 .with("host", settings.name())
-                .with("requests_cut", remaining)
+                .with("requests_cut", cut.size())
                 .log();
         finished.complete(null);
     }
--- a/src/main/java/org/auburnhoist/proxy/CallerConnection.java
+++ b/src/main/java/org/auburnhoist/proxy/CallerConnection.java
@@ -269,6 +269,12 @@
         return List.copyOf(runningExchanges);
     }
 
+    List<UnfinishedRequest> unfinishedRequests(long now) {
+        return runningExchanges().stream()
+                .flatMap(exchange -> exchange.unfinished(now).stream())
+                .toList();
+    }
+
     private void stopSending() {
         if (session.channel() instanceof SocketChannel channel) {
             try {
--- a/src/main/java/org/auburnhoist/proxy/CallerExchange.java
+++ b/src/main/java/org/auburnhoist/proxy/CallerExchange.java
@@ -6,6 +6,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import org.apache.hc.core5.http.EntityDetails;
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpException;
@@ -39,7 +41,7 @@
     private volatile @Nullable ForwardedExchange forwarded;
     private volatile @Nullable BodySource responseBody;
     private @Nullable ResponseChannel responseChannel;
-    private @Nullable RequestHead head;
+    private volatile @Nullable RequestHead head;
     /** A response that waits for the responses to earlier requests. */
     private @Nullable PendingResponse pendingResponse;
     /** An exchange that waits until earlier requests have been answered. */
@@ -320,6 +322,18 @@
         return written;
     }
 
+    /** Describes the request; empty if its response is complete or its head was invalid. */
+    Optional<UnfinishedRequest> unfinished(long now) {
+        RequestHead received = head;
+        if (received == null || isWritten()) {
+            return Optional.empty();
+        }
+        ForwardedExchange current = forwarded;
+        long ageMillis = TimeUnit.NANOSECONDS.toMillis(now - startedNanos);
+        return Optional.of(new UnfinishedRequest(
+                received.requestId(), received.path(), ageMillis, current != null && current.isSent()));
+    }
+
     private void markWritten() {
         synchronized (this) {
             if (written) {
--- a/src/main/java/org/auburnhoist/proxy/ForwardedExchange.java
+++ b/src/main/java/org/auburnhoist/proxy/ForwardedExchange.java
@@ -88,6 +88,12 @@
         return readAheadComplete;
     }
 
+    /** Whether any byte of the request may have been written to a server. */
+    synchronized boolean isSent() {
+        UpstreamAttempt running = attempt;
+        return anyAttemptSent || (running != null && running.isSent());
+    }
+
     /** Starts the first attempt if enough of the request body has been received. */
     synchronized void checkRequestBody() {
         if (state != State.COLLECTING_BODY || deadlineTimer == null) {
@@ -150,13 +156,7 @@
     }
 
     private BasicHttpRequest request(Forwarding.Target.ServerTarget granted) {
-        WireRules rules = server.settings().wireRules;
-        BasicHttpRequest request = UpstreamRequests.build(
-                head,
-                forwarding.rewritePath(head.path()),
-                bufferedBody,
-                rules.upstreamRequestHeaders(head, granted, forwarding.team(), server.settings().hostName));
-        request.setHeader(rules.requestIdHeader(), head.requestId());
+        BasicHttpRequest request = UpstreamRequests.build(head, forwarding, granted, bufferedBody, server.settings());
         if (resuming && resumable != null) {
             resumable.addRange(request);
         }
--- a/src/main/java/org/auburnhoist/proxy/ProxyServer.java
+++ b/src/main/java/org/auburnhoist/proxy/ProxyServer.java
@@ -6,6 +6,7 @@
 import java.net.SocketAddress;
 import java.nio.channels.ClosedSelectorException;
 import java.time.Duration;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
@@ -103,6 +104,14 @@
         }
     }
 
+    /** The requests of connected callers whose responses are not complete. */
+    public List<UnfinishedRequest> unfinishedRequests() {
+        long now = now();
+        return connections.stream()
+                .flatMap(connection -> connection.unfinishedRequests(now).stream())
+                .toList();
+    }
+
     /** Number of open caller connections. */
     public int callerConnections() {
         return connections.size();
--- a/src/main/java/org/auburnhoist/proxy/UpstreamRequests.java
+++ b/src/main/java/org/auburnhoist/proxy/UpstreamRequests.java
@@ -13,15 +13,24 @@
     /**
      * Builds the request head of one attempt.
      *
-     * @param path path to forward
+     * @param head the caller's request
+     * @param forwarding determines the path and the team
+     * @param target the chosen server
      * @param bufferedBody the whole body, or null if the body is streamed
-     * @param headers end-to-end headers for the server
+     * @param settings determine the headers
      */
     static BasicHttpRequest build(
-            RequestHead head, String path, byte @Nullable [] bufferedBody, List<Map.Entry<String, String>> headers) {
-        String target = head.query() == null ? path : path + "?" + head.query();
-        BasicHttpRequest request = new BasicHttpRequest(head.method(), target);
-        headers.forEach(header -> request.addHeader(header.getKey(), header.getValue()));
+            RequestHead head,
+            Forwarding forwarding,
+            Forwarding.Target.ServerTarget target,
+            byte @Nullable [] bufferedBody,
+            ProxySettings settings) {
+        WireRules rules = settings.wireRules;
+        String path = forwarding.rewritePath(head.path());
+        BasicHttpRequest request =
+                new BasicHttpRequest(head.method(), head.query() == null ? path : path + "?" + head.query());
+        rules.upstreamRequestHeaders(head, target, forwarding.team(), settings.hostName)
+                .forEach(header -> request.addHeader(header.getKey(), header.getValue()));
         if (bufferedBody == null && head.contentLength() < 0) {
             request.setHeader("Transfer-Encoding", "chunked");
         } else if (bufferedBody == null) {
@@ -29,6 +38,7 @@
         } else if (bufferedBody.length > 0 || head.header("Content-Length") != null) {
             request.setHeader("Content-Length", Integer.toString(bufferedBody.length));
         }
+        request.setHeader(rules.requestIdHeader(), head.requestId());
         return request;
     }
 
