Refuse the requests that come late in a planned stop, instead of cutting them

Cause: a stopping host closed its listener, but went on taking requests on the connections that were open, up to its last moment; at 0.93 of the stop limit all that was in progress was cut. Each booking that came less than its server's time before that was lost. In the process's last 0.33 s nothing was delivered either: the virtual machine halted while its selectors still ran.

What is left at the end is answered: refused as not run if no server has it, otherwise as unknown. Idle connections end with an orderly close, then the host closes its threads before the halt.

--- a/src/main/java/org/auburnhoist/gateway/GatewayHost.java
+++ b/src/main/java/org/auburnhoist/gateway/GatewayHost.java
@@ -139,10 +139,12 @@
         }
     }
 
-    /** Begins a planned stop; completes when the last request has finished. */
+    /** Begins a planned stop; completes when the last request has finished and the host is closed. */
     public CompletableFuture<Void> stop() {
         stopping = true;
-        return new GatewayShutdown(settings, control, this::leave, lease::end, proxy).begin();
+        return new GatewayShutdown(settings, control, this::leave, lease::end, proxy)
+                .begin()
+                .thenRun(this::close);
     }
 
     private void leave(long nowNanos) {
--- a/src/main/java/org/auburnhoist/proxy/AttemptReporter.java
+++ b/src/main/java/org/auburnhoist/proxy/AttemptReporter.java
@@ -12,6 +12,7 @@
     private boolean responseReceived;
     private boolean lostAfterSending;
     private boolean reported = true;
+    private boolean mayHaveRun;
 
     AttemptReporter(Forwarding forwarding) {
         this.forwarding = forwarding;
@@ -28,6 +29,12 @@
     /** Called when the connection was lost and the attempt continues on a new connection to the same server. */
     void movedToNewConnection(boolean sent) {
         lostAfterSending = sent;
+        mayHaveRun |= sent;
+    }
+
+    /** Whether the request was written to a server that did not reject it. */
+    boolean mayHaveRun() {
+        return mayHaveRun;
     }
 
     /** Called when the head of the response has been received. */
@@ -49,6 +56,7 @@
             return false;
         }
         reported = true;
+        mayHaveRun |= sent && outcome != AttemptOutcome.REJECTED && outcome != AttemptOutcome.MISDIRECTED;
         long endNanos = responseReceived ? firstByteNanos : nowNanos;
         long micros = Math.max(0, endNanos - startedNanos) / NANOS_PER_MICRO;
         // A server that received a request and then refuses a new connection may have crashed because of the request.
--- a/src/main/java/org/auburnhoist/proxy/CallerConnection.java
+++ b/src/main/java/org/auburnhoist/proxy/CallerConnection.java
@@ -146,6 +146,30 @@
         }
     }
 
+    /**
+     * Closes the connection unless a request is in progress or its head has begun to arrive. A request that is on its
+     * way is dropped without having been read.
+     */
+    void closeIfIdle() {
+        boolean flushed;
+        synchronized (this) {
+            if (closing || headStarted || exchangeReserved || !runningExchanges.isEmpty()) {
+                return;
+            }
+            startClosing();
+            flushed = endedUnflushed == 0;
+            sendingStopped = flushed;
+        }
+        if (flushed) {
+            stopSending();
+        }
+    }
+
+    /** Ends the requests that have no response yet. */
+    void endRequests() {
+        runningExchanges().forEach(CallerExchange::hostStopped);
+    }
+
     /** Called when the end of a response was passed to the output buffer. */
     void responseEnded(CallerExchange ended) {
         synchronized (this) {
--- a/src/main/java/org/auburnhoist/proxy/CallerExchange.java
+++ b/src/main/java/org/auburnhoist/proxy/CallerExchange.java
@@ -1,7 +1,6 @@
 package org.auburnhoist.proxy;
 
 import java.io.IOException;
-import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.List;
@@ -22,6 +21,7 @@
 import org.auburnhoist.core.Refusal;
 import org.auburnhoist.core.TrafficClass;
 import org.auburnhoist.core.message.RecordedResponse;
+import org.auburnhoist.support.Event;
 import org.jspecify.annotations.Nullable;
 
 /** One request of a caller and its response. */
@@ -84,8 +84,14 @@
             refuse(rejected.refusal(), rejected.detail(), -1, List.of());
             return;
         }
-        RequestHead received = receivedHead(request, entity);
+        RequestHead received = RequestHead.of(server.nextRequestId(), request, entity, connection.session());
         head = received;
+        if (server.isRefusing()) {
+            connection.endAfterRunning();
+            logRefusedLate(received);
+            hostStopped();
+            return;
+        }
         if (closeRequested()) {
             connection.endAfterRunning();
         }
@@ -102,20 +108,13 @@
         }
     }
 
-    private RequestHead receivedHead(HttpRequest request, @Nullable EntityDetails entity) {
-        String target = request.getPath();
-        int queryStart = target.indexOf('?');
-        String remote = connection.session().getRemoteAddress() instanceof InetSocketAddress address
-                ? address.getAddress().getHostAddress()
-                : "unknown";
-        return new RequestHead(
-                server.nextRequestId(),
-                request.getMethod(),
-                queryStart < 0 ? target : target.substring(0, queryStart),
-                queryStart < 0 ? null : target.substring(queryStart + 1),
-                HeaderRules.toEntries(request.getHeaders()),
-                entity == null ? 0 : entity.getContentLength(),
-                remote);
+    private static void logRefusedLate(RequestHead received) {
+        Event.named("request")
+                .with("id", received.requestId())
+                .with("path", received.path())
+                .with("refusal", Refusal.HOST_STOPPING.code())
+                .with("outcome", Refusal.HOST_STOPPING.outcome().headerValue())
+                .log();
     }
 
     private void admitted(@Nullable Admission admission, @Nullable Throwable failure) {
@@ -162,16 +161,12 @@
      * responses.
      */
     private static boolean mayRunPipelined(RequestHead received, Forwarding forwarding) {
-        return forwarding.trafficClass() == TrafficClass.LOOKUP && !expectsContinue(received);
-    }
-
-    private static boolean expectsContinue(RequestHead received) {
-        return HeaderRules.hasToken(received.headers(), "Expect", "100-continue");
+        return forwarding.trafficClass() == TrafficClass.LOOKUP && !received.expectsContinue();
     }
 
     private void startForwarding(ForwardedExchange started) {
         RequestHead received = head;
-        if (received != null && expectsContinue(received)) {
+        if (received != null && received.expectsContinue()) {
             sendContinue();
         }
         started.start();
@@ -394,6 +389,16 @@
         }
     }
 
+    /** Answers the request, unless a response has started, because the host stops. */
+    void hostStopped() {
+        ForwardedExchange current = forwarded;
+        if (current != null) {
+            current.hostStopped();
+        } else {
+            refuse(Refusal.HOST_STOPPING, "This host is stopping; another one takes the request.", 0, List.of());
+        }
+    }
+
     private void refuseTooLarge() {
         refuse(Refusal.REQUEST_TOO_LARGE, "The body of the request is too large.", -1, List.of());
     }
--- a/src/main/java/org/auburnhoist/proxy/ForwardedExchange.java
+++ b/src/main/java/org/auburnhoist/proxy/ForwardedExchange.java
@@ -49,10 +49,8 @@
     private @Nullable UpstreamAttempt attempt;
     private final AttemptReporter reporter;
     private boolean newConnectionTried;
-    private boolean anyAttemptSent;
-    private long lastResponseNanos;
+    private final ExchangeDeadlines deadlines;
     private @Nullable ResumableResponse resumable;
-    private boolean resuming;
     private @Nullable Refusal bodyFailure;
     private String bodyFailureDetail = "";
 
@@ -71,6 +69,7 @@
         this.head = head;
         this.forwarding = forwarding;
         this.reporter = new AttemptReporter(forwarding);
+        this.deadlines = new ExchangeDeadlines(forwarding, server.settings());
         this.idempotent = forwarding.trafficClass().isIdempotent();
         server.forwardingStarted();
     }
@@ -91,7 +90,7 @@
     /** Whether any byte of the request may have been written to a server. */
     synchronized boolean isSent() {
         UpstreamAttempt running = attempt;
-        return anyAttemptSent || (running != null && running.isSent());
+        return reporter.mayHaveRun() || (running != null && running.isSent());
     }
 
     /** Starts the first attempt if enough of the request body has been received. */
@@ -118,9 +117,12 @@
 
     private synchronized void targetChosen(Forwarding.@Nullable Target chosen) {
         if (state != State.CHOOSING) {
+            if (chosen instanceof Forwarding.Target.ServerTarget) {
+                forwarding.attemptEnded(AttemptOutcome.ABANDONED, false, 0, server.now());
+            }
             return;
         }
-        boolean late = !isInTime();
+        boolean late = !deadlines.isInTime(server.now());
         if (chosen instanceof Forwarding.Target.ServerTarget granted) {
             if (!disconnected && bodyFailure == null && !late) {
                 target = granted;
@@ -133,7 +135,7 @@
         }
         if (disconnected) {
             done();
-        } else if (resuming) {
+        } else if (deadlines.isResuming()) {
             abortResponse();
         } else if (bodyFailure != null) {
             refuse(bodyFailure, bodyFailureDetail, -1);
@@ -149,15 +151,15 @@
         byte[] buffered = bufferedBody;
         BodySource body =
                 buffered == null ? caller.requestBody() : buffered.length > 0 ? new BufferedBody(buffered) : null;
-        UpstreamAttempt started =
-                new UpstreamAttempt(this, this.server, server, newConnection, request(server), body, deadlineNanos());
+        UpstreamAttempt started = new UpstreamAttempt(
+                this, this.server, server, newConnection, request(server), body, deadlines.deadlineNanos());
         attempt = started;
         started.start();
     }
 
     private BasicHttpRequest request(Forwarding.Target.ServerTarget granted) {
         BasicHttpRequest request = UpstreamRequests.build(head, forwarding, granted, bufferedBody, server.settings());
-        if (resuming && resumable != null) {
+        if (deadlines.isResuming() && resumable != null) {
             resumable.addRange(request);
         }
         return request;
@@ -172,12 +174,11 @@
         if (notice.isPresent()) {
             forwarding.serverNotice(notice, server.now());
         }
-        if (resuming) {
+        if (deadlines.isResuming()) {
             continueResponse(source, code, headers, entity);
             return;
         }
-        lastResponseNanos = server.now();
-        reporter.responseReceived(lastResponseNanos);
+        markResponseReceived();
         status = code;
         responseHeaders = headers;
         AttemptOutcome outcome = server.settings().wireRules.attemptOutcome(code, headers);
@@ -188,8 +189,7 @@
                 && !disconnected) {
             retry = reportAttempt(source, outcome);
         }
-        anyAttemptSent |= !rejected;
-        if (retry && isInTime()) {
+        if (retry && deadlines.isInTime(server.now())) {
             source.abandon();
             chooseTarget();
             return;
@@ -246,11 +246,16 @@
         }
     }
 
+    private void markResponseReceived() {
+        long now = server.now();
+        deadlines.responseReceived(now);
+        reporter.responseReceived(now);
+    }
+
     /** Forwards the remainder of a truncated response, or aborts it if the new response is anything else. */
     private void continueResponse(
             UpstreamAttempt source, int code, List<Map.Entry<String, String>> headers, @Nullable EntityDetails entity) {
-        lastResponseNanos = server.now();
-        reporter.responseReceived(lastResponseNanos);
+        markResponseReceived();
         ResumableResponse started = resumable;
         if (started != null && entity != null && started.isContinuedBy(code, headers, entity.getContentLength())) {
             state = State.RESPONDING;
@@ -262,31 +267,20 @@
     }
 
     private void resumeOrAbort(boolean retry) {
-        if (retry && resumable != null && !disconnected && !isPastResponseDeadline(server.now())) {
-            resuming = true;
-            lastResponseNanos = server.now();
+        if (retry && resumable != null && !disconnected && !deadlines.isPastResponseDeadline(server.now())) {
+            deadlines.resumed(server.now());
             chooseTarget();
         } else {
             abortResponse();
         }
     }
 
-    private long deadlineNanos() {
-        return resuming
-                ? lastResponseNanos + server.settings().answerIdleTimeout.toNanos()
-                : forwarding.deadlineNanos();
-    }
-
-    private boolean isInTime() {
-        return server.now() - deadlineNanos() < 0;
-    }
-
     synchronized void responseDataReceived(UpstreamAttempt source, ByteBuffer data) {
         if (source != attempt || state != State.RESPONDING) {
             data.position(data.limit());
             return;
         }
-        lastResponseNanos = server.now();
+        deadlines.responseReceived(server.now());
         if (!idempotent) {
             responseRecorder.add(data);
         }
@@ -329,12 +323,11 @@
         if (source != attempt || (state != State.ATTEMPTING && state != State.RESPONDING)) {
             return;
         }
-        anyAttemptSent |= source.isSent();
         if (state == State.RESPONDING) {
             resumeOrAbort(reportAttempt(source, AttemptOutcome.TRUNCATED));
             return;
         }
-        boolean possible = isRetryable(source) && !disconnected && isInTime();
+        boolean possible = isRetryable(source) && !disconnected && deadlines.isInTime(server.now());
         if (possible
                 && outcome != AttemptOutcome.WITHHELD
                 && source.usesReusedConnection()
@@ -350,9 +343,9 @@
         boolean retry = reportAttempt(source, outcome);
         if (possible && retry) {
             chooseTarget();
-        } else if (resuming) {
+        } else if (deadlines.isResuming()) {
             abortResponse();
-        } else if (anyAttemptSent) {
+        } else if (reporter.mayHaveRun()) {
             refuse(Refusal.UPSTREAM_FAILED, "The server's connection broke before its answer.", -1);
         } else {
             refuse(Refusal.UPSTREAM_UNREACHABLE, "No connection to a server could be opened.", REJECTED_RETRY_MILLIS);
@@ -367,45 +360,51 @@
     }
 
     private synchronized void deadlineReached() {
-        UpstreamAttempt running = attempt;
         if (state == State.COLLECTING_BODY) {
             refuse(Refusal.REQUEST_TIMEOUT, "The body of the request did not arrive before the deadline.", -1);
-        } else if (state == State.ATTEMPTING && running != null && !resuming) {
-            running.abandon();
-            boolean sent = running.isSent();
-            anyAttemptSent |= sent;
-            reportAttempt(running, sent ? AttemptOutcome.TIMEOUT : AttemptOutcome.ABANDONED);
-            if (anyAttemptSent) {
-                refuse(Refusal.UPSTREAM_TIMEOUT, "The server did not answer before the deadline.", -1);
-            } else {
-                refuse(Refusal.SERVICE_OVERLOADED, "No connection was free before the deadline.", -1);
-            }
+        } else {
+            endAttempt(AttemptOutcome.TIMEOUT, Refusal.SERVICE_OVERLOADED, -1);
+        }
+    }
+
+    /** Ends the request, unless a response has started, because the host stops. */
+    synchronized void hostStopped() {
+        if ((state == State.COLLECTING_BODY || state == State.CHOOSING) && !deadlines.isResuming()) {
+            refuse(Refusal.HOST_STOPPING, "The host stops before a server was free.", 0);
+        } else {
+            endAttempt(AttemptOutcome.ABANDONED, Refusal.HOST_STOPPING, 0);
+        }
+    }
+
+    private void endAttempt(AttemptOutcome outcomeIfSent, Refusal refusalIfNotSent, long retryAfterMillis) {
+        if (state != State.ATTEMPTING || deadlines.isResuming()) {
+            return;
+        }
+        abandonAttempt(outcomeIfSent);
+        if (reporter.mayHaveRun()) {
+            refuse(Refusal.UPSTREAM_TIMEOUT, "The server did not answer in time.", -1);
+        } else {
+            refuse(refusalIfNotSent, "No connection was free in time.", retryAfterMillis);
         }
     }
 
     /** Checks the idle timeout between bytes of the response; time in which the caller reads slowly does not count. */
     synchronized void checkTimeouts(long now) {
         UpstreamAttempt running = attempt;
-        boolean started = state == State.RESPONDING || (resuming && state == State.ATTEMPTING);
+        boolean started = state == State.RESPONDING || (deadlines.isResuming() && state == State.ATTEMPTING);
         if (!started || running == null) {
             return;
         }
         if (state == State.RESPONDING && responseBody.isFull()) {
-            lastResponseNanos = now;
+            deadlines.responseReceived(now);
         }
-        boolean pausedTooLong =
-                now - lastResponseNanos > server.settings().answerIdleTimeout.toNanos();
-        if (pausedTooLong || isPastResponseDeadline(now)) {
+        if (deadlines.isPausedTooLong(now) || deadlines.isPastResponseDeadline(now)) {
             running.abandon();
-            resumeOrAbort(reportAttempt(running, resuming ? AttemptOutcome.TIMEOUT : AttemptOutcome.TRUNCATED));
+            resumeOrAbort(
+                    reportAttempt(running, deadlines.isResuming() ? AttemptOutcome.TIMEOUT : AttemptOutcome.TRUNCATED));
         }
     }
 
-    private boolean isPastResponseDeadline(long now) {
-        long limit = forwarding.responseDeadlineNanos();
-        return limit != Long.MAX_VALUE && now - limit > 0;
-    }
-
     synchronized void requestBodyFailed(Refusal reason, String detail) {
         bodyFailure = reason;
         bodyFailureDetail = detail;
@@ -413,7 +412,7 @@
             refuse(reason, detail, -1);
         } else if (state == State.ATTEMPTING || state == State.RESPONDING) {
             boolean responding = state == State.RESPONDING;
-            abandonAttempt();
+            abandonAttempt(AttemptOutcome.ABANDONED);
             if (responding) {
                 abortResponse();
             } else {
@@ -422,12 +421,11 @@
         }
     }
 
-    private void abandonAttempt() {
+    private void abandonAttempt(AttemptOutcome outcomeIfSent) {
         UpstreamAttempt running = attempt;
         if (running != null) {
             running.abandon();
-            anyAttemptSent |= running.isSent();
-            reportAttempt(running, AttemptOutcome.ABANDONED);
+            reportAttempt(running, running.isSent() ? outcomeIfSent : AttemptOutcome.ABANDONED);
         }
     }
 
@@ -445,7 +443,7 @@
                 boolean sentWhole =
                         running != null && running.isSent() && (bufferedBody != null || caller.isBodyComplete());
                 if (idempotent || !sentWhole) {
-                    abandonAttempt();
+                    abandonAttempt(AttemptOutcome.ABANDONED);
                     done();
                 }
             }
@@ -471,7 +469,7 @@
 
     private void refuse(Refusal reason, String detail, long retryAfterMillis) {
         Refusal sentRefusal =
-                anyAttemptSent && reason.outcome() == Refusal.Outcome.NOT_RUN ? Refusal.UPSTREAM_FAILED : reason;
+                reporter.mayHaveRun() && reason.outcome() == Refusal.Outcome.NOT_RUN ? Refusal.UPSTREAM_FAILED : reason;
         state = State.DONE;
         refusal = sentRefusal;
         status = server.settings().wireRules.status(sentRefusal);
--- a/src/main/java/org/auburnhoist/proxy/ProxyServer.java
+++ b/src/main/java/org/auburnhoist/proxy/ProxyServer.java
@@ -34,7 +34,7 @@
  * ProxyServer proxy = ProxyServer.start(settings, policy);
  * ...
  * proxy.stopAccepting();
- * proxy.close(Duration.ofSeconds(30));
+ * proxy.close(Duration.ofSeconds(30));   // waits for the requests in progress
  * }</pre>
  */
 public final class ProxyServer implements AutoCloseable {
@@ -54,6 +54,7 @@
     private final Object inProgressLock = new Object();
     private int inProgress;
     private volatile boolean stopping;
+    private volatile boolean refusing;
     private final InetSocketAddress address;
 
     private ProxyServer(ProxySettings settings, RequestPolicy policy) throws IOException {
@@ -122,9 +123,13 @@
         stopping = true;
     }
 
-    /** Accepts no further connections; responses carry {@code Connection: close} from now on. */
+    /**
+     * Accepts no further connections and no further requests. A request that is read later, on a connection that was
+     * open before, is refused as not run and closes its connection; those in progress continue.
+     */
     public void stopAccepting() {
         stopping = true;
+        refusing = true;
         Set<ListenerEndpoint> open = reactor.getEndpoints();
         open.forEach(endpoint -> endpoint.close(CloseMode.GRACEFUL));
         if (!open.isEmpty()) {
@@ -156,6 +161,19 @@
                 });
     }
 
+    /**
+     * Ends the requests in progress that have no response yet. Those that no server has received are refused as not
+     * run; the outcome of the others is unknown.
+     */
+    public void endRequests() {
+        connections.forEach(CallerConnection::endRequests);
+    }
+
+    /** Closes the connections without a request in progress. */
+    public void closeIdleConnections() {
+        connections.forEach(CallerConnection::closeIfIdle);
+    }
+
     /** Stops immediately; requests in progress are aborted. */
     @Override
     public void close() {
@@ -248,6 +266,11 @@
         return stopping;
     }
 
+    /** Whether requests that are read from now on are refused. */
+    boolean isRefusing() {
+        return refusing;
+    }
+
     long now() {
         return System.nanoTime();
     }
--- a/src/main/java/org/auburnhoist/proxy/RequestHead.java
+++ b/src/main/java/org/auburnhoist/proxy/RequestHead.java
@@ -1,7 +1,11 @@
 package org.auburnhoist.proxy;
 
+import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.Map;
+import org.apache.hc.core5.http.EntityDetails;
+import org.apache.hc.core5.http.HttpRequest;
+import org.apache.hc.core5.reactor.IOSession;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -29,6 +33,28 @@
         headers = List.copyOf(headers);
     }
 
+    /** Converts a parsed request, of which {@code entity} describes the body. */
+    static RequestHead of(String requestId, HttpRequest request, @Nullable EntityDetails entity, IOSession session) {
+        String target = request.getPath();
+        int queryStart = target.indexOf('?');
+        String remote = session.getRemoteAddress() instanceof InetSocketAddress address
+                ? address.getAddress().getHostAddress()
+                : "unknown";
+        return new RequestHead(
+                requestId,
+                request.getMethod(),
+                queryStart < 0 ? target : target.substring(0, queryStart),
+                queryStart < 0 ? null : target.substring(queryStart + 1),
+                HeaderRules.toEntries(request.getHeaders()),
+                entity == null ? 0 : entity.getContentLength(),
+                remote);
+    }
+
+    /** Whether the caller waits for an interim response before it sends the body. */
+    boolean expectsContinue() {
+        return HeaderRules.hasToken(headers, "Expect", "100-continue");
+    }
+
     /** The first value of a header, compared without regard to case, or null. */
     public @Nullable String header(String name) {
         for (Map.Entry<String, String> header : headers) {
--- a/src/test/java/org/auburnhoist/platform/FakeUpstreamServer.java
+++ b/src/test/java/org/auburnhoist/platform/FakeUpstreamServer.java
@@ -7,6 +7,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.locks.LockSupport;
 import org.apache.hc.core5.http.ClassicHttpRequest;
 import org.apache.hc.core5.http.ClassicHttpResponse;
 import org.apache.hc.core5.http.Header;
@@ -47,6 +48,7 @@
     private final List<Map<String, String>> requests = new CopyOnWriteArrayList<>();
     private volatile Mode mode = Mode.HEALTHY;
     private volatile String limit = "";
+    private volatile long workMillis;
 
     FakeUpstreamServer(String id) throws IOException {
         this.id = id;
@@ -75,11 +77,21 @@
         limit = value;
     }
 
+    /** Sets how long the server works on each request, in milliseconds. */
+    void workMillis(long value) {
+        workMillis = value;
+    }
+
     /** Headers of the received requests, with lower-case names, and the path under {@code :path}. */
     List<Map<String, String>> requests() {
         return requests;
     }
 
+    /** Whether the server has received an attempt. */
+    boolean hasRun(String attempt) {
+        return requests.stream().anyMatch(request -> attempt.equals(request.get("x-attempt-id")));
+    }
+
     private void handle(ClassicHttpRequest request, ClassicHttpResponse response, HttpContext context)
             throws IOException {
         Map<String, String> headers = new HashMap<>();
@@ -95,6 +107,7 @@
             response.setHeader("X-Not-Executed", "1");
             return;
         }
+        LockSupport.parkNanos(workMillis * 1_000_000);
         Mode current = mode;
         if (current == Mode.WRONG_ATTEMPT_ID || current == Mode.REPEATED_REFUSAL) {
             response.setHeader("X-Attempt-Id", "another");
--- a/src/test/java/org/auburnhoist/platform/PlatformHostTest.java
+++ b/src/test/java/org/auburnhoist/platform/PlatformHostTest.java
@@ -19,6 +19,10 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
@@ -41,6 +45,7 @@
     private static final String LOOK = "look.example";
 
     private final Closer closer = new Closer();
+    private final ExecutorService threads = Executors.newCachedThreadPool();
     private final HttpClient client =
             HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
     private final List<GatewaySettings> hosts = new ArrayList<>();
@@ -75,6 +80,7 @@
     @AfterEach
     void stop() {
         running.forEach(PlatformHost::close);
+        threads.shutdownNow();
         closer.close();
     }
 
@@ -341,6 +347,34 @@
         stopped.join();
     }
 
+    /** Guards against bookings that a stopping host takes on kept connections, passes on, and cuts when it ends. */
+    @Test
+    void bookingsOnKeptConnectionsAreAnsweredOrRefusedUntilTheHostHasStopped() throws Exception {
+        List<KeptConnection> callers = new ArrayList<>();
+        for (int number = 0; number < 40; number++) {
+            callers.add(closer.register(new KeptConnection(hosts.get(2).callerAddress(), "kept-" + number)));
+        }
+        first.workMillis(250);
+        second.workMillis(250);
+        PlatformHost stopping = running.get(2);
+        var stopped = stopping.stop().thenRun(stopping::close);
+        List<CompletableFuture<Integer>> statuses = new ArrayList<>();
+        for (KeptConnection caller : callers) {
+            Thread.sleep(60);
+            statuses.add(CompletableFuture.supplyAsync(caller::pay, threads));
+        }
+        stopped.join();
+        Map<Integer, Integer> counts = new TreeMap<>();
+        for (int number = 0; number < callers.size(); number++) {
+            int status = statuses.get(number).join();
+            counts.merge(status, 1, Integer::sum);
+            String attempt = callers.get(number).lastAttempt();
+            boolean ran = first.hasRun(attempt) || second.hasRun(attempt);
+            assertEquals(status == 200, ran, "attempt " + attempt + " has run, status " + status + " of " + counts);
+        }
+        assertTrue(counts.getOrDefault(200, 0) >= 5 && counts.getOrDefault(503, 0) >= 5, "statuses " + counts);
+    }
+
     /** Guards against requests to a server that has announced its shutdown in a response but not in the store. */
     @Test
     void aServerThatAnnouncesItsShutdownGetsNoMoreRequestsFromTheNotifiedHost() throws Exception {
--- /dev/null
+++ b/src/test/java/org/auburnhoist/proxy/LateRequestTest.java
@@ -0,0 +1,96 @@
+package org.auburnhoist.proxy;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.auburnhoist.core.Refusal;
+import org.auburnhoist.core.TrafficClass;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** Guards against requests that a stopping host passes on or keeps, and then cuts without an answer when it ends. */
+@Timeout(60)
+class LateRequestTest extends ProxyTestBase {
+    private static final String POST = "POST /book HTTP/1.1\r\nHost: fleet\r\nContent-Length: 2\r\n\r\nhi";
+
+    /** A request on a connection that was open before would run, and nobody would wait for its response. */
+    @Test
+    void aRequestOnAKeptConnectionIsRefusedAsNotRunOnceTheHostAcceptsNoMore() throws Exception {
+        upstream = RawUpstream.responding(OK);
+        RequestPolicy bookings = (head, now) ->
+                CompletableFuture.completedFuture(new Admission.Forwarded(TestForwarding.booking(upstream.address())));
+        try (RawConnection caller = start(bookings)) {
+            assertTrue(caller.send(POST).readMessage().endsWith("ok"));
+            proxy.stopAccepting();
+            String response = caller.send(POST).readMessage();
+            assertRefused(response, Refusal.HOST_STOPPING);
+            assertEquals("close", RawConnection.header(response, "Connection"), response);
+            assertNull(caller.readHead());
+            assertEquals(1, upstream.heads.size(), "requests that reached the server");
+            assertEquals(0, proxy.requestsInProgress());
+        }
+    }
+
+    /** A request that waits for a server when the host ends has not run, and the caller has to learn that. */
+    @Test
+    void aRequestThatWaitsForAServerIsRefusedAsNotRunWhenTheHostEnds() throws Exception {
+        CountDownLatch waiting = new CountDownLatch(1);
+        CompletableFuture<Forwarding.Target> granted = new CompletableFuture<>();
+        TestForwarding forwarding = new TestForwarding(TrafficClass.BOOKING, Duration.ofSeconds(60)) {
+            @Override
+            public CompletionStage<Target> nextTarget(long nowNanos) {
+                waiting.countDown();
+                return granted;
+            }
+        };
+        try (RawConnection caller = start(forwarding(forwarding))) {
+            caller.send(POST);
+            assertTrue(waiting.await(30, TimeUnit.SECONDS));
+            proxy.stopAccepting();
+            proxy.endRequests();
+            assertRefused(caller.readMessage(), Refusal.HOST_STOPPING);
+            assertNull(caller.readHead());
+        }
+        // A slot that is granted too late is returned unused.
+        granted.complete(new Forwarding.Target.ServerTarget("late", "127.0.0.1:9", 1));
+        assertEquals(1, forwarding.attempts.size());
+        assertEquals(false, forwarding.attempts.get(0).sent());
+    }
+
+    /** A caller whose request is at a server when the host ends has to learn that its outcome is unknown. */
+    @Test
+    void aRequestAtAServerGetsAnAnswerThatItsOutcomeIsUnknownWhenTheHostEnds() throws Exception {
+        CountDownLatch received = new CountDownLatch(1);
+        upstream = new RawUpstream((connection, number) -> {
+            upstream.readHead(connection);
+            received.countDown();
+            connection.read();
+        });
+        try (RawConnection caller = start(forwarding(TestForwarding.booking(upstream.address())))) {
+            caller.send(POST);
+            assertTrue(received.await(30, TimeUnit.SECONDS));
+            proxy.stopAccepting();
+            proxy.endRequests();
+            assertRefused(caller.readMessage(), Refusal.UPSTREAM_TIMEOUT);
+        }
+    }
+
+    /** An idle connection that is reset could lose the response that its caller has not read yet. */
+    @Test
+    void idleConnectionsEndInOrderAfterTheLastResponse() throws Exception {
+        upstream = RawUpstream.responding(OK);
+        try (RawConnection caller = start(lookups(upstream.address(), upstream.address()))) {
+            assertTrue(caller.send(GET).readMessage().endsWith("ok"));
+            proxy.closeIdleConnections();
+            assertNull(caller.readHead());
+            caller.send(GET);
+        }
+        assertEquals(1, upstream.heads.size(), "requests that reached the server");
+    }
+}
