Do not accept a request on a connection that is being closed as idle

Change: the decision and the mark that no further request is accepted are now one step, in closeIfIdle, which also ends the connection in order: it shuts down its output and goes on reading for a second, so that a response that the caller has not read yet is not lost to a reset.

--- a/src/main/java/org/auburnhoist/proxy/CallerConnection.java
+++ b/src/main/java/org/auburnhoist/proxy/CallerConnection.java
@@ -267,6 +267,7 @@
     void checkTimeouts(long now) {
         runningExchanges().forEach(exchange -> exchange.checkTimeouts(now));
         boolean close = false;
+        boolean closeIfIdle = false;
         boolean expire = false;
         synchronized (this) {
             long elapsed = now - stateSinceNanos;
@@ -279,11 +280,13 @@
                 expire = !headExpired && elapsed > server.settings().headTimeout.toNanos();
                 headExpired |= expire;
             } else if (runningExchanges.isEmpty()) {
-                close = elapsed > server.settings().callerIdleTimeout.toNanos();
+                closeIfIdle = elapsed > server.settings().callerIdleTimeout.toNanos();
             }
         }
         if (close) {
             session.close(CloseMode.GRACEFUL);
+        } else if (closeIfIdle) {
+            closeIfIdle();
         } else if (expire) {
             wake();
         }
