Answer the requests that are left when a host of serve reaches its stop limit

What callers saw, by a test: at the stop limit of a planned stop, and when a removed incarnation is replaced, the requests in progress were cut without an answer, by the close that follows.

Change: GracefulShutdown ends as the platform's host does; the common part is CallerDrain, which answers what is left, closes idle connections in order and leaves callers a tenth of a second to read.

Test, red before ("no answer" instead of upstream-timeout): EntryHostTest, aStoppingHostAnswersWhatItHasReadAndRefusesWhatComesLater.

--- a/src/main/java/org/auburnhoist/gateway/GatewayShutdown.java
+++ b/src/main/java/org/auburnhoist/gateway/GatewayShutdown.java
@@ -1,12 +1,11 @@
 package org.auburnhoist.gateway;
 
 import java.time.Duration;
-import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.LongConsumer;
+import org.auburnhoist.host.CallerDrain;
 import org.auburnhoist.host.ControlThread;
 import org.auburnhoist.proxy.ProxyServer;
-import org.auburnhoist.proxy.UnfinishedRequest;
 import org.auburnhoist.support.Event;
 
 /**
@@ -27,8 +26,6 @@
     private static final int VALIDITIES_UNTIL_UNUSED = 3;
     /** Fraction of the stop limit after which requests in progress are ended. */
     private static final double DRAIN_FRACTION = 0.93;
-    /** Time for callers to receive the last responses and to close their connections. */
-    private static final Duration LINGER_TIME = Duration.ofMillis(100);
 
     private final GatewaySettings settings;
     private final ControlThread control;
@@ -82,27 +79,12 @@
         boolean callersGone = proxy.callerConnections() == 0 || elapsed > addressUse.toNanos();
         boolean drained = proxy.requestsInProgress() == 0 && callersGone;
         if (drained || elapsed > fractionOfLimit(DRAIN_FRACTION).toNanos()) {
-            endRequests();
+            CallerDrain.end(proxy, control, this::stop);
         } else {
             control.schedule(CHECK_INTERVAL, this::awaitRequests);
         }
     }
 
-    private void endRequests() {
-        List<UnfinishedRequest> ended = proxy.unfinishedRequests();
-        proxy.endRequests();
-        proxy.closeIdleConnections();
-        for (UnfinishedRequest request : ended) {
-            Event.named("request-ended-by-stop")
-                    .with("id", request.requestId())
-                    .with("path", request.path())
-                    .with("age_millis", request.ageMillis())
-                    .with("sent", request.sent())
-                    .warn();
-        }
-        control.schedule(LINGER_TIME, now -> stop(ended.size()));
-    }
-
     private void stop(int requestsEnded) {
         end.run();
         Event.named("host-stopped")
--- a/src/main/java/org/auburnhoist/host/GracefulShutdown.java
+++ b/src/main/java/org/auburnhoist/host/GracefulShutdown.java
@@ -99,7 +99,7 @@
         if (proxy.requestsInProgress() > 0 && drainDeadlineNanos - nowNanos > 0) {
             control.schedule(CHECK_INTERVAL, later -> awaitNoRequests(later, next));
         } else {
-            next.accept(nowNanos);
+            CallerDrain.end(proxy, control, left -> control.execute(next));
         }
     }
 
--- a/src/test/java/org/auburnhoist/host/EntryHostTest.java
+++ b/src/test/java/org/auburnhoist/host/EntryHostTest.java
@@ -6,15 +6,20 @@
 
 import com.sun.net.httpserver.HttpExchange;
 import com.sun.net.httpserver.HttpServer;
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.List;
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.locks.LockSupport;
 import java.util.stream.Stream;
+import org.auburnhoist.proxy.RawConnection;
 import org.auburnhoist.store.HostList;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -28,6 +33,8 @@
 class EntryHostTest {
     private static final String AUTHORIZATION = "Bearer " + TestFleet.KEY;
 
+    private static final Duration SLOW_WORK = Duration.ofSeconds(5);
+
     private final AtomicInteger bookingRuns = new AtomicInteger();
     private final Queue<String> leakedKeys = new ConcurrentLinkedQueue<>();
     private TestFleet fleet;
@@ -159,7 +166,7 @@
 
     @Test
     void aGracefulShutdownRemovesTheHostFromTheAddressesAndTheRoster() throws Exception {
-        third.stop().get(60, java.util.concurrent.TimeUnit.SECONDS);
+        third.stop().get(60, TimeUnit.SECONDS);
         TestFleet.await(
                 "the roster has two members",
                 () -> first.snapshot().roster().members().size() == 2);
@@ -172,6 +179,35 @@
                         .statusCode());
     }
 
+    /** Guards against requests that a stopping host cuts without an answer, or accepts while it waits for others. */
+    @Test
+    void aStoppingHostAnswersWhatItHasReadAndRefusesWhatComesLater() throws Exception {
+        EntryHost fourth =
+                fleet.startHost("host-4", fleet.openStore(), settings -> settings.stopLimit(Duration.ofMillis(1_500)));
+        TestFleet.await(
+                "host-4 serves",
+                () -> fourth.snapshot().isFresh(System.nanoTime())
+                        && fourth.snapshot().activeConfiguration().version() == 1);
+        String lookup = " HTTP/1.1\r\nHost: fleet\r\nAuthorization: " + AUTHORIZATION + "\r\n\r\n";
+        try (RawConnection slow = RawConnection.to(fourth.callerAddress());
+                RawConnection kept = RawConnection.to(fourth.callerAddress())) {
+            kept.send("GET /telescopes/7" + lookup);
+            kept.readBody(kept.readHead());
+            slow.send("GET /telescopes/slow" + lookup);
+            var stopped = fourth.stop();
+            // Later than the validity of the addresses that name the host, and before its stop limit.
+            Thread.sleep(1_000);
+            assertEquals("host-stopping", refusal(kept.send("GET /telescopes/7" + lookup)));
+            assertEquals("upstream-timeout", refusal(slow));
+            stopped.get(60, TimeUnit.SECONDS);
+        }
+    }
+
+    private static String refusal(RawConnection caller) throws IOException {
+        String head = caller.readHead();
+        return head == null ? "no answer" : RawConnection.header(head, "Auburnhoist-Refusal");
+    }
+
     @Test
     void aHostThatThePlatformsListMarksAsLeavingIsNotListedButStillServes() throws Exception {
         fleet.hostList().publish(List.of(new HostList.ListedHost("host-3", "dc-2", HostList.HostState.LEAVING)));
@@ -220,11 +256,14 @@
                 "not-run", response.headers().firstValue("Auburnhoist-Outcome").orElseThrow());
     }
 
-    private void serve(HttpExchange exchange) throws java.io.IOException {
+    private void serve(HttpExchange exchange) throws IOException {
         if (exchange.getRequestHeaders().containsKey("Authorization")) {
             leakedKeys.add(exchange.getRequestHeaders().getFirst("Authorization"));
         }
         exchange.getRequestBody().readAllBytes();
+        if (exchange.getRequestURI().getPath().endsWith("/slow")) {
+            LockSupport.parkNanos(SLOW_WORK.toNanos());
+        }
         boolean booking = exchange.getRequestMethod().equals("POST");
         String run = booking ? " run " + bookingRuns.incrementAndGet() : "";
         byte[] body =
