Bound what a host keeps of one response of the store

A report of another operator: a faulty server sent bytes without end, and the host that had called it kept them all and ran out of memory. For upstream servers this is bounded already (EndlessResponseTest: heads at 32 kB, bodies by the window of their connection and the route's timeout). The same on a related path, shown by a test: of a response of the platform's store the host kept everything until the call's timeout.

Change: a body is at most 4 MiB, a head 8 kB a line and 100 lines; beyond that the call fails and its connection is closed.

--- a/src/main/java/org/auburnhoist/platform/KvTransport.java
+++ b/src/main/java/org/auburnhoist/platform/KvTransport.java
@@ -5,6 +5,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
+import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
@@ -18,6 +19,7 @@
 import org.apache.hc.core5.http.HttpHost;
 import org.apache.hc.core5.http.HttpResponse;
 import org.apache.hc.core5.http.Message;
+import org.apache.hc.core5.http.config.Http1Config;
 import org.apache.hc.core5.http.impl.bootstrap.AsyncRequesterBootstrap;
 import org.apache.hc.core5.http.impl.bootstrap.HttpAsyncRequester;
 import org.apache.hc.core5.http.nio.AsyncClientEndpoint;
@@ -52,6 +54,13 @@
     private static final int KEEP_ALIVE_SECONDS = 1;
 
     private static final int KEEP_ALIVE_PROBES = 2;
+    /** Limits of a response head, in bytes a line and in lines; the store's own are far below. */
+    private static final Http1Config HEAD_LIMITS = Http1Config.custom()
+            .setMaxLineLength(8 * 1024)
+            .setMaxHeaderCount(100)
+            .build();
+    /** Maximum size of a response body; a page has about 1 MB, and a value at most 1.4 MB as text. */
+    private static final int MAX_BODY_BYTES = 4 << 20;
     /** Header of all responses with the number of the store's era. */
     private static final String ERA = "Store-Era";
     /** Status of a call without a response. */
@@ -87,6 +96,7 @@
                 .build();
         this.requester = AsyncRequesterBootstrap.bootstrap()
                 .setHttpProcessor(processor)
+                .setHttp1Config(HEAD_LIMITS)
                 .setIOReactorConfig(IOReactorConfig.custom()
                         .setIoThreadCount(1)
                         .setTcpNoDelay(true)
@@ -222,7 +232,7 @@
             }
             endpoint.execute(
                     producer,
-                    new BasicResponseConsumer<>(new BasicAsyncEntityConsumer()),
+                    new BasicResponseConsumer<>(new BoundedBodyConsumer()),
                     HttpCoreContext.create(),
                     new ReplyCallback(this));
         }
@@ -260,6 +270,20 @@
         }
     }
 
+    /** Reads a body, and fails, which closes the connection, if the body is too large. */
+    private static final class BoundedBodyConsumer extends BasicAsyncEntityConsumer {
+        private long bytes;
+
+        @Override
+        protected void data(ByteBuffer source, boolean endOfStream) throws IOException {
+            bytes += source.remaining();
+            if (bytes > MAX_BODY_BYTES) {
+                throw new IOException("response: expected at most " + MAX_BODY_BYTES + " bytes");
+            }
+            super.data(source, endOfStream);
+        }
+    }
+
     private static final class ReplyCallback implements FutureCallback<Message<HttpResponse, byte[]>> {
         private final Exchange exchange;
 
