End a planned stop early enough for the process to end by itself

With requests answered until 0.93 of the stop limit, a tenth of a second for callers to read and the close of the host, one of ten processes was still there at the limit and was killed (scratch run with real processes: 10 hosts, 500 callers, stops of 5.80 to 5.95 s of 6 s, one killed at 6.01 s; nothing was lost in it). The last requests are now answered at 0.88 of the limit.

--- a/src/main/java/org/auburnhoist/gateway/GatewayShutdown.java
+++ b/src/main/java/org/auburnhoist/gateway/GatewayShutdown.java
@@ -25,7 +25,7 @@
     /** Callers use an address for up to this many times its validity. */
     private static final int VALIDITIES_UNTIL_UNUSED = 3;
     /** Fraction of the stop limit after which requests in progress are ended. */
-    private static final double DRAIN_FRACTION = 0.93;
+    private static final double DRAIN_FRACTION = 0.88;
 
     private final GatewaySettings settings;
     private final ControlThread control;
--- a/src/main/java/org/auburnhoist/host/CallerDrain.java
+++ b/src/main/java/org/auburnhoist/host/CallerDrain.java
@@ -19,7 +19,7 @@
      *
      * @param proxy the server, which accepts no further requests
      * @param control runs {@code next}
-     * @param next called when callers have had time to receive the responses; gets the number of requests that were left
+     * @param next called when callers have had time to read the responses; gets the number of requests that were left
      */
     public static void end(ProxyServer proxy, ControlScheduler control, IntConsumer next) {
         List<UnfinishedRequest> left = proxy.unfinishedRequests();
