Close the host before its process ends, so that the process ends at once

The virtual machine waits up to 0.3 s, when it halts, for threads that are in a selector; nothing is read or answered in that time, and the connections stay open.

--- a/src/main/java/org/auburnhoist/cli/ServePlatformCommand.java
+++ b/src/main/java/org/auburnhoist/cli/ServePlatformCommand.java
@@ -37,7 +37,7 @@
                 BootFile boot = BootFile.read(file);
                 PlatformHost host = PlatformHost.start(boot);
                 Signal.handle(new Signal("HUP"), signal -> revalidate(file, boot));
-                StopSignal.await(() -> host.stop().join());
+                StopSignal.await(() -> stopAndClose(host));
                 return ExitCode.DONE;
             } catch (BootFile.InvalidBootFileException invalid) {
                 invalid.findings().forEach(finding -> context.err().println(finding.describe()));
@@ -46,6 +46,12 @@
         });
     }
 
+    /** Closes the host too, because the virtual machine waits for threads that are in a selector when it halts. */
+    private static void stopAndClose(PlatformHost host) {
+        host.stop().join();
+        host.close();
+    }
+
     /** Checks the file again and logs its faults. A changed file takes effect at the next start. */
     private static void revalidate(Path file, BootFile active) {
         try {
--- a/src/test/java/org/auburnhoist/platform/PlatformHostTest.java
+++ b/src/test/java/org/auburnhoist/platform/PlatformHostTest.java
@@ -84,7 +84,7 @@
         closer.close();
     }
 
-    private static String configuration(long version, String key, int rate) {
+    static String configuration(long version, String key, int rate) {
         return "{\"version\":\"r" + version + "\",\"routes\":["
                 + "{\"name\":\"pay\",\"host\":\"" + PAY + "\",\"path_prefix\":\"/\",\"kind\":\"unsafe\","
                 + "\"timeout_ms\":2000,\"target_latency_ms\":800,\"priority\":1,\"service\":\"ledger\","
@@ -115,7 +115,7 @@
     }
 
     /** Picks a port below the ephemeral range, from which an outgoing connection could take it before it is used. */
-    private static InetSocketAddress freeAddress() {
+    static InetSocketAddress freeAddress() {
         while (true) {
             int port = ThreadLocalRandom.current().nextInt(20_000, 32_000);
             try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
