Bound what a host of serve keeps of a response of its store or host list

The same as for the platform's store, on the paths of serve: a response without end was kept until the call's timeout.

Change: BoundedBody fails a response beyond 16 MiB from the store and 4 MiB from the host list, and closes its connection.

--- a/src/main/java/org/auburnhoist/store/EtcdTransport.java
+++ b/src/main/java/org/auburnhoist/store/EtcdTransport.java
@@ -10,7 +10,6 @@
 import java.net.http.HttpRequest;
 import java.net.http.HttpRequest.BodyPublishers;
 import java.net.http.HttpResponse;
-import java.net.http.HttpResponse.BodyHandlers;
 import java.net.http.HttpTimeoutException;
 import java.time.Duration;
 import java.util.List;
@@ -23,6 +22,9 @@
 
 /** Sends calls to the store's endpoints and classifies their outcomes. */
 final class EtcdTransport {
+    /** Maximum size of a response; the largest one reads all parts of a configuration. */
+    private static final long MAX_BODY_BYTES = 16 << 20;
+
     /**
      * gRPC status codes with which the store rejects a request before executing it: INVALID_ARGUMENT, NOT_FOUND,
      * PERMISSION_DENIED, FAILED_PRECONDITION, OUT_OF_RANGE, UNIMPLEMENTED, UNAUTHENTICATED. UNAVAILABLE is not among
@@ -115,7 +117,8 @@
         HttpRequest request = request(endpoint, call.path(), call.body())
                 .timeout(call.limit())
                 .build();
-        CompletableFuture<HttpResponse<byte[]>> exchange = client.sendAsync(request, BodyHandlers.ofByteArray());
+        CompletableFuture<HttpResponse<byte[]>> exchange =
+                client.sendAsync(request, BoundedBody.ofByteArray(MAX_BODY_BYTES));
         // The timeout of the HTTP request covers only the response headers; this one also covers the response body.
         return exchange.copy()
                 .orTimeout(call.limit().toMillis(), TimeUnit.MILLISECONDS)
--- a/src/main/java/org/auburnhoist/store/HttpHostList.java
+++ b/src/main/java/org/auburnhoist/store/HttpHostList.java
@@ -6,7 +6,6 @@
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
-import java.net.http.HttpResponse.BodyHandlers;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -25,6 +24,9 @@
  * }</pre>
  */
 public final class HttpHostList implements HostList {
+    /** Maximum size of a list; an entry has less than 200 bytes. */
+    private static final long MAX_BODY_BYTES = 4 << 20;
+
     private final HttpClient client;
     private final URI address;
     private final Duration callLimit;
@@ -48,7 +50,8 @@
     public CompletableFuture<HostListResult> read() {
         HttpRequest request =
                 HttpRequest.newBuilder(address).timeout(callLimit).GET().build();
-        CompletableFuture<HttpResponse<byte[]>> exchange = client.sendAsync(request, BodyHandlers.ofByteArray());
+        CompletableFuture<HttpResponse<byte[]>> exchange =
+                client.sendAsync(request, BoundedBody.ofByteArray(MAX_BODY_BYTES));
         return exchange.copy()
                 .orTimeout(callLimit.toMillis(), TimeUnit.MILLISECONDS)
                 .handle((response, failure) -> {
--- a/src/test/java/org/auburnhoist/platform/EndlessStoreResponseTest.java
+++ b/src/test/java/org/auburnhoist/platform/EndlessStoreResponseTest.java
@@ -3,16 +3,9 @@
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.io.IOException;
-import java.net.InetAddress;
-import java.net.InetSocketAddress;
-import java.net.ServerSocket;
-import java.net.Socket;
-import java.nio.charset.StandardCharsets;
-import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicLong;
 import org.auburnhoist.store.ReadResult;
+import org.auburnhoist.support.EndlessServer;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
@@ -20,9 +13,6 @@
 /** Guards against a store whose response has no end: the host would keep all of it and run out of memory. */
 @Timeout(60)
 class EndlessStoreResponseTest {
-    /** More than the largest valid response and the buffers of a connection, and much less than a host's memory. */
-    private static final long MAX_BYTES = 48L << 20;
-
     /** The part of a response that never ends. */
     enum EndlessPart {
         STATUS_LINE("HTTP/1.1 200 ", "a".repeat(1 << 16)),
@@ -41,37 +31,13 @@
         }
     }
 
-    private final AtomicLong sentBytes = new AtomicLong();
-    private final CountDownLatch closedByHost = new CountDownLatch(1);
-
     @ParameterizedTest
     @EnumSource
     void theConnectionIsClosedAndTheReadFailsWithinALimit(EndlessPart part) throws Exception {
-        try (ServerSocket listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
-            Thread thread = new Thread(() -> acceptAndSend(listener, part));
-            thread.setDaemon(true);
-            thread.start();
-            try (KvStore store =
-                    new KvStore(new InetSocketAddress(InetAddress.getLoopbackAddress(), listener.getLocalPort()))) {
-                assertInstanceOf(ReadResult.Unavailable.class, store.get("a/b").get(30, TimeUnit.SECONDS));
-                assertTrue(closedByHost.await(30, TimeUnit.SECONDS), "sent " + sentBytes + " bytes, none refused");
-            }
-        }
-    }
-
-    private void acceptAndSend(ServerSocket listener, EndlessPart part) {
-        byte[] repeated = part.repeated.getBytes(StandardCharsets.US_ASCII);
-        try (Socket socket = listener.accept()) {
-            socket.getOutputStream().write(part.start.getBytes(StandardCharsets.US_ASCII));
-            while (sentBytes.addAndGet(repeated.length) < MAX_BYTES) {
-                socket.getOutputStream().write(repeated);
-            }
-            // The host has kept everything so far; the test fails without filling its memory.
-            new CountDownLatch(1).await();
-        } catch (IOException closed) {
-            closedByHost.countDown();
-        } catch (InterruptedException cause) {
-            Thread.currentThread().interrupt();
+        try (EndlessServer server = new EndlessServer(part.start, part.repeated);
+                KvStore store = new KvStore(server.address())) {
+            assertInstanceOf(ReadResult.Unavailable.class, store.get("a/b").get(30, TimeUnit.SECONDS));
+            assertTrue(server.awaitClosedByClient(), "sent " + server.sentBytes() + " bytes, none refused");
         }
     }
 }
