--- a/src/main/java/org/auburnhoist/proxy/CallerExchange.java
+++ b/src/main/java/org/auburnhoist/proxy/CallerExchange.java
@@ -108,10 +108,11 @@
         }
     }
 
-    private static void logRefusedLate(RequestHead received) {
+    private void logRefusedLate(RequestHead received) {
         Event.named("request")
                 .with("id", received.requestId())
                 .with("path", received.path())
+                .with("status", server.settings().wireRules.status(Refusal.HOST_STOPPING))
                 .with("refusal", Refusal.HOST_STOPPING.code())
                 .with("outcome", Refusal.HOST_STOPPING.outcome().headerValue())
                 .log();
--- a/src/test/java/org/auburnhoist/support/EndlessServer.java
+++ b/src/test/java/org/auburnhoist/support/EndlessServer.java
@@ -21,7 +21,7 @@
     private final AtomicLong sentBytes = new AtomicLong();
     private final CountDownLatch closedByClient = new CountDownLatch(1);
 
-    /** Starts the server, which sends {@code start} and then {@code repeated} for ever on its first and only connection. */
+    /** Starts the server, which sends {@code start} and then {@code repeated} for ever on its only connection. */
     public EndlessServer(String start, String repeated) throws IOException {
         this.start = start.getBytes(StandardCharsets.US_ASCII);
         this.repeated = repeated.getBytes(StandardCharsets.US_ASCII);
