Let the server of a test keep the request that it has received

Cause, by reading: the server of the test read the head and then one byte, which was the first of the body, so that it closed the connection at once, and the reset could come before the host ended its requests. The server now reads the body and waits until the host closes. The check is the same.

--- a/src/test/java/org/auburnhoist/proxy/LateRequestTest.java
+++ b/src/test/java/org/auburnhoist/proxy/LateRequestTest.java
@@ -68,7 +68,7 @@
     void aRequestAtAServerGetsAnAnswerThatItsOutcomeIsUnknownWhenTheHostEnds() throws Exception {
         CountDownLatch received = new CountDownLatch(1);
         upstream = new RawUpstream((connection, number) -> {
-            upstream.readHead(connection);
+            connection.readBody(upstream.readHead(connection));
             received.countDown();
             connection.read();
         });
