--- a/src/main/java/org/auburnhoist/host/CallerDrain.java
+++ b/src/main/java/org/auburnhoist/host/CallerDrain.java
@@ -30,6 +30,7 @@
                     .with("id", request.requestId())
                     .with("path", request.path())
                     .with("age_millis", request.ageMillis())
+                    .with("whole_millis", request.wholeMillis())
                     .with("sent", request.sent())
                     .warn();
         }
--- a/src/main/java/org/auburnhoist/proxy/CallerExchange.java
+++ b/src/main/java/org/auburnhoist/proxy/CallerExchange.java
@@ -6,7 +6,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.concurrent.TimeUnit;
 import org.apache.hc.core5.http.EntityDetails;
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpException;
@@ -38,6 +37,7 @@
     private final ProxyServer server;
     private final BodyPipe requestBody = new BodyPipe(READ_AHEAD_BYTES);
     private final long startedNanos;
+    private final BodyProgress bodyProgress;
     private volatile @Nullable ForwardedExchange forwarded;
     private volatile @Nullable BodySource responseBody;
     private @Nullable ResponseChannel responseChannel;
@@ -47,10 +47,7 @@
     /** An exchange that waits until earlier requests have been answered. */
     private @Nullable ForwardedExchange pendingForwarding;
 
-    private long bodyBytes;
-    private volatile long lastBodyNanos;
     private volatile long lastWriteNanos;
-    private boolean requestComplete;
     private boolean bodyFailed;
     private boolean committed;
     private volatile boolean written;
@@ -64,7 +61,7 @@
         this.connection = connection;
         this.server = connection.server();
         this.startedNanos = server.now();
-        this.lastBodyNanos = startedNanos;
+        this.bodyProgress = new BodyProgress(startedNanos);
         this.lastWriteNanos = startedNanos;
     }
 
@@ -75,8 +72,8 @@
         connection.exchangeStarted(this);
         server.exchangeStarted();
         responseChannel = channel;
-        requestComplete = entity == null;
-        if (requestComplete) {
+        if (entity == null) {
+            bodyProgress.completed(startedNanos);
             requestBody.end();
         }
         if (request instanceof RejectedRequest rejected) {
@@ -192,7 +189,7 @@
     }
 
     private synchronized void sendContinue() {
-        if (requestComplete || committed || disconnected || responseChannel == null) {
+        if (bodyProgress.isComplete() || committed || disconnected || responseChannel == null) {
             return;
         }
         try {
@@ -206,8 +203,8 @@
         return requestBody;
     }
 
-    synchronized boolean isBodyComplete() {
-        return requestComplete;
+    boolean isBodyComplete() {
+        return bodyProgress.isComplete();
     }
 
     /**
@@ -277,7 +274,7 @@
         if (channel == null) {
             return;
         }
-        boolean ends = !requestComplete || server.isStopping() || connection.isEnding();
+        boolean ends = !bodyProgress.isComplete() || server.isStopping() || connection.isEnding();
         if (ends && connection.endAfter(this)) {
             pending.response().setHeader("Connection", "close");
             closeAfterResponse = true;
@@ -325,9 +322,7 @@
             return Optional.empty();
         }
         ForwardedExchange current = forwarded;
-        long ageMillis = TimeUnit.NANOSECONDS.toMillis(now - startedNanos);
-        return Optional.of(new UnfinishedRequest(
-                received.requestId(), received.path(), ageMillis, current != null && current.isSent()));
+        return Optional.of(bodyProgress.describe(received, current != null && current.isSent(), now));
     }
 
     private void markWritten() {
@@ -359,9 +354,7 @@
 
     @Override
     public void consume(ByteBuffer source) {
-        lastBodyNanos = server.now();
-        bodyBytes += source.remaining();
-        if (bodyBytes > server.settings().maxBodyBytes) {
+        if (bodyProgress.received(source.remaining(), server.now()) > server.settings().maxBodyBytes) {
             source.position(source.limit());
             failBody(Refusal.REQUEST_TOO_LARGE, "The body of the request is too large.");
             return;
@@ -371,9 +364,7 @@
 
     @Override
     public void streamEnd(@Nullable List<? extends Header> trailers) {
-        synchronized (this) {
-            requestComplete = true;
-        }
+        bodyProgress.completed(server.now());
         if (trailers == CallerBodyDecoder.MALFORMED) {
             connection.endAfterRunning();
             failBody(Refusal.MALFORMED_REQUEST, "The body of the request is malformed.");
@@ -448,10 +439,10 @@
         long bodyLimit = server.settings().bodyTimeout.toNanos();
         ForwardedExchange current = forwarded;
         boolean streaming = current != null && current.isReadAheadComplete();
-        long bodySince = streaming ? lastBodyNanos : startedNanos;
+        long bodySince = streaming ? bodyProgress.lastReceivedNanos() : startedNanos;
         boolean waitsForBody;
         synchronized (this) {
-            waitsForBody = !requestComplete && !written && !requestBody.isFull();
+            waitsForBody = !bodyProgress.isComplete() && !written && !requestBody.isFull();
         }
         if (waitsForBody && now - bodySince > bodyLimit) {
             failBody(Refusal.REQUEST_TIMEOUT, "The body of the request did not arrive in time.");
