Show that a stopping host passes on bookings whose bodies end late

What callers see: a 504 of the host's own at the end of a planned stop, while the server works on the booking (LOST, by the last byte).

The three tests fail on this code: 200 for a body that ends after the host accepts no more, the whole of a long body at its server, and status 504 for bookings that have run in a real process.

--- a/src/test/java/org/auburnhoist/platform/KeptConnection.java
+++ b/src/test/java/org/auburnhoist/platform/KeptConnection.java
@@ -2,6 +2,8 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
 import org.auburnhoist.proxy.RawConnection;
 
 /** A caller that makes one payment when it opens its connection, and keeps the connection for another one. */
@@ -28,12 +30,17 @@
 
     /** Makes a payment and returns its status, or {@link #NO_ANSWER}. */
     int pay() {
+        return payWithBodyAfter(0);
+    }
+
+    /** The same with a body that is sent some milliseconds after its head. */
+    int payWithBodyAfter(long delayMillis) {
         payments++;
         try {
-            String head = connection
-                    .send("POST /bill/7 HTTP/1.1\r\nHost: pay.example\r\nX-Attempt-Id: " + lastAttempt()
-                            + "\r\nX-Deadline-Remaining: 1900\r\nAuthorization: Token k1\r\nContent-Length: 0\r\n\r\n")
-                    .readHead();
+            connection.send("POST /bill/7 HTTP/1.1\r\nHost: pay.example\r\nX-Attempt-Id: " + lastAttempt()
+                    + "\r\nX-Deadline-Remaining: 1900\r\nAuthorization: Token k1\r\nContent-Length: 2\r\n\r\n");
+            LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(delayMillis));
+            String head = connection.send("42").readHead();
             if (head == null) {
                 return NO_ANSWER;
             }
--- a/src/test/java/org/auburnhoist/platform/PlannedStopProcessTest.java
+++ b/src/test/java/org/auburnhoist/platform/PlannedStopProcessTest.java
@@ -34,6 +34,12 @@
     private final Closer closer = new Closer();
     private final ExecutorService threads = Executors.newCachedThreadPool();
 
+    private FakeUpstreamServer server;
+    private Process process;
+    private List<KeptConnection> callers;
+    private long signalNanos;
+    private CompletableFuture<Long> exitNanos;
+
     @TempDir
     private Path folder;
 
@@ -45,25 +51,51 @@
 
     @Test
     void noBookingThatHasRunIsLeftWithoutAnAnswerWhenTheProcessEnds() throws Exception {
+        startHost();
+        server.workMillis(150);
+        signal();
+        List<CompletableFuture<Integer>> statuses = new ArrayList<>();
+        for (KeptConnection caller : callers) {
+            Thread.sleep(STOP_LIMIT_SECONDS * 1_000 / CALLERS);
+            statuses.add(CompletableFuture.supplyAsync(caller::pay, threads));
+        }
+        checkStop(statuses, true);
+    }
+
+    /** A server that is still at work on them when the host ends could not tell their callers what became of them. */
+    @Test
+    void noBookingWhoseBodyEndsLateIsPassedOnToASlowServer() throws Exception {
+        startHost();
+        server.workMillis(1_200);
+        signal();
+        Thread.sleep(1_150);
+        List<CompletableFuture<Integer>> statuses = new ArrayList<>();
+        for (KeptConnection caller : callers) {
+            Thread.sleep(2);
+            statuses.add(CompletableFuture.supplyAsync(() -> caller.payWithBodyAfter(400), threads));
+        }
+        checkStop(statuses, false);
+    }
+
+    private void startHost() throws Exception {
         FakeKvStore store = closer.register(new FakeKvStore());
-        FakeUpstreamServer server = closer.register(new FakeUpstreamServer("i-1"));
+        server = closer.register(new FakeUpstreamServer("i-1"));
         store.put("op/config", PlatformHostTest.configuration(4, "k1", 1_000));
         store.put("servers/i-1", server.registration("ledger", "ready").replace("\"slots\":2", "\"slots\":20"));
         InetSocketAddress front = PlatformHostTest.freeAddress();
-        Process process = start(front, PlatformHostTest.freeAddress(), store.address());
+        process = start(front, PlatformHostTest.freeAddress(), store.address());
         closer.register(process::destroyForcibly);
-        List<KeptConnection> callers = connect(front);
+        callers = connect(front);
+    }
 
-        server.workMillis(150);
-        long start = System.nanoTime();
-        CompletableFuture<Long> exitNanos = process.onExit().thenApply(exited -> System.nanoTime());
+    private void signal() {
+        signalNanos = System.nanoTime();
+        exitNanos = process.onExit().thenApply(exited -> System.nanoTime());
         process.destroy();
-        List<CompletableFuture<Integer>> statuses = new ArrayList<>();
-        for (KeptConnection caller : callers) {
-            Thread.sleep(STOP_LIMIT_SECONDS * 1_000 / CALLERS);
-            statuses.add(CompletableFuture.supplyAsync(caller::pay, threads));
-        }
-        long stopMillis = (exitNanos.get(30, TimeUnit.SECONDS) - start) / 1_000_000;
+    }
+
+    private void checkStop(List<CompletableFuture<Integer>> statuses, boolean someServed) throws Exception {
+        long stopMillis = (exitNanos.get(30, TimeUnit.SECONDS) - signalNanos) / 1_000_000;
         Map<Integer, Integer> counts = new TreeMap<>();
         for (int number = 0; number < CALLERS; number++) {
             int status = statuses.get(number).join();
@@ -71,7 +103,8 @@
             String attempt = callers.get(number).lastAttempt();
             assertEquals(status == 200, server.hasRun(attempt), "attempt " + attempt + " has run, status " + status);
         }
-        assertTrue(counts.containsKey(200) && counts.containsKey(503), "statuses " + counts);
+        assertEquals(someServed, counts.containsKey(200), "statuses " + counts);
+        assertTrue(counts.containsKey(503), "statuses " + counts);
         assertEquals(0, process.exitValue());
         assertTrue(stopMillis < STOP_LIMIT_SECONDS * 1_000, "stopped after " + stopMillis + " ms");
     }
--- a/src/test/java/org/auburnhoist/proxy/LateRequestTest.java
+++ b/src/test/java/org/auburnhoist/proxy/LateRequestTest.java
@@ -1,9 +1,11 @@
 package org.auburnhoist.proxy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.IOException;
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
@@ -13,6 +15,8 @@
 import org.auburnhoist.core.TrafficClass;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Guards against requests that a stopping host passes on or keeps, and then cuts without an answer when it ends. */
 @Timeout(60)
@@ -81,6 +85,82 @@
         }
     }
 
+    /**
+     * A booking whose body ends after the host accepts no more would begin too late to be answered before the host
+     * ends.
+     */
+    @ParameterizedTest
+    @ValueSource(strings = {"Content-Length: 2\r\n\r\nh|i", "Transfer-Encoding: chunked\r\n\r\n2\r\nhi|\r\n0\r\n\r\n"})
+    void aRequestWhoseBodyEndsOnceTheHostAcceptsNoMoreIsRefusedAsNotRun(String framing) throws Exception {
+        upstream = RawUpstream.responding(OK);
+        CountDownLatch admitted = new CountDownLatch(1);
+        RequestPolicy bookings = (head, now) -> {
+            admitted.countDown();
+            return CompletableFuture.completedFuture(
+                    new Admission.Forwarded(TestForwarding.booking(upstream.address())));
+        };
+        String[] parts = framing.split("\\|");
+        try (RawConnection caller = start(bookings)) {
+            caller.send("POST /book HTTP/1.1\r\nHost: fleet\r\n" + parts[0]);
+            assertTrue(admitted.await(30, TimeUnit.SECONDS));
+            proxy.stopAccepting();
+            assertRefused(caller.send(parts[1]).readMessage(), Refusal.HOST_STOPPING);
+            assertNull(caller.readHead());
+            assertEquals(0, upstream.heads.size(), "requests that reached the server");
+            assertTrue(proxy.close(Duration.ofSeconds(30)), "all requests have ended");
+        }
+    }
+
+    /** A server that gets the end of a long body too late would work on a request that nobody waits for. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void aServerDoesNotGetTheEndOfABodyOnceTheHostAcceptsNoMore(boolean chunked) throws Exception {
+        int half = 2 * CallerExchange.READ_AHEAD_BYTES;
+        CountDownLatch received = new CountDownLatch(1);
+        CompletableFuture<Boolean> whole = new CompletableFuture<>();
+        upstream = new RawUpstream((connection, number) -> {
+            upstream.readHead(connection);
+            StringBuilder body = new StringBuilder();
+            int next = 0;
+            while (next >= 0 && !isWhole(body, chunked, 2 * half)) {
+                next = readOrEnd(connection);
+                body.append((char) next);
+                if (body.length() == half) {
+                    received.countDown();
+                }
+            }
+            whole.complete(next >= 0);
+            connection.send(OK);
+        });
+        String content = "x".repeat(half);
+        try (RawConnection caller = start(forwarding(TestForwarding.booking(upstream.address())))) {
+            caller.send("POST /book HTTP/1.1\r\nHost: fleet\r\n"
+                    + (chunked ? "Transfer-Encoding: chunked\r\n\r\n" + Integer.toHexString(2 * half) + "\r\n" : "")
+                    + (chunked ? "" : "Content-Length: " + 2 * half + "\r\n\r\n")
+                    + content);
+            assertTrue(received.await(30, TimeUnit.SECONDS));
+            proxy.stopAccepting();
+            caller.send(content + (chunked ? "\r\n0\r\n\r\n" : ""));
+            assertRefused(caller.readMessage(), Refusal.UPSTREAM_TIMEOUT);
+            assertFalse(whole.get(30, TimeUnit.SECONDS), "the server got the whole body");
+        }
+    }
+
+    private static boolean isWhole(StringBuilder body, boolean chunked, int length) {
+        return chunked
+                ? body.length() > length && body.substring(body.length() - 7).equals("\r\n0\r\n\r\n")
+                : body.length() == length;
+    }
+
+    /** Reads one byte; -1 also if the connection is reset. */
+    private static int readOrEnd(RawConnection connection) {
+        try {
+            return connection.read();
+        } catch (IOException reset) {
+            return -1;
+        }
+    }
+
     /** An idle connection that is reset could lose the response that its caller has not read yet. */
     @Test
     void idleConnectionsEndInOrderAfterTheLastResponse() throws Exception {
