Decide about a late request of a planned stop when its body is whole

Cause: whether a stopping host takes a request was decided when its head was read. A body that ended later was passed on all the same, so that a server began when the rest of the stop was too short for it.

Change: the decision is made again before the end of the body is passed on, with which a server begins. A request of which no server has anything is refused as not run; of a long body the server does not get the end, and the outcome is unknown. A request that was read whole in time goes on as before.

--- a/src/main/java/org/auburnhoist/proxy/CallerExchange.java
+++ b/src/main/java/org/auburnhoist/proxy/CallerExchange.java
@@ -2,7 +2,6 @@
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -33,6 +32,9 @@
     /** Maximum bytes of a request body that are read before the first attempt; smaller bodies can be resent. */
     static final int READ_AHEAD_BYTES = 64 * 1024;
 
+    /** Text of a refusal of a stopping host. */
+    static final String STOPPING_DETAIL = "This host is stopping; another one takes the request.";
+
     private final CallerConnection connection;
     private final ProxyServer server;
     private final BodyPipe requestBody = new BodyPipe(READ_AHEAD_BYTES);
@@ -218,17 +220,10 @@
 
     private boolean respond(RecordedResponse recorded) {
         boolean headOnly = head != null && head.method().equals("HEAD");
-        List<Map.Entry<String, String>> headers = new ArrayList<>();
-        for (Map.Entry<String, String> header : recorded.headers()) {
-            String name = header.getKey();
-            if (!name.equalsIgnoreCase("Content-Length") && !name.equalsIgnoreCase("Transfer-Encoding")) {
-                headers.add(header);
-            }
-        }
         boolean withoutBody = headOnly || recorded.status() == 204 || recorded.status() == 304;
         return commit(
                 recorded.status(),
-                headers,
+                HeaderRules.withoutFraming(recorded.headers()),
                 withoutBody ? NO_BODY : recorded.body().length,
                 new BufferedBody(recorded.body()));
     }
@@ -354,11 +349,17 @@
 
     @Override
     public void consume(ByteBuffer source) {
-        if (bodyProgress.received(source.remaining(), server.now()) > server.settings().maxBodyBytes) {
+        long received = bodyProgress.received(source.remaining(), server.now());
+        if (received > server.settings().maxBodyBytes) {
             source.position(source.limit());
             failBody(Refusal.REQUEST_TOO_LARGE, "The body of the request is too large.");
             return;
         }
+        RequestHead current = head;
+        if (current != null && received == current.contentLength() && refusedLate()) {
+            source.position(source.limit());
+            return;
+        }
         requestBody.append(source);
     }
 
@@ -368,12 +369,21 @@
         if (trailers == CallerBodyDecoder.MALFORMED) {
             connection.endAfterRunning();
             failBody(Refusal.MALFORMED_REQUEST, "The body of the request is malformed.");
-        } else if (!bodyFailed) {
+        } else if (!bodyFailed && !refusedLate()) {
             requestBody.end();
             notifyBodyProgress();
         }
     }
 
+    /**
+     * Ends the request if the host accepts no more. Called before the end of the body is passed on, with which a server
+     * would begin to work.
+     */
+    private boolean refusedLate() {
+        ForwardedExchange current = forwarded;
+        return server.isRefusing() && current != null && current.hostStopped();
+    }
+
     private void notifyBodyProgress() {
         ForwardedExchange current = forwarded;
         if (current != null) {
@@ -387,7 +397,7 @@
         if (current != null) {
             current.hostStopped();
         } else {
-            refuse(Refusal.HOST_STOPPING, "This host is stopping; another one takes the request.", 0, List.of());
+            refuse(Refusal.HOST_STOPPING, STOPPING_DETAIL, 0, List.of());
         }
     }
 
--- a/src/main/java/org/auburnhoist/proxy/ForwardedExchange.java
+++ b/src/main/java/org/auburnhoist/proxy/ForwardedExchange.java
@@ -21,14 +21,6 @@
  * or the pool, never after them.
  */
 final class ForwardedExchange {
-    private enum State {
-        COLLECTING_BODY,
-        CHOOSING,
-        ATTEMPTING,
-        RESPONDING,
-        DONE
-    }
-
     private static final long NANOS_PER_MICRO = 1000;
     /** A server without free slots is expected to have some again after about this time. */
     private static final long REJECTED_RETRY_MILLIS = 200;
@@ -41,7 +33,7 @@
     private final BodyPipe responseBody = new BodyPipe(UpstreamConnectionFactory.WINDOW_BYTES);
     private final ResponseRecorder responseRecorder = new ResponseRecorder();
 
-    private State state = State.COLLECTING_BODY;
+    private ForwardingState state = ForwardingState.COLLECTING_BODY;
     private byte @Nullable [] bufferedBody;
     private volatile boolean readAheadComplete;
     private @Nullable Future<?> deadlineTimer;
@@ -76,7 +68,7 @@
 
     synchronized void start() {
         // The caller may have disconnected, or the body failed, while the request waited for earlier responses.
-        if (state == State.COLLECTING_BODY) {
+        if (state == ForwardingState.COLLECTING_BODY) {
             deadlineTimer = server.schedule(this::deadlineReached, forwarding.deadlineNanos() - server.now());
             checkRequestBody();
         }
@@ -95,28 +87,34 @@
 
     /** Starts the first attempt if enough of the request body has been received. */
     synchronized void checkRequestBody() {
-        if (state != State.COLLECTING_BODY || deadlineTimer == null) {
+        if (state != ForwardingState.COLLECTING_BODY || deadlineTimer == null) {
+            return;
+        }
+        boolean ended = caller.requestBody().isEnded();
+        if (!ended && !caller.requestBody().isFull()) {
             return;
         }
-        if (caller.requestBody().isEnded()) {
+        if (server.isRefusing()) {
+            hostStopped();
+            return;
+        }
+        if (ended) {
             byte[] body = caller.requestBody().drain();
             bufferedBody = body;
             forwarding.requestBodyBuffered(body);
-        } else if (!caller.requestBody().isFull()) {
-            return;
         }
         readAheadComplete = true;
         chooseTarget();
     }
 
     private void chooseTarget() {
-        state = State.CHOOSING;
+        state = ForwardingState.CHOOSING;
         attempt = null;
         forwarding.nextTarget(server.now()).whenComplete((chosen, failure) -> targetChosen(chosen));
     }
 
     private synchronized void targetChosen(Forwarding.@Nullable Target chosen) {
-        if (state != State.CHOOSING) {
+        if (state != ForwardingState.CHOOSING) {
             if (chosen instanceof Forwarding.Target.ServerTarget) {
                 forwarding.attemptEnded(AttemptOutcome.ABANDONED, false, 0, server.now());
             }
@@ -146,28 +144,24 @@
         }
     }
 
-    private void startAttempt(Forwarding.Target.ServerTarget server, boolean newConnection) {
-        state = State.ATTEMPTING;
+    private void startAttempt(Forwarding.Target.ServerTarget granted, boolean newConnection) {
+        state = ForwardingState.ATTEMPTING;
         byte[] buffered = bufferedBody;
         BodySource body =
                 buffered == null ? caller.requestBody() : buffered.length > 0 ? new BufferedBody(buffered) : null;
-        UpstreamAttempt started = new UpstreamAttempt(
-                this, this.server, server, newConnection, request(server), body, deadlines.deadlineNanos());
-        attempt = started;
-        started.start();
-    }
-
-    private BasicHttpRequest request(Forwarding.Target.ServerTarget granted) {
-        BasicHttpRequest request = UpstreamRequests.build(head, forwarding, granted, bufferedBody, server.settings());
+        BasicHttpRequest request = UpstreamRequests.build(head, forwarding, granted, buffered, server.settings());
         if (deadlines.isResuming() && resumable != null) {
             resumable.addRange(request);
         }
-        return request;
+        UpstreamAttempt started =
+                new UpstreamAttempt(this, server, granted, newConnection, request, body, deadlines.deadlineNanos());
+        attempt = started;
+        started.start();
     }
 
     synchronized void responseHeadReceived(
             UpstreamAttempt source, int code, List<Map.Entry<String, String>> headers, @Nullable EntityDetails entity) {
-        if (source != attempt || state != State.ATTEMPTING) {
+        if (source != attempt || state != ForwardingState.ATTEMPTING) {
             return;
         }
         ServerNotice notice = server.settings().wireRules.serverNotice(code, headers);
@@ -198,7 +192,7 @@
             replaceResponse(source, outcome, rejected);
             return;
         }
-        state = State.RESPONDING;
+        state = ForwardingState.RESPONDING;
         if (forwarding.responseDeadlineNanos() != Long.MAX_VALUE && deadlineTimer != null) {
             deadlineTimer.cancel(false);
             deadlineTimer = server.schedule(
@@ -258,7 +252,7 @@
         markResponseReceived();
         ResumableResponse started = resumable;
         if (started != null && entity != null && started.isContinuedBy(code, headers, entity.getContentLength())) {
-            state = State.RESPONDING;
+            state = ForwardingState.RESPONDING;
         } else {
             source.abandon();
             reportAttempt(source, AttemptOutcome.ABANDONED);
@@ -276,7 +270,7 @@
     }
 
     synchronized void responseDataReceived(UpstreamAttempt source, ByteBuffer data) {
-        if (source != attempt || state != State.RESPONDING) {
+        if (source != attempt || state != ForwardingState.RESPONDING) {
             data.position(data.limit());
             return;
         }
@@ -295,7 +289,7 @@
     }
 
     synchronized void responseComplete(UpstreamAttempt source) {
-        if (source != attempt || state != State.RESPONDING) {
+        if (source != attempt || state != ForwardingState.RESPONDING) {
             return;
         }
         reportAttempt(source, server.settings().wireRules.attemptOutcome(status, responseHeaders));
@@ -320,10 +314,10 @@
     }
 
     synchronized void attemptFailed(UpstreamAttempt source, AttemptOutcome outcome) {
-        if (source != attempt || (state != State.ATTEMPTING && state != State.RESPONDING)) {
+        if (source != attempt || (state != ForwardingState.ATTEMPTING && state != ForwardingState.RESPONDING)) {
             return;
         }
-        if (state == State.RESPONDING) {
+        if (state == ForwardingState.RESPONDING) {
             resumeOrAbort(reportAttempt(source, AttemptOutcome.TRUNCATED));
             return;
         }
@@ -360,25 +354,29 @@
     }
 
     private synchronized void deadlineReached() {
-        if (state == State.COLLECTING_BODY) {
+        if (state == ForwardingState.COLLECTING_BODY) {
             refuse(Refusal.REQUEST_TIMEOUT, "The body of the request did not arrive before the deadline.", -1);
         } else {
             endAttempt(AttemptOutcome.TIMEOUT, Refusal.SERVICE_OVERLOADED, -1);
         }
     }
 
-    /** Ends the request, unless a response has started, because the host stops. */
-    synchronized void hostStopped() {
-        if ((state == State.COLLECTING_BODY || state == State.CHOOSING) && !deadlines.isResuming()) {
-            refuse(Refusal.HOST_STOPPING, "The host stops before a server was free.", 0);
-        } else {
-            endAttempt(AttemptOutcome.ABANDONED, Refusal.HOST_STOPPING, 0);
+    /**
+     * Ends the request, unless a response has started, because the host stops.
+     *
+     * @return whether the caller got the refusal
+     */
+    synchronized boolean hostStopped() {
+        if (state.isBeforeAttempt() && !deadlines.isResuming()) {
+            refuse(Refusal.HOST_STOPPING, CallerExchange.STOPPING_DETAIL, 0);
+            return true;
         }
+        return endAttempt(AttemptOutcome.ABANDONED, Refusal.HOST_STOPPING, 0);
     }
 
-    private void endAttempt(AttemptOutcome outcomeIfSent, Refusal refusalIfNotSent, long retryAfterMillis) {
-        if (state != State.ATTEMPTING || deadlines.isResuming()) {
-            return;
+    private boolean endAttempt(AttemptOutcome outcomeIfSent, Refusal refusalIfNotSent, long retryAfterMillis) {
+        if (state != ForwardingState.ATTEMPTING || deadlines.isResuming()) {
+            return false;
         }
         abandonAttempt(outcomeIfSent);
         if (reporter.mayHaveRun()) {
@@ -386,16 +384,18 @@
         } else {
             refuse(refusalIfNotSent, "No connection was free in time.", retryAfterMillis);
         }
+        return true;
     }
 
     /** Checks the idle timeout between bytes of the response; time in which the caller reads slowly does not count. */
     synchronized void checkTimeouts(long now) {
         UpstreamAttempt running = attempt;
-        boolean started = state == State.RESPONDING || (deadlines.isResuming() && state == State.ATTEMPTING);
+        boolean started =
+                state == ForwardingState.RESPONDING || (deadlines.isResuming() && state == ForwardingState.ATTEMPTING);
         if (!started || running == null) {
             return;
         }
-        if (state == State.RESPONDING && responseBody.isFull()) {
+        if (state == ForwardingState.RESPONDING && responseBody.isFull()) {
             deadlines.responseReceived(now);
         }
         if (deadlines.isPausedTooLong(now) || deadlines.isPastResponseDeadline(now)) {
@@ -408,10 +408,10 @@
     synchronized void requestBodyFailed(Refusal reason, String detail) {
         bodyFailure = reason;
         bodyFailureDetail = detail;
-        if (state == State.COLLECTING_BODY) {
+        if (state == ForwardingState.COLLECTING_BODY) {
             refuse(reason, detail, -1);
-        } else if (state == State.ATTEMPTING || state == State.RESPONDING) {
-            boolean responding = state == State.RESPONDING;
+        } else if (state == ForwardingState.ATTEMPTING || state == ForwardingState.RESPONDING) {
+            boolean responding = state == ForwardingState.RESPONDING;
             abandonAttempt(AttemptOutcome.ABANDONED);
             if (responding) {
                 abortResponse();
@@ -470,7 +470,7 @@
     private void refuse(Refusal reason, String detail, long retryAfterMillis) {
         Refusal sentRefusal =
                 reporter.mayHaveRun() && reason.outcome() == Refusal.Outcome.NOT_RUN ? Refusal.UPSTREAM_FAILED : reason;
-        state = State.DONE;
+        state = ForwardingState.DONE;
         refusal = sentRefusal;
         status = server.settings().wireRules.status(sentRefusal);
         committed = !disconnected && caller.refuse(sentRefusal, detail, retryAfterMillis, List.of());
@@ -480,12 +480,12 @@
     }
 
     private void done() {
-        state = State.DONE;
+        state = ForwardingState.DONE;
         finishOnce();
     }
 
     private void finishOnce() {
-        if (finished || state != State.DONE || !(delivered || disconnected)) {
+        if (finished || state != ForwardingState.DONE || !(delivered || disconnected)) {
             return;
         }
         finished = true;
--- a/src/main/java/org/auburnhoist/proxy/HeaderRules.java
+++ b/src/main/java/org/auburnhoist/proxy/HeaderRules.java
@@ -25,6 +25,8 @@
             "upgrade",
             "content-length");
 
+    private static final Set<String> FRAMING = Set.of("content-length", "transfer-encoding");
+
     /** Authorization holds the caller's key, which no upstream may see. */
     private static final Set<String> NOT_FORWARDED =
             Set.of("authorization", "host", "expect", "via", "x-forwarded-for");
@@ -64,6 +66,13 @@
         return result;
     }
 
+    /** Returns the headers without those that frame the body. */
+    static List<Map.Entry<String, String>> withoutFraming(List<Map.Entry<String, String>> headers) {
+        return headers.stream()
+                .filter(header -> !FRAMING.contains(header.getKey().toLowerCase(Locale.ROOT)))
+                .toList();
+    }
+
     private static Set<String> withTokens(Set<String> names, String tokens) {
         Set<String> result = new HashSet<>(names);
         for (String token : tokens.split(",", -1)) {
--- a/src/main/java/org/auburnhoist/proxy/ProxyServer.java
+++ b/src/main/java/org/auburnhoist/proxy/ProxyServer.java
@@ -124,8 +124,9 @@
     }
 
     /**
-     * Accepts no further connections and no further requests. A request that is read later, on a connection that was
-     * open before, is refused as not run and closes its connection; those in progress continue.
+     * Accepts no further connections and no further requests. A request whose end is read later, on a connection that
+     * was open before, is refused and closes its connection: as not run unless a server has a part of it. Those that
+     * have been read whole continue.
      */
     public void stopAccepting() {
         stopping = true;
