Let a request of a planned stop go on if its deadline ends before the host

Cause: the decision asked only whether the host still accepts, not whether the request can outlast it.

Change: a request whose head was read in time goes on, however late its body ends, if its deadline and that of its response are before the end of the requests in progress; it cannot be cut by the stop. stopAccepting gets that end. Requests of serve have no end of a response, so that they are refused.

Test, red before (the refusal instead of 200): LateRequestTest, aRequestThatIsSureToEndBeforeTheHostIsServedAlthoughItsBodyEndsLate.

--- a/src/main/java/org/auburnhoist/gateway/GatewayShutdown.java
+++ b/src/main/java/org/auburnhoist/gateway/GatewayShutdown.java
@@ -65,7 +65,7 @@
     }
 
     private void stopAccepting(long nowNanos) {
-        proxy.stopAccepting();
+        proxy.stopAccepting(startNanos + fractionOfLimit(DRAIN_FRACTION).toNanos());
         Event.named("stopped-accepting")
                 .with("requests_in_progress", proxy.unfinishedRequests().size())
                 .with("connections", proxy.callerConnections())
--- a/src/main/java/org/auburnhoist/host/GracefulShutdown.java
+++ b/src/main/java/org/auburnhoist/host/GracefulShutdown.java
@@ -64,8 +64,8 @@
             if (!started) {
                 started = true;
                 controllers.board().markStopping();
-                proxy.stopAccepting();
                 drainDeadlineNanos = now + settings.stopLimit().toNanos();
+                proxy.stopAccepting(drainDeadlineNanos);
                 awaitNoRequests(now, later -> finished.complete(null));
             }
         });
@@ -90,8 +90,8 @@
     }
 
     private void drain(long nowNanos) {
-        proxy.stopAccepting();
         drainDeadlineNanos = nowNanos + settings.stopLimit().toNanos();
+        proxy.stopAccepting(drainDeadlineNanos);
         awaitNoRequests(nowNanos, this::handOver);
     }
 
--- a/src/main/java/org/auburnhoist/proxy/CallerExchange.java
+++ b/src/main/java/org/auburnhoist/proxy/CallerExchange.java
@@ -375,13 +375,10 @@
         }
     }
 
-    /**
-     * Ends the request if the host accepts no more. Called before the end of the body is passed on, with which a server
-     * would begin to work.
-     */
+    /** Called before the end of the body is passed on, with which a server would begin to work. */
     private boolean refusedLate() {
         ForwardedExchange current = forwarded;
-        return server.isRefusing() && current != null && current.hostStopped();
+        return current != null && current.refusedLate();
     }
 
     private void notifyBodyProgress() {
--- a/src/main/java/org/auburnhoist/proxy/ExchangeDeadlines.java
+++ b/src/main/java/org/auburnhoist/proxy/ExchangeDeadlines.java
@@ -37,6 +37,14 @@
         return nowNanos - deadlineNanos() < 0;
     }
 
+    /** Whether the request and its response end by a time, whatever its server and its caller do. */
+    boolean endsBy(long limitNanos) {
+        long responseDeadline = forwarding.responseDeadlineNanos();
+        return responseDeadline != Long.MAX_VALUE
+                && responseDeadline - limitNanos <= 0
+                && forwarding.deadlineNanos() - limitNanos <= 0;
+    }
+
     /** Whether the response has paused for too long. */
     boolean isPausedTooLong(long nowNanos) {
         return nowNanos - lastResponseNanos > idleLimitNanos;
--- a/src/main/java/org/auburnhoist/proxy/ForwardedExchange.java
+++ b/src/main/java/org/auburnhoist/proxy/ForwardedExchange.java
@@ -32,9 +32,10 @@
     private final boolean idempotent;
     private final BodyPipe responseBody = new BodyPipe(UpstreamConnectionFactory.WINDOW_BYTES);
     private final ResponseRecorder responseRecorder = new ResponseRecorder();
-
     private ForwardingState state = ForwardingState.COLLECTING_BODY;
     private byte @Nullable [] bufferedBody;
+    private boolean repeatable;
+
     private volatile boolean readAheadComplete;
     private @Nullable Future<?> deadlineTimer;
     private Forwarding.Target.@Nullable ServerTarget target;
@@ -45,7 +46,6 @@
     private @Nullable ResumableResponse resumable;
     private @Nullable Refusal bodyFailure;
     private String bodyFailureDetail = "";
-
     private int status;
     private List<Map.Entry<String, String>> responseHeaders = List.of();
     private @Nullable Refusal refusal;
@@ -94,13 +94,13 @@
         if (!ended && !caller.requestBody().isFull()) {
             return;
         }
-        if (server.isRefusing()) {
-            hostStopped();
+        if (refusedLate()) {
             return;
         }
         if (ended) {
             byte[] body = caller.requestBody().drain();
             bufferedBody = body;
+            repeatable = idempotent;
             forwarding.requestBodyBuffered(body);
         }
         readAheadComplete = true;
@@ -230,7 +230,7 @@
         ResponseFraming framing = ResponseFraming.of(head, status, responseHeaders, callerHeaders, entity);
         responseHeaders = callerHeaders;
         long length = framing.length();
-        resumable = isRetryableAfterSending() ? ResumableResponse.of(head, status, responseHeaders, length) : null;
+        resumable = repeatable ? ResumableResponse.of(head, status, responseHeaders, length) : null;
         if (length > 0) {
             responseBody.setExpectedLength(length);
         }
@@ -306,11 +306,7 @@
     }
 
     private boolean isRetryable(UpstreamAttempt source) {
-        return !source.isSent() || isRetryableAfterSending();
-    }
-
-    private boolean isRetryableAfterSending() {
-        return idempotent && bufferedBody != null;
+        return !source.isSent() || repeatable;
     }
 
     synchronized void attemptFailed(UpstreamAttempt source, AttemptOutcome outcome) {
@@ -361,6 +357,11 @@
         }
     }
 
+    /** Ends the request, of whose body servers lack the end, if the host accepts no more and could end before it. */
+    synchronized boolean refusedLate() {
+        return server.isRefusing() && !deadlines.endsBy(server.requestsEndNanos()) && hostStopped();
+    }
+
     /**
      * Ends the request, unless a response has started, because the host stops.
      *
--- a/src/main/java/org/auburnhoist/proxy/ProxyServer.java
+++ b/src/main/java/org/auburnhoist/proxy/ProxyServer.java
@@ -33,7 +33,7 @@
  * <pre>{@code
  * ProxyServer proxy = ProxyServer.start(settings, policy);
  * ...
- * proxy.stopAccepting();
+ * proxy.stopAccepting(endNanos);
  * proxy.close(Duration.ofSeconds(30));   // waits for the requests in progress
  * }</pre>
  */
@@ -55,6 +55,7 @@
     private int inProgress;
     private volatile boolean stopping;
     private volatile boolean refusing;
+    private volatile long requestsEndNanos;
     private final InetSocketAddress address;
 
     private ProxyServer(ProxySettings settings, RequestPolicy policy) throws IOException {
@@ -126,10 +127,13 @@
     /**
      * Accepts no further connections and no further requests. A request whose end is read later, on a connection that
      * was open before, is refused and closes its connection: as not run unless a server has a part of it. Those that
-     * have been read whole continue.
+     * have been read whole continue, and so do those whose heads have been read and that are sure to end in time.
+     *
+     * @param endNanos when the requests that are left will be ended
      */
-    public void stopAccepting() {
+    public void stopAccepting(long endNanos) {
         stopping = true;
+        requestsEndNanos = endNanos;
         refusing = true;
         Set<ListenerEndpoint> open = reactor.getEndpoints();
         open.forEach(endpoint -> endpoint.close(CloseMode.GRACEFUL));
@@ -188,7 +192,7 @@
      * @return whether all of them finished
      */
     public boolean close(Duration limit) {
-        stopAccepting();
+        stopAccepting(now() + limit.toNanos());
         boolean finished = awaitNoRequests(limit);
         reactor.close(finished ? CloseMode.GRACEFUL : CloseMode.IMMEDIATE);
         pool.close();
@@ -272,6 +276,10 @@
         return refusing;
     }
 
+    long requestsEndNanos() {
+        return requestsEndNanos;
+    }
+
     long now() {
         return System.nanoTime();
     }
--- a/src/test/java/org/auburnhoist/proxy/CallerConnectionTest.java
+++ b/src/test/java/org/auburnhoist/proxy/CallerConnectionTest.java
@@ -361,7 +361,7 @@
         try (RawConnection caller = start(ProxySettings.builder())) {
             caller.send(START + "\r\n");
             received.await();
-            proxy.stopAccepting();
+            proxy.stopAccepting(System.nanoTime());
             CompletableFuture<Boolean> closed =
                     CompletableFuture.supplyAsync(() -> proxy.close(Duration.ofSeconds(60)));
             stopping.countDown();
--- a/src/test/java/org/auburnhoist/proxy/LateRequestTest.java
+++ b/src/test/java/org/auburnhoist/proxy/LateRequestTest.java
@@ -31,7 +31,7 @@
                 CompletableFuture.completedFuture(new Admission.Forwarded(TestForwarding.booking(upstream.address())));
         try (RawConnection caller = start(bookings)) {
             assertTrue(caller.send(POST).readMessage().endsWith("ok"));
-            proxy.stopAccepting();
+            proxy.stopAccepting(System.nanoTime());
             String response = caller.send(POST).readMessage();
             assertRefused(response, Refusal.HOST_STOPPING);
             assertEquals("close", RawConnection.header(response, "Connection"), response);
@@ -56,7 +56,7 @@
         try (RawConnection caller = start(forwarding(forwarding))) {
             caller.send(POST);
             assertTrue(waiting.await(30, TimeUnit.SECONDS));
-            proxy.stopAccepting();
+            proxy.stopAccepting(System.nanoTime());
             proxy.endRequests();
             assertRefused(caller.readMessage(), Refusal.HOST_STOPPING);
             assertNull(caller.readHead());
@@ -79,7 +79,7 @@
         try (RawConnection caller = start(forwarding(TestForwarding.booking(upstream.address())))) {
             caller.send(POST);
             assertTrue(received.await(30, TimeUnit.SECONDS));
-            proxy.stopAccepting();
+            proxy.stopAccepting(System.nanoTime());
             proxy.endRequests();
             assertRefused(caller.readMessage(), Refusal.UPSTREAM_TIMEOUT);
         }
@@ -103,7 +103,7 @@
         try (RawConnection caller = start(bookings)) {
             caller.send("POST /book HTTP/1.1\r\nHost: fleet\r\n" + parts[0]);
             assertTrue(admitted.await(30, TimeUnit.SECONDS));
-            proxy.stopAccepting();
+            proxy.stopAccepting(System.nanoTime());
             assertRefused(caller.send(parts[1]).readMessage(), Refusal.HOST_STOPPING);
             assertNull(caller.readHead());
             assertEquals(0, upstream.heads.size(), "requests that reached the server");
@@ -139,13 +139,37 @@
                     + (chunked ? "" : "Content-Length: " + 2 * half + "\r\n\r\n")
                     + content);
             assertTrue(received.await(30, TimeUnit.SECONDS));
-            proxy.stopAccepting();
+            proxy.stopAccepting(System.nanoTime());
             caller.send(content + (chunked ? "\r\n0\r\n\r\n" : ""));
             assertRefused(caller.readMessage(), Refusal.UPSTREAM_TIMEOUT);
             assertFalse(whole.get(30, TimeUnit.SECONDS), "the server got the whole body");
         }
     }
 
+    /** A caller must not be refused a request that its deadline ends before the host does. */
+    @Test
+    void aRequestThatIsSureToEndBeforeTheHostIsServedAlthoughItsBodyEndsLate() throws Exception {
+        upstream = RawUpstream.responding(OK);
+        CountDownLatch admitted = new CountDownLatch(1);
+        TestForwarding forwarding =
+                new TestForwarding(TrafficClass.BOOKING, Duration.ofSeconds(60), upstream.address()) {
+                    @Override
+                    public long responseDeadlineNanos() {
+                        return deadlineNanos();
+                    }
+                };
+        RequestPolicy policy = (head, now) -> {
+            admitted.countDown();
+            return CompletableFuture.completedFuture(new Admission.Forwarded(forwarding));
+        };
+        try (RawConnection caller = start(policy)) {
+            caller.send("POST /book HTTP/1.1\r\nHost: fleet\r\nContent-Length: 2\r\n\r\nh");
+            assertTrue(admitted.await(30, TimeUnit.SECONDS));
+            proxy.stopAccepting(forwarding.deadlineNanos());
+            assertTrue(caller.send("i").readMessage().endsWith("ok"));
+        }
+    }
+
     private static boolean isWhole(StringBuilder body, boolean chunked, int length) {
         return chunked
                 ? body.length() > length && body.substring(body.length() - 7).equals("\r\n0\r\n\r\n")
--- a/src/test/java/org/auburnhoist/proxy/StopAcceptingTest.java
+++ b/src/test/java/org/auburnhoist/proxy/StopAcceptingTest.java
@@ -19,7 +19,7 @@
         start(lookups(upstream.address()));
         // The acceptor waits in its selector, as it does most of the time.
         Thread.sleep(PAUSE_MILLIS);
-        proxy.stopAccepting();
+        proxy.stopAccepting(System.nanoTime());
         Thread.sleep(PAUSE_MILLIS);
         int accepted = 0;
         for (int caller = 0; caller < CALLERS; caller++) {
