Count a planned stop from its signal, and refuse sooner in it

Beside builds and tests (load of 20 to 48 on 8 cores) hosts accepted requests whose last byte was sent 3.1 and 3.3 s after the SIGTERM, and answered 504 while their servers worked on them (LOST): one request in each of two trials with 24 real processes, on and on.

Cause: the times of a stop were counted from the turn of the control thread that began it, and 2.7 s leave 0.3 s for all that a busy machine delays.

StopTimes holds the times of a stop.

Test: GatewayShutdownTest; counted from the control thread's turn, the time would be 0.7 s longer in it. The late bodies of PlannedStopProcessTest come at the same distance from the end of accepting as before.

--- a/src/main/java/org/auburnhoist/gateway/GatewayHost.java
+++ b/src/main/java/org/auburnhoist/gateway/GatewayHost.java
@@ -143,7 +143,7 @@
     public CompletableFuture<Void> stop() {
         stopping = true;
         return new GatewayShutdown(settings, control, this::leave, lease::end, proxy)
-                .begin()
+                .begin(System.nanoTime())
                 .thenRun(this::close);
     }
 
--- a/src/main/java/org/auburnhoist/gateway/GatewayShutdown.java
+++ b/src/main/java/org/auburnhoist/gateway/GatewayShutdown.java
@@ -4,7 +4,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.function.LongConsumer;
 import org.auburnhoist.host.CallerDrain;
-import org.auburnhoist.host.ControlThread;
+import org.auburnhoist.host.ControlScheduler;
 import org.auburnhoist.proxy.ProxyServer;
 import org.auburnhoist.support.Event;
 
@@ -18,17 +18,10 @@
  */
 final class GatewayShutdown {
     private static final Duration CHECK_INTERVAL = Duration.ofMillis(50);
-    /** Fraction of the stop limit during which late callers are still served. */
-    private static final double ACCEPT_FRACTION = 0.45;
-    /** Later requests are refused even if the stop limit is long; callers learn of the stop sooner than that. */
-    private static final Duration MAX_ACCEPT_TIME = Duration.ofMillis(2_700);
-    /** Callers use an address for up to this many times its validity. */
-    private static final int VALIDITIES_UNTIL_UNUSED = 3;
-    /** Fraction of the stop limit after which requests in progress are ended. */
-    private static final double DRAIN_FRACTION = 0.88;
 
     private final GatewaySettings settings;
-    private final ControlThread control;
+    private final StopTimes times;
+    private final ControlScheduler control;
     private final LongConsumer leave;
     private final Runnable end;
     private final ProxyServer proxy;
@@ -42,30 +35,33 @@
      * @param end called when no request is in progress or the rest are ended
      */
     GatewayShutdown(
-            GatewaySettings settings, ControlThread control, LongConsumer leave, Runnable end, ProxyServer proxy) {
+            GatewaySettings settings, ControlScheduler control, LongConsumer leave, Runnable end, ProxyServer proxy) {
         this.settings = settings;
+        this.times = StopTimes.within(settings.stopLimit());
         this.control = control;
         this.leave = leave;
         this.end = end;
         this.proxy = proxy;
     }
 
-    /** Begins the shutdown; completes when the host may be closed. */
-    CompletableFuture<Void> begin() {
+    /**
+     * Begins the shutdown; completes when the host may be closed.
+     *
+     * @param signalNanos when the stop was requested, from which its times are counted
+     */
+    CompletableFuture<Void> begin(long signalNanos) {
         control.execute(now -> {
-            startNanos = now;
+            startNanos = signalNanos;
             Event.named("host-stopping").with("host", settings.name()).log();
             proxy.closeAfterResponses();
             leave.accept(now);
-            Duration accepting = fractionOfLimit(ACCEPT_FRACTION);
-            control.schedule(
-                    accepting.compareTo(MAX_ACCEPT_TIME) < 0 ? accepting : MAX_ACCEPT_TIME, this::stopAccepting);
+            control.schedule(times.accepting().minusNanos(now - signalNanos), this::stopAccepting);
         });
         return finished;
     }
 
     private void stopAccepting(long nowNanos) {
-        proxy.stopAccepting(startNanos + fractionOfLimit(DRAIN_FRACTION).toNanos());
+        proxy.stopAccepting(startNanos + times.draining().toNanos());
         Event.named("stopped-accepting")
                 .with("requests_in_progress", proxy.unfinishedRequests().size())
                 .with("connections", proxy.callerConnections())
@@ -75,10 +71,10 @@
 
     private void awaitRequests(long nowNanos) {
         long elapsed = nowNanos - startNanos;
-        Duration addressUse = settings.addressValidity().multipliedBy(VALIDITIES_UNTIL_UNUSED);
+        Duration addressUse = settings.addressValidity().multipliedBy(StopTimes.VALIDITIES_UNTIL_UNUSED);
         boolean callersGone = proxy.callerConnections() == 0 || elapsed > addressUse.toNanos();
         boolean drained = proxy.requestsInProgress() == 0 && callersGone;
-        if (drained || elapsed > fractionOfLimit(DRAIN_FRACTION).toNanos()) {
+        if (drained || elapsed > times.draining().toNanos()) {
             CallerDrain.end(proxy, control, this::stop);
         } else {
             control.schedule(CHECK_INTERVAL, this::awaitRequests);
@@ -95,8 +91,4 @@
                 .log();
         finished.complete(null);
     }
-
-    private Duration fractionOfLimit(double fraction) {
-        return Duration.ofMillis((long) (settings.stopLimit().toMillis() * fraction));
-    }
 }
