Let address responses expire before a stopping host refuses their callers

Callers that keep an address response for three times its validity used a stopping host for 6 s, while it accepts requests for 2.4 s: they were refused, or found no listener and lost up to a second.

Change: the validity follows from the accepting time of a stop (StopTimes): 0.7 s with a stop limit of 6 s, instead of 2 s. Callers ask more often; those of the users' sites send a request each 13 s, so that nearly each request asks already. Hosts end sooner too, since they wait for three validities.

--- a/src/main/java/org/auburnhoist/platform/BootFile.java
+++ b/src/main/java/org/auburnhoist/platform/BootFile.java
@@ -14,6 +14,7 @@
 import org.auburnhoist.core.dispatch.RetryBudgetSettings;
 import org.auburnhoist.core.limit.FallbackLimiter;
 import org.auburnhoist.gateway.GatewaySettings;
+import org.auburnhoist.gateway.StopTimes;
 import org.auburnhoist.support.Event;
 import org.jspecify.annotations.Nullable;
 import org.snakeyaml.engine.v2.api.Load;
@@ -28,7 +29,6 @@
  */
 public record BootFile(GatewaySettings settings, InetSocketAddress storeAddress) {
     /** Callers cache addresses for up to three times this long; a short validity lets a stopping host drain in time. */
-    private static final double MAX_ADDRESS_VALIDITY_SECONDS = 2;
     /** By the platform's rules, a server is healthy again this many contact intervals after a disturbance. */
     private static final int CONTACTS_UNTIL_HEALTHY = 2;
 
@@ -113,8 +113,9 @@
             InetSocketAddress store = address("platform.platform.address", true);
             String ip = string("self.ip");
             int port = internalPort();
-            double validitySeconds = Math.min(MAX_ADDRESS_VALIDITY_SECONDS, bound("ttl_max_s", 0.1, 3_600, 5));
-            double graceSeconds = bound("grace_s", 0.5, 3_600, 6);
+            Duration longestValidity = Duration.ofMillis((long) (bound("ttl_max_s", 0.1, 3_600, 5) * 1000));
+            Duration stopLimit = Duration.ofMillis((long) (bound("grace_s", 0.5, 3_600, 6) * 1000));
+            Duration validity = StopTimes.within(stopLimit).addressValidity();
             FallbackLimiter.Tolerance tolerance = new FallbackLimiter.Tolerance(
                     bound("quota_window_s", 0.1, 3_600, 5),
                     bound("quota_overrun", 0, 10, 0.1),
@@ -134,8 +135,8 @@
                     ready,
                     directory,
                     new InetSocketAddress(ip, port),
-                    Duration.ofMillis((long) (validitySeconds * 1000)),
-                    Duration.ofMillis((long) (graceSeconds * 1000)),
+                    validity.compareTo(longestValidity) < 0 ? validity : longestValidity,
+                    stopLimit,
                     tolerance,
                     new RetryBudgetSettings(retryRatio, retrySlack),
                     new FloorSettings(floorShare, Duration.ofMillis((long) (CONTACTS_UNTIL_HEALTHY * contactMillis))),
--- a/src/test/java/org/auburnhoist/platform/DecodersTest.java
+++ b/src/test/java/org/auburnhoist/platform/DecodersTest.java
@@ -209,7 +209,7 @@
                 BootFile.parse(BOOT.replace(", floor_share: 0.7", "").replace("bounds: {ttl_max_s: 5, ", "bounds: {"));
         assertEquals(
                 new FloorSettings(0.7, Duration.ofSeconds(6)), boot.settings().floor());
-        assertEquals(Duration.ofSeconds(2), boot.settings().addressValidity());
+        assertEquals(Duration.ofMillis(700), boot.settings().addressValidity());
     }
 
     @Test
