Decide again about a booking on a platform when its body has been read

Cause: route, service and team were decided when the head was read, and the request was passed on with them when the body had ended.

Change: GatewayForwarding compares the router in force with the one that admitted the request before it asks for the first slot. If it is another one, key and route are checked again by the same function as before (GatewayAccess, taken out of GatewayPolicy): a request that is no longer allowed is refused with the same status as a new one, and one whose route has moved gets a service of the new route. The team's token is kept, none is taken again. If the key is now another team's, or the route's class has changed, the request is refused as not run, to be sent again.

--- a/src/main/java/org/auburnhoist/gateway/GatewayForwarding.java
+++ b/src/main/java/org/auburnhoist/gateway/GatewayForwarding.java
@@ -16,6 +16,8 @@
 import org.auburnhoist.core.message.SlotRequest;
 import org.auburnhoist.core.message.SlotVerdict;
 import org.auburnhoist.core.routing.TrafficRoute;
+import org.auburnhoist.core.routing.TrafficRouter;
+import org.auburnhoist.core.routing.TrafficSplitter;
 import org.auburnhoist.core.routing.UpstreamServer;
 import org.auburnhoist.host.Fingerprint;
 import org.auburnhoist.proxy.Forwarding;
@@ -33,6 +35,7 @@
     /** Extra time for a response body that is in transfer at the deadline. */
     private static final long ANSWER_GRACE_NANOS = 50 * MILLI;
 
+    private static final long NO_RETRY_AFTER = -1;
     /** Retry delay for callers while it is unknown when a server will be free. */
     private static final long RETRY_MILLIS = 300;
     /** Bounds the size of a slot request; a host has few connections to large services. */
@@ -43,8 +46,9 @@
     /** A dispatcher that grants more closed servers than this in succession has no better ones. */
     private static final int MAX_CLOSED_GRANTS = 3;
 
-    private final Request request;
+    private volatile Request request;
     private final GatewayComponents components;
+    private final TrafficSplitter splitter;
     private final RetryState retryState;
     private volatile long fingerprint;
     private SlotBroker.@Nullable Slot slot;
@@ -62,6 +66,8 @@
      * An admitted request.
      *
      * @param head the request
+     * @param metadata its metadata, with the caller's key
+     * @param router the router of the configuration that allows it
      * @param route its route
      * @param service the service selected among the route's services
      * @param team the team of the caller, empty if none
@@ -72,17 +78,40 @@
      */
     record Request(
             RequestHead head,
+            PlatformBinding.RequestMetadata metadata,
+            TrafficRouter router,
             TrafficRoute route,
             String service,
             String team,
             int priority,
             long deadlineNanos,
             GatewayAccessLogEntry logEntry,
-            long startNanos) {}
+            long startNanos) {
+        /** The same request as another configuration routes it. */
+        Request routedBy(TrafficRouter newRouter, TrafficRoute newRoute, String newService) {
+            return new Request(
+                    head,
+                    metadata,
+                    newRouter,
+                    newRoute,
+                    newService,
+                    team,
+                    priority,
+                    deadlineNanos,
+                    logEntry,
+                    startNanos);
+        }
+    }
 
-    GatewayForwarding(Request request, GatewayComponents components) {
+    /**
+     * Creates the forwarding of a request of which no server has been asked yet.
+     *
+     * @param splitter selects the service again if the route has moved; confined to the control thread
+     */
+    GatewayForwarding(Request request, GatewayComponents components, TrafficSplitter splitter) {
         this.request = request;
         this.components = components;
+        this.splitter = splitter;
         this.retryState = new RetryState(
                 request.route().maximumAttempts(),
                 request.route().trafficClass().isIdempotent());
@@ -148,6 +177,11 @@
             return;
         }
         if (!requestCounted) {
+            Target.NoTarget denied = decideAgain();
+            if (denied != null) {
+                result.complete(denied);
+                return;
+            }
             requestCounted = true;
             components.slots().requestStarted(request.service(), nowNanos);
         }
@@ -187,6 +221,43 @@
                 .acquire(slotRequest, nowNanos, (slotResult, now) -> handleSlotResult(slotResult, now, result));
     }
 
+    /**
+     * Decides again about the request if another configuration has come into force since its head was read, because its
+     * body may have ended seconds later. The team's token for it is kept.
+     *
+     * @return the refusal, or null if the request may run
+     */
+    private Target.@Nullable NoTarget decideAgain() {
+        Request admitted = request;
+        TrafficRouter router = components.cache().router();
+        if (router == admitted.router()) {
+            return null;
+        }
+        GatewayAccess access = GatewayAccess.decide(
+                router, admitted.metadata(), admitted.head().path());
+        if (access instanceof GatewayAccess.Denied denied) {
+            return new Target.NoTarget(denied.refusal(), denied.detail(), NO_RETRY_AFTER);
+        }
+        GatewayAccess.Allowed allowed = (GatewayAccess.Allowed) access;
+        TrafficRoute route = allowed.route();
+        if (!allowed.teamName().equals(admitted.team()) || route.trafficClass() != trafficClass()) {
+            // The token, or the permission to run twice, is that of the former configuration.
+            return new Target.NoTarget(
+                    Refusal.SERVICE_OVERLOADED, "the configuration has changed; send the request again", 0);
+        }
+        boolean stays = route.services().stream()
+                .anyMatch(part -> part.weight() > 0 && part.service().equals(admitted.service()));
+        String service = stays ? admitted.service() : splitter.nextService(route);
+        request = admitted.routedBy(router, route, service);
+        admitted.logEntry()
+                .routed(
+                        admitted.team(),
+                        route.name(),
+                        service,
+                        router.configuration().version());
+        return null;
+    }
+
     private List<UpstreamServer> registeredServers() {
         return components.cache().serversOf(request.service());
     }
--- a/src/main/java/org/auburnhoist/gateway/GatewayPolicy.java
+++ b/src/main/java/org/auburnhoist/gateway/GatewayPolicy.java
@@ -12,7 +12,6 @@
 import org.auburnhoist.proxy.Admission;
 import org.auburnhoist.proxy.RequestHead;
 import org.auburnhoist.proxy.RequestPolicy;
-import org.jspecify.annotations.Nullable;
 
 /**
  * Admits or refuses callers' requests: checks route and key on the traffic thread, then acquires the team's token on
@@ -45,43 +44,34 @@
             return refused(
                     logEntry, Refusal.MALFORMED_REQUEST, "a deciding header came more than once", NO_RETRY_AFTER);
         }
-        TrafficRoute route = router.route(metadata.hostName(), head.path());
-        if (route == null) {
-            return refused(logEntry, Refusal.ROUTE_UNKNOWN, "no route matches", NO_RETRY_AFTER);
+        GatewayAccess access = GatewayAccess.decide(router, metadata, head.path());
+        if (access instanceof GatewayAccess.Allowed allowed) {
+            return acquireToken(head, metadata, router, allowed, logEntry, nowNanos);
         }
-        TeamPolicy team = null;
-        if (!route.open() && router.configuration().hasTeams()) {
-            String key = metadata.key();
-            if (key == null) {
-                return refused(logEntry, Refusal.KEY_MISSING, "the route needs a key", NO_RETRY_AFTER);
-            }
-            String name = router.teamOfKey(key);
-            team = name == null ? null : router.team(name);
-            if (team == null) {
-                return refused(logEntry, Refusal.KEY_UNKNOWN, "no team holds this key", NO_RETRY_AFTER);
-            }
-        }
-        return acquireToken(head, metadata, route, team, logEntry, nowNanos);
+        GatewayAccess.Denied denied = (GatewayAccess.Denied) access;
+        return refused(logEntry, denied.refusal(), denied.detail(), NO_RETRY_AFTER);
     }
 
     private CompletionStage<Admission> acquireToken(
             RequestHead head,
             PlatformBinding.RequestMetadata metadata,
-            TrafficRoute route,
-            @Nullable TeamPolicy team,
+            TrafficRouter router,
+            GatewayAccess.Allowed access,
             GatewayAccessLogEntry logEntry,
             long nowNanos) {
+        TrafficRoute route = access.route();
+        TeamPolicy team = access.team();
         long limit = route.timeoutMillis() > 0 ? route.timeoutMillis() : DEFAULT_TIMEOUT_MILLIS;
         long timeoutMillis = metadata.remainingMillis() >= 0 ? Math.min(limit, metadata.remainingMillis()) : limit;
         long deadline = nowNanos + timeoutMillis * MILLI;
         CompletableFuture<Admission> result = new CompletableFuture<>();
         CompletableFuture<Boolean> accepted = components.control().compute(now -> {
             if (team == null || !team.isRateLimited()) {
-                result.complete(forward(head, route, team, deadline, logEntry, nowNanos));
+                result.complete(forward(head, metadata, router, access, deadline, logEntry, nowNanos));
             } else {
                 components.quotas().acquire(team, now, (quota, later) -> {
                     if (quota.granted()) {
-                        result.complete(forward(head, route, team, deadline, logEntry, nowNanos));
+                        result.complete(forward(head, metadata, router, access, deadline, logEntry, nowNanos));
                     } else {
                         result.complete(quotaRefusal(quota, logEntry));
                     }
@@ -111,23 +101,32 @@
     /** Called on the control thread, to which the splitter is confined. */
     private Admission forward(
             RequestHead head,
-            TrafficRoute route,
-            @Nullable TeamPolicy team,
+            PlatformBinding.RequestMetadata metadata,
+            TrafficRouter router,
+            GatewayAccess.Allowed access,
             long deadlineNanos,
             GatewayAccessLogEntry logEntry,
             long startNanos) {
+        TrafficRoute route = access.route();
+        TeamPolicy team = access.team();
         String service = splitter.nextService(route);
-        String teamName = team == null ? "" : team.name();
         int priority = team != null && team.priority() >= 0 ? team.priority() : route.priority();
         logEntry.routed(
-                teamName,
-                route.name(),
-                service,
-                components.cache().router().configuration().version());
+                access.teamName(), route.name(), service, router.configuration().version());
         return new Admission.Forwarded(new GatewayForwarding(
                 new GatewayForwarding.Request(
-                        head, route, service, teamName, priority, deadlineNanos, logEntry, startNanos),
-                components));
+                        head,
+                        metadata,
+                        router,
+                        route,
+                        service,
+                        access.teamName(),
+                        priority,
+                        deadlineNanos,
+                        logEntry,
+                        startNanos),
+                components,
+                splitter));
     }
 
     private CompletionStage<Admission> refused(
