Show that bookings of serve with late bodies run on a route that is gone

What callers see: a booking whose body ends after its route was dropped, moved to another service or closed to its team still runs at the former service, however long ago the change came into force on that host.

A withdrawn key is refused already, because it is checked when a slot is granted; a change that does not concern the booking passes.

--- a/src/test/java/org/auburnhoist/host/EntryHostTest.java
+++ b/src/test/java/org/auburnhoist/host/EntryHostTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.sun.net.httpserver.HttpExchange;
@@ -24,6 +25,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 
 /**
  * Guards against leaked keys, repeated bookings, exceeded rate limits, hosts that need the store to serve, and hosts
@@ -136,6 +139,71 @@
         }
     }
 
+    /** A change of the configuration, and the result of a booking that it concerns. */
+    private enum Change {
+        KEY_WITHDRAWN("withdrawn: false", "withdrawn: true", "key-withdrawn"),
+        ROUTE_DROPPED("path: /bookings", "path: /elsewhere", "route-unknown"),
+        ROUTE_MOVED("path: /bookings, service: catalogue", "path: /bookings, service: archive", "from archive"),
+        TEAM_EXCLUDED(
+                "class: booking,\n         callers: every-team",
+                "class: booking,\n         callers: [visitors]",
+                "team-not-allowed"),
+        /** Does not concern the booking. */
+        RATE_RAISED("rate-per-second: 20.0", "rate-per-second: 30.0", "POST /bookings run 1");
+
+        final String removed;
+        final String added;
+        final String result;
+
+        Change(String removed, String added, String result) {
+            this.removed = removed;
+            this.added = added;
+            this.result = result;
+        }
+    }
+
+    /** A booking whose body ends late would run with a key or a route that is gone, or at the former service. */
+    @ParameterizedTest
+    @EnumSource
+    void aBookingWhoseBodyEndsAfterAChangeIsHandledAsTheChangeSays(Change change) throws Exception {
+        HttpServer archive = HttpServer.create(new InetSocketAddress("127.0.0.1", 0), 0);
+        archive.createContext("/", exchange -> respond(exchange, "from archive"));
+        archive.start();
+        try (RawConnection caller = RawConnection.to(first.callerAddress())) {
+            String before = withArchive(configuration(20, false), archive);
+            fleet.apply(before);
+            awaitVersion(2);
+            String operation = fleet.post(first, "/bookings", "telescope 7", "Authorization", AUTHORIZATION)
+                    .headers()
+                    .firstValue("Operation-Id")
+                    .orElseThrow();
+            caller.send("POST /bookings HTTP/1.1\r\nHost: fleet\r\nAuthorization: " + AUTHORIZATION
+                    + "\r\nOperation-Id: " + operation + "\r\nContent-Length: 2\r\n\r\nh");
+            String after = before.replace(change.removed, change.added);
+            assertNotEquals(before, after);
+            fleet.apply(after);
+            awaitVersion(3);
+            String head = caller.send("i").readHead();
+            String refusal = RawConnection.header(head, "Auburnhoist-Refusal");
+            String body = new String(caller.readBody(head), StandardCharsets.UTF_8);
+            assertEquals(change.result, refusal == null ? body : refusal, body);
+            assertEquals(change == Change.RATE_RAISED ? 1 : 0, bookingRuns.get(), "runs at the former service");
+        } finally {
+            archive.stop(0);
+        }
+    }
+
+    private static String withArchive(String configuration, HttpServer archive) {
+        String service = "services:\n  archive:\n    slots-per-server: 6\n    connections-per-server: 330\n"
+                + "    floor: 0.7\n    profile: cautious\n    servers:\n"
+                + "      archive-1: {address: \"127.0.0.1:"
+                + archive.getAddress().getPort()
+                + "\", data-centre: hall-1}\n";
+        return configuration
+                .replace("teams:\n", "teams:\n  visitors: {rate-per-second: 1, burst: 1, weight: 1}\n")
+                .replace("services:\n", service);
+    }
+
     @Test
     void hostsKeepServingWhileTheStoreIsUnavailable() throws Exception {
         fleet.storeEmulator().refuseConnections();
@@ -266,8 +334,11 @@
         }
         boolean booking = exchange.getRequestMethod().equals("POST");
         String run = booking ? " run " + bookingRuns.incrementAndGet() : "";
-        byte[] body =
-                (exchange.getRequestMethod() + " " + exchange.getRequestURI() + run).getBytes(StandardCharsets.UTF_8);
+        respond(exchange, exchange.getRequestMethod() + " " + exchange.getRequestURI() + run);
+    }
+
+    private static void respond(HttpExchange exchange, String text) throws IOException {
+        byte[] body = text.getBytes(StandardCharsets.UTF_8);
         exchange.sendResponseHeaders(200, body.length);
         exchange.getResponseBody().write(body);
         exchange.close();
