Decide again about a booking of serve when its body has been read

Callers had bookings run at the former service when the body ended after the route was dropped, moved or closed to their team, whatever the time since the change came into force.

Cause: route and team were decided when the head was read; a granted slot was checked against the key and the servers of the former service only.

Change: HostForwarding compares the version in force with the one that admitted the request before it asks for the first slot. If it is another one, the access policy decides again: a request that is no longer allowed is refused as a new one is, and one whose route has moved goes to the new service. The team's token and the claim of the operation are kept; a refusal is reported to the claim as not run. If the team of the key or the class of the route has changed, the request is refused as not run, to be sent again.

--- a/src/main/java/org/auburnhoist/host/HostForwarding.java
+++ b/src/main/java/org/auburnhoist/host/HostForwarding.java
@@ -7,7 +7,9 @@
 import org.auburnhoist.core.Refusal;
 import org.auburnhoist.core.TrafficClass;
 import org.auburnhoist.core.blackboard.ActiveConfiguration;
+import org.auburnhoist.core.configuration.AccessDecision;
 import org.auburnhoist.core.configuration.Key;
+import org.auburnhoist.core.configuration.Route;
 import org.auburnhoist.core.configuration.Server;
 import org.auburnhoist.core.configuration.Service;
 import org.auburnhoist.core.membership.Roster;
@@ -20,6 +22,7 @@
 import org.auburnhoist.core.message.SlotVerdict;
 import org.auburnhoist.core.operation.OperationId;
 import org.auburnhoist.proxy.Forwarding;
+import org.auburnhoist.proxy.RequestHead;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -28,8 +31,9 @@
  */
 final class HostForwarding implements Forwarding {
     private static final long NANOS_PER_MILLI = 1_000_000L;
+    private static final long NO_RETRY_AFTER = -1;
 
-    private final HostPolicy.Request request;
+    private volatile HostPolicy.Request request;
     private final @Nullable OperationId operation;
     private final long claimAttempt;
     private final long deadlineNanos;
@@ -84,11 +88,17 @@
 
     @Override
     public CompletionStage<Target> nextTarget(long nowNanos) {
-        if (attempts == 0) {
-            controllers.retryBudgets().requestStarted(request.route().service(), nowNanos);
-        }
+        boolean first = attempts == 0;
         CompletableFuture<Target> result = new CompletableFuture<>();
         CompletableFuture<Boolean> accepted = control.compute(now -> {
+            Target.NoTarget denied = first ? decideAgain() : null;
+            if (denied != null) {
+                result.complete(denied);
+                return true;
+            }
+            if (first) {
+                controllers.retryBudgets().requestStarted(request.route().service(), now);
+            }
             acquireSlot(now, result);
             return true;
         });
@@ -152,6 +162,42 @@
                 : ClaimResult.NOT_RUN;
     }
 
+    /**
+     * Decides again about the request if another configuration has come into force since its head was read, because its
+     * body may have ended seconds later. The team's token and the claim for it are kept.
+     *
+     * @return the refusal, or null if the request may run
+     */
+    private Target.@Nullable NoTarget decideAgain() {
+        HostPolicy.Request admitted = request;
+        ActiveConfiguration active = controllers.board().activeConfiguration();
+        if (active.version() == admitted.configurationVersion()) {
+            return null;
+        }
+        RequestHead head = admitted.head();
+        AccessDecision decision =
+                active.access().decide(head.method(), head.path(), head.header(HostPolicy.AUTHORIZATION));
+        if (decision instanceof AccessDecision.Refused denied) {
+            return new Target.NoTarget(denied.refusal(), denied.detail(), NO_RETRY_AFTER);
+        }
+        Route route = null;
+        if (decision instanceof AccessDecision.AllowedForTeam access
+                && access.team().equals(admitted.team())) {
+            route = access.route();
+        } else if (decision instanceof AccessDecision.AllowedAnonymously access
+                && admitted.team().isEmpty()) {
+            route = access.route();
+        }
+        if (route == null || route.trafficClass() != trafficClass()) {
+            // The token, the claim or the permission to run twice is that of the former configuration.
+            return new Target.NoTarget(
+                    Refusal.SERVICE_OVERLOADED, "the configuration has changed; send the request again", 0);
+        }
+        admitted.logEntry().setRoute(route.name());
+        request = admitted.routedBy(active, route);
+        return null;
+    }
+
     private void acquireSlot(long nowNanos, CompletableFuture<Target> result) {
         long millisLeft = (deadlineNanos - nowNanos) / NANOS_PER_MILLI;
         if (millisLeft <= 0) {
--- a/src/main/java/org/auburnhoist/host/HostPolicy.java
+++ b/src/main/java/org/auburnhoist/host/HostPolicy.java
@@ -8,6 +8,7 @@
 import java.util.function.Supplier;
 import org.auburnhoist.core.Refusal;
 import org.auburnhoist.core.TrafficClass;
+import org.auburnhoist.core.blackboard.ActiveConfiguration;
 import org.auburnhoist.core.blackboard.BlackboardSnapshot;
 import org.auburnhoist.core.configuration.AccessDecision;
 import org.auburnhoist.core.configuration.Route;
@@ -54,15 +55,25 @@
         this.metrics = metrics;
     }
 
-    /** A request with its route and, unless the route is open, its authenticated team and key. */
+    /**
+     * A request with its route and, unless the route is open, its authenticated team and key.
+     *
+     * @param configurationVersion version of the configuration that allows it
+     */
     record Request(
             RequestHead head,
             String path,
             Route route,
             String team,
             String keyId,
+            long configurationVersion,
             AccessLogEntry logEntry,
-            long startNanos) {}
+            long startNanos) {
+        /** The same request with its route in another configuration. */
+        Request routedBy(ActiveConfiguration newer, Route newRoute) {
+            return new Request(head, path, newRoute, team, keyId, newer.version(), logEntry, startNanos);
+        }
+    }
 
     @Override
     public CompletionStage<Admission> admit(RequestHead head, long nowNanos) {
@@ -82,17 +93,19 @@
             return completedRefusal(
                     record, Refusal.MALFORMED_REQUEST, "a deciding header came more than once", NO_RETRY_AFTER);
         }
-        AccessDecision decision =
-                current.activeConfiguration().access().decide(head.method(), head.path(), head.header(AUTHORIZATION));
+        ActiveConfiguration active = current.activeConfiguration();
+        long version = active.version();
+        AccessDecision decision = active.access().decide(head.method(), head.path(), head.header(AUTHORIZATION));
         if (decision instanceof AccessDecision.AllowedForTeam access) {
             record.setCaller(access.team(), access.keyId());
             record.setRoute(access.route().name());
-            return checkOperationId(
-                    new Request(head, access.path(), access.route(), access.team(), access.keyId(), record, nowNanos));
+            return checkOperationId(new Request(
+                    head, access.path(), access.route(), access.team(), access.keyId(), version, record, nowNanos));
         }
         if (decision instanceof AccessDecision.AllowedAnonymously access) {
             record.setRoute(access.route().name());
-            return checkOperationId(new Request(head, access.path(), access.route(), "", "", record, nowNanos));
+            return checkOperationId(
+                    new Request(head, access.path(), access.route(), "", "", version, record, nowNanos));
         }
         if (decision instanceof AccessDecision.Refused denied) {
             return completedRefusal(record, denied.refusal(), denied.detail(), NO_RETRY_AFTER);
