Show that a stopping host decides twice about the end of a long body

What callers see: if a host stops accepting between the last byte of a body of announced length and the end of that body, it answers 504 at once, seconds before the end of the stop, while the server works on the booking (LOST).

The test calls CallerExchange as its connection does and fails on: 504 instead of 200.

--- a/src/test/java/org/auburnhoist/proxy/LateRequestTest.java
+++ b/src/test/java/org/auburnhoist/proxy/LateRequestTest.java
@@ -6,11 +6,23 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.lang.reflect.Proxy;
+import java.nio.ByteBuffer;
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import org.apache.hc.core5.http.EntityDetails;
+import org.apache.hc.core5.http.HttpRequest;
+import org.apache.hc.core5.http.HttpResponse;
+import org.apache.hc.core5.http.impl.BasicEntityDetails;
+import org.apache.hc.core5.http.message.BasicHttpRequest;
+import org.apache.hc.core5.http.nio.AsyncPushProducer;
+import org.apache.hc.core5.http.nio.ResponseChannel;
+import org.apache.hc.core5.http.protocol.HttpContext;
+import org.apache.hc.core5.http.protocol.HttpCoreContext;
+import org.apache.hc.core5.reactor.IOSession;
 import org.auburnhoist.core.Refusal;
 import org.auburnhoist.core.TrafficClass;
 import org.junit.jupiter.api.Test;
@@ -146,6 +158,65 @@
         }
     }
 
+    /**
+     * A request whose last byte is passed on just before the host accepts no more is at work at its server, which a
+     * decision at the end of the stream would come too late for.
+     */
+    @Test
+    void aRequestWhoseLastByteIsPassedOnBeforeTheHostAcceptsNoMoreGetsItsServersAnswer() throws Exception {
+        byte[] half = new byte[2 * CallerExchange.READ_AHEAD_BYTES];
+        CountDownLatch received = new CountDownLatch(1);
+        CountDownLatch finished = new CountDownLatch(1);
+        upstream = new RawUpstream((connection, number) -> {
+            connection.readBody(upstream.readHead(connection));
+            received.countDown();
+            assertTrue(finished.await(30, TimeUnit.SECONDS));
+            connection.send(OK);
+        });
+        start(forwarding(TestForwarding.booking(upstream.address()))).close();
+        CompletableFuture<HttpResponse> answer = new CompletableFuture<>();
+        CallerExchange exchange = new CallerExchange(new CallerConnection(inertSession(), proxy));
+        BasicHttpRequest request = new BasicHttpRequest("POST", "/book");
+        request.setHeader("Host", "fleet");
+        request.setHeader("Content-Length", 2 * half.length);
+        EntityDetails entity = new BasicEntityDetails(2 * half.length, null);
+        exchange.handleRequest(request, entity, new AnswerChannel(answer), HttpCoreContext.create());
+        exchange.consume(ByteBuffer.wrap(half));
+        exchange.updateCapacity(increment -> {});
+        exchange.consume(ByteBuffer.wrap(half));
+        assertTrue(received.await(30, TimeUnit.SECONDS));
+        proxy.stopAccepting();
+        exchange.streamEnd(null);
+        finished.countDown();
+        assertEquals(200, answer.get(30, TimeUnit.SECONDS).getCode());
+    }
+
+    /** A session without a socket, whose methods do nothing. */
+    private static IOSession inertSession() {
+        return (IOSession) Proxy.newProxyInstance(
+                IOSession.class.getClassLoader(),
+                new Class<?>[] {IOSession.class},
+                (session, method, arguments) -> method.getReturnType() == int.class ? (Object) 0 : null);
+    }
+
+    /** Keeps the response. */
+    private record AnswerChannel(CompletableFuture<HttpResponse> answer) implements ResponseChannel {
+        @Override
+        public void sendInformation(HttpResponse response, HttpContext context) {
+            throw new UnsupportedOperationException("no interim response is expected");
+        }
+
+        @Override
+        public void sendResponse(HttpResponse response, EntityDetails entity, HttpContext context) {
+            answer.complete(response);
+        }
+
+        @Override
+        public void pushPromise(HttpRequest promise, AsyncPushProducer producer, HttpContext context) {
+            throw new UnsupportedOperationException("no push is expected");
+        }
+    }
+
     private static boolean isWhole(StringBuilder body, boolean chunked, int length) {
         return chunked
                 ? body.length() > length && body.substring(body.length() - 7).equals("\r\n0\r\n\r\n")
