Decide once about the end of a body whose length is announced

Callers of a stopping host could get its own 504 seconds before the end of the stop, while a server worked on their booking (LOST): if the host stopped accepting between the last byte of a long body and the end of that body.

Cause: both events asked whether the host accepts no more. The first had passed the last byte on, with which the server begins; the second ended the request.

Change: the end of a body decides only if no length was announced, since a server learns of the end of such a body by it alone. A body that has been read ahead whole is still decided about before a server is asked for.

--- a/src/main/java/org/auburnhoist/proxy/CallerExchange.java
+++ b/src/main/java/org/auburnhoist/proxy/CallerExchange.java
@@ -366,10 +366,12 @@
     @Override
     public void streamEnd(@Nullable List<? extends Header> trailers) {
         bodyProgress.completed(server.now());
+        // With an announced length, the last byte is the end for a server, and has been decided about.
+        boolean decided = head != null && head.contentLength() >= 0;
         if (trailers == CallerBodyDecoder.MALFORMED) {
             connection.endAfterRunning();
             failBody(Refusal.MALFORMED_REQUEST, "The body of the request is malformed.");
-        } else if (!bodyFailed && !refusedLate()) {
+        } else if (!bodyFailed && (decided || !refusedLate())) {
             requestBody.end();
             notifyBodyProgress();
         }
