Guard the other ways into a planned stop by tests

Three ways in which a booking could reach a server after a stopping host accepts no more were only argued by reading: an admission that comes late, a booking that waits behind another one on its connection, and a caller that waited to send its body. The tests pass on the code as it is; each is refused as not run and no server gets it.

--- a/src/test/java/org/auburnhoist/proxy/LateRequestTest.java
+++ b/src/test/java/org/auburnhoist/proxy/LateRequestTest.java
@@ -191,6 +191,70 @@
         assertEquals(200, answer.get(30, TimeUnit.SECONDS).getCode());
     }
 
+    /** A booking that was read in time would begin too late if the decision about it came after the last check. */
+    @Test
+    void aBookingThatIsAdmittedOnceTheHostAcceptsNoMoreIsRefusedAsNotRun() throws Exception {
+        upstream = RawUpstream.responding(OK);
+        CompletableFuture<Admission> admission = new CompletableFuture<>();
+        CountDownLatch asked = new CountDownLatch(1);
+        RequestPolicy late = (head, now) -> {
+            asked.countDown();
+            return admission;
+        };
+        try (RawConnection caller = start(late)) {
+            caller.send(POST);
+            assertTrue(asked.await(30, TimeUnit.SECONDS));
+            proxy.stopAccepting();
+            admission.complete(new Admission.Forwarded(TestForwarding.booking(upstream.address())));
+            assertRefused(caller.readMessage(), Refusal.HOST_STOPPING);
+            assertEquals(0, upstream.heads.size(), "requests that reached the server");
+        }
+    }
+
+    /** A booking that waits for the response to an earlier one would begin too late once that one has ended. */
+    @Test
+    void aBookingBehindAnotherOneIsRefusedAsNotRunIfItsTurnComesOnceTheHostAcceptsNoMore() throws Exception {
+        CountDownLatch received = new CountDownLatch(1);
+        CountDownLatch finished = new CountDownLatch(1);
+        upstream = new RawUpstream((connection, number) -> {
+            connection.readBody(upstream.readHead(connection));
+            received.countDown();
+            assertTrue(finished.await(30, TimeUnit.SECONDS));
+            connection.send(OK);
+        });
+        CountDownLatch admitted = new CountDownLatch(2);
+        RequestPolicy bookings = (head, now) -> {
+            admitted.countDown();
+            return CompletableFuture.completedFuture(
+                    new Admission.Forwarded(TestForwarding.booking(upstream.address())));
+        };
+        try (RawConnection caller = start(bookings)) {
+            caller.send(POST + POST);
+            assertTrue(received.await(30, TimeUnit.SECONDS));
+            assertTrue(admitted.await(30, TimeUnit.SECONDS));
+            proxy.stopAccepting();
+            finished.countDown();
+            assertTrue(caller.readMessage().endsWith("ok"));
+            assertRefused(caller.readMessage(), Refusal.HOST_STOPPING);
+            assertEquals(1, upstream.heads.size(), "requests that reached the server");
+        }
+    }
+
+    /** A caller that was told to send its body would have its booking begin too late. */
+    @Test
+    void aBookingWhoseCallerWaitedToSendItsBodyIsRefusedAsNotRunOnceTheHostAcceptsNoMore() throws Exception {
+        upstream = RawUpstream.responding(OK);
+        RequestPolicy bookings = (head, now) ->
+                CompletableFuture.completedFuture(new Admission.Forwarded(TestForwarding.booking(upstream.address())));
+        try (RawConnection caller = start(bookings)) {
+            caller.send(POST.replace("\r\n\r\nhi", "\r\nExpect: 100-continue\r\n\r\n"));
+            assertTrue(caller.readHead().startsWith("HTTP/1.1 100"));
+            proxy.stopAccepting();
+            assertRefused(caller.send("hi").readMessage(), Refusal.HOST_STOPPING);
+            assertEquals(0, upstream.heads.size(), "requests that reached the server");
+        }
+    }
+
     /** A session without a socket, whose methods do nothing. */
     private static IOSession inertSession() {
         return (IOSession) Proxy.newProxyInstance(
