Use a server only by an entry that has all fields of a registration

Cause: RegistrationDecoder checked four of the nine fields that PROTOCOL.md names. An entry with service, address, slots and state was used.

Change: all nine fields must be present, of their type and in range; text after the object or a name that occurs twice makes an entry unreadable. Such an entry names no server to use, and is not a departure either: hosts send each other the IDs of these entries beside the list, and each keeps the last registration that it knows of such a server, as one that gets no requests. So what is known of the server (limits, warm-up, pauses) lasts until its own entry, with the same born, is back; it is not held back after a return of the store. Hosts of earlier versions read the list as before.

Tests: DecodersTest asserted that an entry with five of nine fields is used, and one with a warm-up time of another type or out of range. Its cases are replaced: a whole entry is the base, each field is left out, and each gets wrong values; entries are refused for all that they were refused for before. StoreCacheTest has four new cases; they need the new interface, so they were not run on the earlier code.

--- a/src/main/java/org/auburnhoist/core/membership/FleetCodec.java
+++ b/src/main/java/org/auburnhoist/core/membership/FleetCodec.java
@@ -9,6 +9,7 @@
 import java.util.zip.DeflaterOutputStream;
 import java.util.zip.InflaterInputStream;
 import org.auburnhoist.core.HostId;
+import org.auburnhoist.core.routing.ServerRegistrations;
 import org.auburnhoist.core.routing.UpstreamServer;
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
@@ -61,11 +62,11 @@
         });
     }
 
-    /** Encodes and compresses servers. */
-    public static byte[] servers(List<UpstreamServer> servers) {
+    /** Encodes and compresses servers' registrations. */
+    public static byte[] registrations(ServerRegistrations registrations) {
         return deflate(write(packer -> {
-            packer.packArrayHeader(servers.size());
-            for (UpstreamServer server : servers) {
+            packer.packArrayHeader(registrations.servers().size());
+            for (UpstreamServer server : registrations.servers()) {
                 packer.packString(server.id())
                         .packLong(server.startedMillis())
                         .packString(server.service())
@@ -75,15 +76,20 @@
                         .packBoolean(server.leaving())
                         .packLong(server.warmUpMillis());
             }
+            // Last, since hosts of earlier versions read only the servers.
+            packer.packArrayHeader(registrations.unusableIds().size());
+            for (String id : registrations.unusableIds()) {
+                packer.packString(id);
+            }
         }));
     }
 
     /**
-     * Decodes compressed servers.
+     * Decodes compressed registrations; those of a host of an earlier version name no unusable IDs.
      *
      * @throws IOException if the bytes are not a list of servers
      */
-    public static List<UpstreamServer> servers(byte[] bytes) throws IOException {
+    public static ServerRegistrations registrations(byte[] bytes) throws IOException {
         return read(inflate(bytes), in -> {
             int count = in.unpackArrayHeader();
             List<UpstreamServer> servers = new ArrayList<>();
@@ -98,7 +104,12 @@
                         in.unpackBoolean(),
                         in.unpackLong()));
             }
-            return servers;
+            List<String> unusableIds = new ArrayList<>();
+            int unusable = in.hasNext() ? in.unpackArrayHeader() : 0;
+            for (int index = 0; index < unusable; index++) {
+                unusableIds.add(in.unpackString());
+            }
+            return new ServerRegistrations(servers, unusableIds);
         });
     }
 
--- a/src/main/java/org/auburnhoist/core/routing/UpstreamServer.java
+++ b/src/main/java/org/auburnhoist/core/routing/UpstreamServer.java
@@ -21,4 +21,9 @@
         String dataCentre,
         int slots,
         boolean leaving,
-        long warmUpMillis) {}
+        long warmUpMillis) {
+    /** The same server, which must get no new requests. */
+    public UpstreamServer asLeaving() {
+        return new UpstreamServer(id, startedMillis, service, address, dataCentre, slots, true, warmUpMillis);
+    }
+}
--- a/src/main/java/org/auburnhoist/gateway/GatewayHost.java
+++ b/src/main/java/org/auburnhoist/gateway/GatewayHost.java
@@ -192,6 +192,7 @@
     private void begin() {
         metrics.registerGauge("requests_in_progress", proxy::requestsInProgress);
         metrics.registerGauge("store_returns", cache::storeReturns);
+        metrics.registerGauge("registrations_unusable", poller::unusableRegistrations);
         metrics.registerGauge("log_lines_left_out", LogFormatter::linesLeftOut);
         metrics.registerGauge(
                 "configuration_version", () -> cache.router().configuration().version());
--- a/src/main/java/org/auburnhoist/gateway/PlatformBinding.java
+++ b/src/main/java/org/auburnhoist/gateway/PlatformBinding.java
@@ -32,9 +32,12 @@
      */
     TrafficConfiguration decodeConfiguration(byte[] stored) throws IOException;
 
-    /** Decodes a server's registration, or returns null if it describes no usable server. */
-    @Nullable
-    UpstreamServer decodeServer(Entry registration);
+    /**
+     * Decodes a server's registration.
+     *
+     * @throws IOException if the entry names no server to use
+     */
+    UpstreamServer decodeServer(Entry registration) throws IOException;
 
     /** Whether a request asks for the addresses of hosts. */
     boolean isAddressQuery(RequestHead head);
--- a/src/main/java/org/auburnhoist/gateway/ServerList.java
+++ b/src/main/java/org/auburnhoist/gateway/ServerList.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -11,9 +12,11 @@
 import java.util.function.Function;
 import java.util.function.LongPredicate;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.auburnhoist.core.StableHash;
 import org.auburnhoist.core.StorePosition;
 import org.auburnhoist.core.membership.FleetCodec;
+import org.auburnhoist.core.routing.ServerRegistrations;
 import org.auburnhoist.core.routing.UpstreamServer;
 import org.auburnhoist.support.Event;
 import org.jspecify.annotations.Nullable;
@@ -33,12 +36,17 @@
     /** IDs of the servers in use that are not registered. */
     private Set<String> expiredIds = Set.of();
 
+    /** IDs under which an entry stands that names no server to use. */
+    private List<String> unusableIds = List.of();
+    /** Last registrations of the servers among them; these get no requests and have not left. */
+    private Map<String, UpstreamServer> overwritten = Map.of();
+
     private LongPredicate mayLackRegistrations = now -> false;
     private Map<String, UpstreamServer> byId = Map.of();
     private Map<String, List<UpstreamServer>> byService = Map.of();
-    private byte[] document = FleetCodec.servers(List.of());
+    private byte[] document = FleetCodec.registrations(ServerRegistrations.of(List.of()));
     /** Tells different lists of registered servers apart. */
-    private long hash = hashOf(List.of());
+    private long hash = hashOf(ServerRegistrations.of(List.of()));
     /** Latest position up to which the servers are known to be unchanged. */
     private StorePosition position = StorePosition.NONE;
 
@@ -112,7 +120,9 @@
 
     /** The read position if a server is registered and in use, else {@link StorePosition#NONE}. */
     StorePosition registeredPosition(String server) {
-        return byId.containsKey(server) && !expiredIds.contains(server) ? readPosition : StorePosition.NONE;
+        boolean isRegistered =
+                byId.containsKey(server) && !expiredIds.contains(server) && !overwritten.containsKey(server);
+        return isRegistered ? readPosition : StorePosition.NONE;
     }
 
     /** Whether a registered server is not used, because it has left and only a copy of the store lists it. */
@@ -126,12 +136,10 @@
     }
 
     /** Adopts what the store held at a position that is not earlier than that of the last read. */
-    void read(List<UpstreamServer> read, StorePosition at, String source, long nowNanos) {
+    void read(ServerRegistrations read, StorePosition at, String source, long nowNanos) {
         readPosition = at;
-        List<UpstreamServer> sorted = new ArrayList<>(read);
-        sorted.sort(Comparator.comparing(UpstreamServer::id));
-        if (!equalIgnoringWarmup(sorted, registered)) {
-            adopt(sorted, FleetCodec.servers(sorted), at, source, nowNanos);
+        if (!read.unusableIds().equals(unusableIds) || !equalIgnoringWarmup(read.servers(), registered)) {
+            adopt(read, FleetCodec.registrations(read), at, source, nowNanos);
         } else {
             // A later read without a change is newer than what another host adopted in between.
             position = at;
@@ -145,33 +153,57 @@
      * @throws IOException if the document is not a list of servers
      */
     void received(byte[] sent, StorePosition at, String source, long nowNanos) throws IOException {
-        adopt(FleetCodec.servers(sent), sent, at, source, nowNanos);
+        adopt(FleetCodec.registrations(sent), sent, at, source, nowNanos);
         updateInUse(nowNanos);
     }
 
-    private void adopt(List<UpstreamServer> next, byte[] sent, StorePosition at, String source, long nowNanos) {
-        logAdopted(next, at, source);
+    private void adopt(ServerRegistrations next, byte[] sent, StorePosition at, String source, long nowNanos) {
+        Map<String, UpstreamServer> nextOverwritten = lastKnown(next.unusableIds());
+        logAdopted(next, nextOverwritten.size(), at, source);
         departures.listReplaced(
-                registered.stream().map(ServerIncarnation::of).toList(),
-                next.stream().map(ServerIncarnation::of).toList(),
-                next.stream()
+                present(registered, overwritten).map(ServerIncarnation::of).toList(),
+                present(next.servers(), nextOverwritten)
+                        .map(ServerIncarnation::of)
+                        .toList(),
+                present(next.servers(), nextOverwritten)
                         .filter(UpstreamServer::leaving)
                         .map(ServerIncarnation::of)
                         .toList(),
                 at.isOfLaterEraThan(position),
                 nowNanos);
-        registered = List.copyOf(next);
+        registered = next.servers();
+        unusableIds = next.unusableIds();
+        overwritten = nextOverwritten;
         document = sent;
         hash = hashOf(next);
         position = at;
         readPosition = readPosition.later(at);
     }
 
+    /** Servers whose registration is usable or overwritten, and which have not left therefore. */
+    private static Stream<UpstreamServer> present(
+            List<UpstreamServer> registered, Map<String, UpstreamServer> overwritten) {
+        return Stream.concat(registered.stream(), overwritten.values().stream());
+    }
+
+    /** The last registrations of the servers with some IDs, as far as this host has known them. */
+    private Map<String, UpstreamServer> lastKnown(List<String> ids) {
+        if (ids.isEmpty()) {
+            return Map.of();
+        }
+        Map<String, UpstreamServer> known = new HashMap<>(byId);
+        registered.forEach(server -> known.put(server.id(), server));
+        known.putAll(overwritten);
+        known.keySet().retainAll(ids);
+        return known;
+    }
+
     /** Keeps or drops the servers whose registration may have expired. Must be called a few times a second. */
     void updateInUse(long nowNanos) {
         List<UpstreamServer> believed = withoutHeldBack(nowNanos);
         List<UpstreamServer> next = withExpiredRegistrations(believed, nowNanos);
         expiredIds = next.size() == believed.size() ? Set.of() : expiredAmong(next);
+        next = withOverwritten(next);
         if (next == inUse || equalIgnoringWarmup(next, inUse)) {
             return;
         }
@@ -195,6 +227,16 @@
                         .toList();
     }
 
+    /** Adds the servers whose registration is overwritten, so that what is known of them is kept. */
+    private List<UpstreamServer> withOverwritten(List<UpstreamServer> usable) {
+        if (overwritten.isEmpty()) {
+            return usable;
+        }
+        return Stream.concat(usable.stream(), overwritten.values().stream().map(UpstreamServer::asLeaving))
+                .sorted(Comparator.comparing(UpstreamServer::id))
+                .toList();
+    }
+
     private Set<String> expiredAmong(List<UpstreamServer> used) {
         Set<String> ids = used.stream().map(UpstreamServer::id).collect(Collectors.toCollection(HashSet::new));
         registered.forEach(server -> ids.remove(server.id()));
@@ -210,7 +252,7 @@
         if (!mayLackRegistrations.test(nowNanos)) {
             return believed;
         }
-        Set<String> ids = new HashSet<>();
+        Set<String> ids = new HashSet<>(unusableIds);
         Set<String> addresses = new HashSet<>();
         for (UpstreamServer server : registered) {
             ids.add(server.id());
@@ -226,19 +268,22 @@
         return result;
     }
 
-    private void logAdopted(List<UpstreamServer> next, StorePosition position, String source) {
-        long leaving = next.stream().filter(UpstreamServer::leaving).count();
+    private static void logAdopted(
+            ServerRegistrations next, int overwrittenCount, StorePosition position, String source) {
+        long leaving = next.servers().stream().filter(UpstreamServer::leaving).count();
         Event.named("servers-adopted")
-                .with("count", next.size())
+                .with("count", next.servers().size())
                 .with("leaving", leaving)
+                .with("unusable", next.unusableIds().size())
+                .with("overwritten", overwrittenCount)
                 .with("position", position)
                 .with("source", source)
                 .log();
     }
 
-    private static long hashOf(List<UpstreamServer> servers) {
+    private static long hashOf(ServerRegistrations registrations) {
         StringBuilder text = new StringBuilder();
-        for (UpstreamServer server : servers) {
+        for (UpstreamServer server : registrations.servers()) {
             text.append(server.id())
                     .append(' ')
                     .append(server.startedMillis())
@@ -254,6 +299,13 @@
                     .append(server.dataCentre())
                     .append('\n');
         }
+        registrations
+                .unusableIds()
+                .forEach(id -> text.append(' ')
+                        .append(id.length())
+                        .append(' ')
+                        .append(id)
+                        .append('\n'));
         return StableHash.of(text.toString());
     }
 
--- a/src/main/java/org/auburnhoist/gateway/StoreCache.java
+++ b/src/main/java/org/auburnhoist/gateway/StoreCache.java
@@ -13,6 +13,7 @@
 import org.auburnhoist.core.membership.FleetView;
 import org.auburnhoist.core.message.StatusDigest;
 import org.auburnhoist.core.message.StatusReport;
+import org.auburnhoist.core.routing.ServerRegistrations;
 import org.auburnhoist.core.routing.TrafficConfiguration;
 import org.auburnhoist.core.routing.TrafficRouter;
 import org.auburnhoist.core.routing.UpstreamServer;
@@ -197,8 +198,8 @@
         }
     }
 
-    /** Adopts the servers that the store held at a position, read at or after {@code readNanos}. */
-    void serversRead(List<UpstreamServer> read, StorePosition position, long readNanos, long nowNanos, String source) {
+    /** Adopts the registrations that the store held at a position, read at or after {@code readNanos}. */
+    void serversRead(ServerRegistrations read, StorePosition position, long readNanos, long nowNanos, String source) {
         if (servers.readPosition().isOfLaterEraThan(position)) {
             logIgnoredRead("servers", position, servers.readPosition());
             return;
--- a/src/main/java/org/auburnhoist/gateway/StorePoller.java
+++ b/src/main/java/org/auburnhoist/gateway/StorePoller.java
@@ -12,6 +12,7 @@
 import org.auburnhoist.core.membership.FleetCodec;
 import org.auburnhoist.core.membership.FleetMember;
 import org.auburnhoist.core.membership.FleetView;
+import org.auburnhoist.core.routing.ServerRegistrations;
 import org.auburnhoist.core.routing.UpstreamServer;
 import org.auburnhoist.host.ControlScheduler;
 import org.auburnhoist.store.Entry;
@@ -56,6 +57,7 @@
     private boolean readingDirectly;
     private @Nullable AutoCloseable watch;
     private final StoreOutage outage = new StoreOutage();
+    private final UnusableEntries unusableRegistrations = new UnusableEntries("registration-unusable");
     private Consumer<StorePosition> membersReadListener = position -> {};
 
     StorePoller(
@@ -89,6 +91,11 @@
         membersReadListener = listener;
     }
 
+    /** How many states of servers' entries could not be used; may be called from any thread. */
+    long unusableRegistrations() {
+        return unusableRegistrations.count();
+    }
+
     /** Adopts the members that were read at startup; the coordinator among them sends the rest. */
     void joined(ReadResult.Found found, long nowNanos) {
         membersRead(found, nowNanos, nowNanos);
@@ -165,20 +172,28 @@
                     if (result instanceof ReadResult.Found found) {
                         readSucceeded(startedNanos);
                         nextServers = startedNanos + SERVERS_INTERVAL_NANOS;
-                        List<UpstreamServer> servers = new ArrayList<>();
-                        found.entries().forEach(entry -> {
-                            UpstreamServer server = binding.decodeServer(entry);
-                            if (server != null) {
-                                servers.add(server);
-                            }
-                        });
-                        cache.serversRead(servers, found.position(), startedNanos, now, "store");
+                        cache.serversRead(registrations(found), found.position(), startedNanos, now, "store");
                     } else {
                         nextServers = readFailed("servers", result, now);
                     }
                 }));
     }
 
+    private ServerRegistrations registrations(ReadResult.Found found) {
+        List<UpstreamServer> servers = new ArrayList<>();
+        List<String> unusableIds = new ArrayList<>();
+        unusableRegistrations.retain(found.entries());
+        for (Entry entry : found.entries()) {
+            try {
+                servers.add(binding.decodeServer(entry));
+            } catch (IOException cause) {
+                unusableRegistrations.report(entry, cause);
+                unusableIds.add(entry.key().substring(binding.serversPrefix().length()));
+            }
+        }
+        return new ServerRegistrations(servers, unusableIds);
+    }
+
     private void readConfiguration(long startedNanos) {
         readingConfiguration = true;
         store.get(binding.configurationKey())
--- a/src/main/java/org/auburnhoist/platform/Json.java
+++ b/src/main/java/org/auburnhoist/platform/Json.java
@@ -49,6 +49,22 @@
         }
     }
 
+    /**
+     * Parses a text that is one JSON value and nothing else, without a name that occurs twice in an object.
+     *
+     * @throws IOException if the text is not that, or is nested too deeply
+     */
+    static JsonNode readOnly(byte[] text) throws IOException {
+        try (JsonParser parser = FACTORY.createParser(text)) {
+            parser.enable(JsonParser.Feature.STRICT_DUPLICATE_DETECTION);
+            JsonNode read = value(parser, parser.nextToken(), 1);
+            if (parser.nextToken() != null) {
+                throw new JsonParseException(parser, "expected the end of the text, got " + parser.currentToken());
+            }
+            return read;
+        }
+    }
+
     private static JsonNode value(JsonParser parser, @Nullable JsonToken token, int depth) throws IOException {
         if (token == null || depth > MAX_DEPTH) {
             throw new JsonParseException(parser, "expected a value at most " + MAX_DEPTH + " levels deep");
--- a/src/main/java/org/auburnhoist/platform/KvBinding.java
+++ b/src/main/java/org/auburnhoist/platform/KvBinding.java
@@ -15,7 +15,6 @@
 import org.auburnhoist.proxy.RequestHead;
 import org.auburnhoist.proxy.WireRules;
 import org.auburnhoist.store.Entry;
-import org.jspecify.annotations.Nullable;
 
 /** Binding to the platform's paths, headers, store keys and document formats. */
 final class KvBinding implements PlatformBinding {
@@ -27,7 +26,6 @@
     private static final String KEY_SCHEME = "Token ";
 
     private final WireRules wireRules = new PlatformWireRules();
-    private final RegistrationDecoder registrations = new RegistrationDecoder(SERVERS_PREFIX);
 
     @Override
     public WireRules wireRules() {
@@ -77,8 +75,8 @@
     }
 
     @Override
-    public @Nullable UpstreamServer decodeServer(Entry registration) {
-        return registrations.decode(registration);
+    public UpstreamServer decodeServer(Entry registration) throws IOException {
+        return RegistrationDecoder.decode(SERVERS_PREFIX, registration);
     }
 
     @Override
--- a/src/test/java/org/auburnhoist/core/membership/FleetViewTest.java
+++ b/src/test/java/org/auburnhoist/core/membership/FleetViewTest.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.Map;
 import org.auburnhoist.core.HostId;
+import org.auburnhoist.core.routing.ServerRegistrations;
 import org.auburnhoist.core.routing.UpstreamServer;
 import org.junit.jupiter.api.Test;
 
@@ -136,7 +137,8 @@
         assertEquals(members.get(1), FleetCodec.member(FleetCodec.member(members.get(1))));
         List<UpstreamServer> servers =
                 List.of(new UpstreamServer("i-1", 5, "ledger", "10.0.0.9:80", "b", 6, true, 900));
-        assertEquals(servers, FleetCodec.servers(FleetCodec.servers(servers)));
+        ServerRegistrations registrations = new ServerRegistrations(servers, List.of("i-2", "i-3"));
+        assertEquals(registrations, FleetCodec.registrations(FleetCodec.registrations(registrations)));
         assertThrows(IOException.class, () -> FleetCodec.members(new byte[] {1, 2, 3}));
         assertThrows(IOException.class, () -> FleetCodec.member(new byte[] {(byte) 0x93}));
     }
--- a/src/test/java/org/auburnhoist/gateway/DepartedServerTest.java
+++ b/src/test/java/org/auburnhoist/gateway/DepartedServerTest.java
@@ -15,6 +15,7 @@
 import org.auburnhoist.core.message.Acknowledgement;
 import org.auburnhoist.core.message.Message;
 import org.auburnhoist.core.message.SlotRequest;
+import org.auburnhoist.core.routing.ServerRegistrations;
 import org.auburnhoist.core.routing.UpstreamServer;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -67,7 +68,12 @@
         }
 
         void read(StorePosition position, UpstreamServer... servers) {
-            cache.serversRead(List.of(servers), position, network.nowNanos(), network.nowNanos(), "store");
+            cache.serversRead(
+                    ServerRegistrations.of(List.of(servers)),
+                    position,
+                    network.nowNanos(),
+                    network.nowNanos(),
+                    "store");
         }
 
         /** Requests a slot and returns it with the time of virtual milliseconds that the network needs. */
--- a/src/test/java/org/auburnhoist/gateway/RestoredStoreModel.java
+++ b/src/test/java/org/auburnhoist/gateway/RestoredStoreModel.java
@@ -18,6 +18,7 @@
 import org.auburnhoist.core.membership.FleetView;
 import org.auburnhoist.core.message.StatusDigest;
 import org.auburnhoist.core.message.StatusReport;
+import org.auburnhoist.core.routing.ServerRegistrations;
 import org.auburnhoist.core.routing.UpstreamServer;
 import org.jspecify.annotations.Nullable;
 
@@ -155,7 +156,7 @@
     private void read(int host, long nowNanos) {
         StoreCache cache = caches.get(host);
         cache.serversRead(
-                List.copyOf(new TreeMap<>(content.servers()).values()),
+                ServerRegistrations.of(List.copyOf(new TreeMap<>(content.servers()).values())),
                 new StorePosition(era, content.revision()),
                 nowNanos,
                 nowNanos,
@@ -253,7 +254,9 @@
 
     private static List<UpstreamServer> decode(StatusDigest digest) {
         try {
-            return digest.servers().length == 0 ? List.of() : FleetCodec.servers(digest.servers());
+            return digest.servers().length == 0
+                    ? List.of()
+                    : FleetCodec.registrations(digest.servers()).servers();
         } catch (IOException cause) {
             throw new UncheckedIOException("digest of the model", cause);
         }
--- a/src/test/java/org/auburnhoist/gateway/SlotFleet.java
+++ b/src/test/java/org/auburnhoist/gateway/SlotFleet.java
@@ -25,6 +25,7 @@
 import org.auburnhoist.core.message.ServerNotice;
 import org.auburnhoist.core.message.SlotRelease;
 import org.auburnhoist.core.message.SlotRequest;
+import org.auburnhoist.core.routing.ServerRegistrations;
 import org.auburnhoist.core.routing.UpstreamServer;
 import org.jspecify.annotations.Nullable;
 
@@ -115,7 +116,7 @@
 
         private SlotBroker broker() {
             StoreCache cache = new StoreCache(new VersionOnlyBinding(), fleet, () -> {}, () -> {}, () -> {});
-            cache.serversRead(servers, StorePosition.ofRevision(1), now(), now(), "store");
+            cache.serversRead(ServerRegistrations.of(servers), StorePosition.ofRevision(1), now(), now(), "store");
             return new SlotBroker(
                     fleet,
                     cache,
--- a/src/test/java/org/auburnhoist/gateway/StoreCacheTest.java
+++ b/src/test/java/org/auburnhoist/gateway/StoreCacheTest.java
@@ -11,6 +11,7 @@
 import org.auburnhoist.core.membership.FleetMember;
 import org.auburnhoist.core.membership.FleetView;
 import org.auburnhoist.core.message.StatusDigest;
+import org.auburnhoist.core.routing.ServerRegistrations;
 import org.auburnhoist.core.routing.UpstreamServer;
 import org.junit.jupiter.api.Test;
 
@@ -45,7 +46,12 @@
     private static StatusDigest digestAt(long nowNanos, StoreCache recipient) {
         StoreCache coordinator = newCache("host-1");
         coordinator.configurationRead(configuration(4), "store");
-        coordinator.serversRead(List.of(SERVER), StorePosition.ofRevision(40), 10 * SECOND, 10 * SECOND, "store");
+        coordinator.serversRead(
+                ServerRegistrations.of(List.of(SERVER)),
+                StorePosition.ofRevision(40),
+                10 * SECOND,
+                10 * SECOND,
+                "store");
         return coordinator.digestFor(recipient.report(false), true, nowNanos);
     }
 
@@ -66,7 +72,8 @@
         assertEquals(List.of(), starting.servers());
         assertTrue(starting.hasRejectedStaleDigest());
         starting.configurationRead(configuration(5), "store");
-        starting.serversRead(List.of(), StorePosition.ofRevision(50), 20 * SECOND, 20 * SECOND, "store");
+        starting.serversRead(
+                ServerRegistrations.of(List.of()), StorePosition.ofRevision(50), 20 * SECOND, 20 * SECOND, "store");
         starting.digestReceived(digestAt(21 * SECOND, starting), "host-1", 21 * SECOND, 21 * SECOND);
         assertEquals(5, starting.router().configuration().version());
         assertEquals(List.of(), starting.servers());
@@ -78,9 +85,11 @@
     @Test
     void aLaterReadWithoutAChangeIsNotReplacedByAnEarlierDigest() {
         StoreCache running = newCache("host-2");
-        running.serversRead(List.of(), StorePosition.ofRevision(30), 5 * SECOND, 5 * SECOND, "store");
+        running.serversRead(
+                ServerRegistrations.of(List.of()), StorePosition.ofRevision(30), 5 * SECOND, 5 * SECOND, "store");
         StatusDigest early = digestAt(11 * SECOND, running);
-        running.serversRead(List.of(), StorePosition.ofRevision(50), 11 * SECOND, 11 * SECOND, "store");
+        running.serversRead(
+                ServerRegistrations.of(List.of()), StorePosition.ofRevision(50), 11 * SECOND, 11 * SECOND, "store");
         running.digestReceived(early, "host-1", 11 * SECOND, 12 * SECOND);
         assertEquals(List.of(), running.servers());
         assertEquals(0, digestAt(12 * SECOND, running).servers().length);
@@ -129,7 +138,8 @@
     void aRunningHostAdoptsNewerDocuments() {
         StoreCache running = newCache("host-2");
         running.configurationRead(configuration(3), "store");
-        running.serversRead(List.of(), StorePosition.ofRevision(30), 5 * SECOND, 5 * SECOND, "store");
+        running.serversRead(
+                ServerRegistrations.of(List.of()), StorePosition.ofRevision(30), 5 * SECOND, 5 * SECOND, "store");
         running.digestReceived(digestAt(20 * SECOND, running), "host-1", 20 * SECOND, 20 * SECOND);
         assertEquals(4, running.router().configuration().version());
         assertEquals(List.of(SERVER), running.servers());
@@ -143,11 +153,27 @@
     void aServerThatAHostKeepsAfterItsOwnOutageIsNotPassedOn() {
         StoreCache returned = newCache("host-1");
         returned.registrationGrace(now -> now < 23 * SECOND);
-        returned.serversRead(List.of(SERVER), StorePosition.ofRevision(40), 10 * SECOND, 10 * SECOND, "store");
+        returned.serversRead(
+                ServerRegistrations.of(List.of(SERVER)),
+                StorePosition.ofRevision(40),
+                10 * SECOND,
+                10 * SECOND,
+                "store");
         StoreCache inContact = newCache("host-2");
-        inContact.serversRead(List.of(SERVER), StorePosition.ofRevision(40), 10 * SECOND, 10 * SECOND, "store");
-        inContact.serversRead(List.of(), StorePosition.ofRevision(50), 15 * SECOND, 15 * SECOND, "store");
-        returned.serversRead(List.of(NEW_SERVER), StorePosition.ofRevision(60), 21 * SECOND, 21 * SECOND, "store");
+        inContact.serversRead(
+                ServerRegistrations.of(List.of(SERVER)),
+                StorePosition.ofRevision(40),
+                10 * SECOND,
+                10 * SECOND,
+                "store");
+        inContact.serversRead(
+                ServerRegistrations.of(List.of()), StorePosition.ofRevision(50), 15 * SECOND, 15 * SECOND, "store");
+        returned.serversRead(
+                ServerRegistrations.of(List.of(NEW_SERVER)),
+                StorePosition.ofRevision(60),
+                21 * SECOND,
+                21 * SECOND,
+                "store");
         assertEquals(List.of(SERVER, NEW_SERVER), returned.servers(), "kept until its registration may be back");
         assertEquals(StorePosition.NONE, returned.registeredPosition("i-1"));
         StatusDigest digest = returned.digestFor(inContact.report(true), true, 21 * SECOND);
@@ -161,9 +187,16 @@
     @Test
     void aLateReadOfAnEarlierEraIsIgnored() {
         StoreCache cache = newCache("host-2");
-        cache.serversRead(List.of(SERVER), new StorePosition(1, 40), 5 * SECOND, 5 * SECOND, "store");
-        cache.serversRead(List.of(NEW_SERVER), new StorePosition(2, 30), 20 * SECOND, 20 * SECOND, "store");
-        cache.serversRead(List.of(SERVER), new StorePosition(1, 45), 21 * SECOND, 21 * SECOND, "store");
+        cache.serversRead(
+                ServerRegistrations.of(List.of(SERVER)), new StorePosition(1, 40), 5 * SECOND, 5 * SECOND, "store");
+        cache.serversRead(
+                ServerRegistrations.of(List.of(NEW_SERVER)),
+                new StorePosition(2, 30),
+                20 * SECOND,
+                20 * SECOND,
+                "store");
+        cache.serversRead(
+                ServerRegistrations.of(List.of(SERVER)), new StorePosition(1, 45), 21 * SECOND, 21 * SECOND, "store");
         assertEquals(List.of(NEW_SERVER), cache.servers());
         assertEquals(2 * SECOND, cache.storeAgeNanos(22 * SECOND), "an ignored read does not make the list fresh");
     }
@@ -173,8 +206,14 @@
     void aListOfTheSameRevisionInALaterEraIsSent() {
         StoreCache reading = newCache("host-1");
         StoreCache reporting = newCache("host-2");
-        reporting.serversRead(List.of(SERVER), new StorePosition(1, 40), 5 * SECOND, 5 * SECOND, "store");
-        reading.serversRead(List.of(NEW_SERVER), new StorePosition(2, 40), 20 * SECOND, 20 * SECOND, "store");
+        reporting.serversRead(
+                ServerRegistrations.of(List.of(SERVER)), new StorePosition(1, 40), 5 * SECOND, 5 * SECOND, "store");
+        reading.serversRead(
+                ServerRegistrations.of(List.of(NEW_SERVER)),
+                new StorePosition(2, 40),
+                20 * SECOND,
+                20 * SECOND,
+                "store");
         StatusDigest digest = reading.digestFor(reporting.report(true), true, 20 * SECOND);
         reporting.digestReceived(digest, "host-1", 20 * SECOND, 20 * SECOND);
         assertEquals(List.of(NEW_SERVER), reporting.servers());
@@ -187,10 +226,16 @@
         StoreCache reporting = newCache("host-2");
         for (StoreCache cache : List.of(reading, reporting)) {
             cache.registrationGrace(now -> now < 23 * SECOND);
-            cache.serversRead(List.of(SERVER), StorePosition.ofRevision(40), 10 * SECOND, 10 * SECOND, "store");
+            cache.serversRead(
+                    ServerRegistrations.of(List.of(SERVER)),
+                    StorePosition.ofRevision(40),
+                    10 * SECOND,
+                    10 * SECOND,
+                    "store");
             assertEquals(StorePosition.ofRevision(40), cache.registeredPosition("i-1"));
         }
-        reading.serversRead(List.of(), StorePosition.ofRevision(60), 21 * SECOND, 21 * SECOND, "store");
+        reading.serversRead(
+                ServerRegistrations.of(List.of()), StorePosition.ofRevision(60), 21 * SECOND, 21 * SECOND, "store");
         assertEquals(StorePosition.NONE, reading.registeredPosition("i-1"));
         StatusDigest digest = reading.digestFor(reporting.report(true), true, 21 * SECOND);
         reporting.digestReceived(digest, "host-1", 21 * SECOND, 21 * SECOND);
@@ -198,4 +243,89 @@
         reporting.updateServersInUse(23 * SECOND);
         assertEquals(List.of(), reporting.servers());
     }
+
+    private static ServerRegistrations overwritten(UpstreamServer... usable) {
+        return new ServerRegistrations(List.of(usable), List.of("i-1"));
+    }
+
+    /**
+     * Guards against a server that counts as gone because another writer has overwritten its entry: it gets no requests
+     * until its own entry is back, but the hosts keep what they know of it.
+     */
+    @Test
+    void aServerWhoseEntryIsOverwrittenIsKeptAsLeaving() {
+        StoreCache reading = newCache("host-1");
+        StoreCache reporting = newCache("host-2");
+        for (StoreCache cache : List.of(reading, reporting)) {
+            cache.serversRead(
+                    ServerRegistrations.of(List.of(SERVER)),
+                    StorePosition.ofRevision(40),
+                    10 * SECOND,
+                    10 * SECOND,
+                    "store");
+        }
+        reading.serversRead(overwritten(NEW_SERVER), StorePosition.ofRevision(50), 11 * SECOND, 11 * SECOND, "store");
+        StatusDigest digest = reading.digestFor(reporting.report(true), true, 11 * SECOND);
+        reporting.digestReceived(digest, "host-1", 11 * SECOND, 11 * SECOND);
+        for (StoreCache cache : List.of(reading, reporting)) {
+            assertEquals(List.of(SERVER.asLeaving(), NEW_SERVER), cache.servers());
+            assertEquals(StorePosition.NONE, cache.registeredPosition("i-1"));
+        }
+        assertEquals(reading.report(true), reporting.report(true), "the two hold the same list");
+        reading.serversRead(
+                ServerRegistrations.of(List.of(SERVER, NEW_SERVER)),
+                StorePosition.ofRevision(60),
+                12 * SECOND,
+                12 * SECOND,
+                "store");
+        assertEquals(List.of(SERVER, NEW_SERVER), reading.servers());
+    }
+
+    /** Guards against a running server that is held back after a return of the store, as if it had left before. */
+    @Test
+    void aServerWhoseEntryWasOverwrittenIsNotHeldBack() {
+        StoreCache cache = newCache("host-1");
+        List<ServerRegistrations> reads =
+                List.of(ServerRegistrations.of(List.of(SERVER)), overwritten(), overwritten());
+        for (int read = 0; read < reads.size(); read++) {
+            long now = (10 + read) * SECOND;
+            cache.serversRead(reads.get(read), new StorePosition(1 + read / 2, 40 + read), now, now, "store");
+        }
+        cache.serversRead(
+                ServerRegistrations.of(List.of(SERVER)), new StorePosition(2, 50), 13 * SECOND, 13 * SECOND, "store");
+        assertEquals(List.of(SERVER), cache.servers());
+    }
+
+    /** Guards against a server that is used after it has left, because its entry was overwritten before. */
+    @Test
+    void aServerThatLeavesAfterItsEntryWasOverwrittenIsHeldBack() {
+        StoreCache cache = newCache("host-1");
+        List<ServerRegistrations> reads =
+                List.of(ServerRegistrations.of(List.of(SERVER)), overwritten(), ServerRegistrations.of(List.of()));
+        for (int read = 0; read < reads.size(); read++) {
+            long now = (10 + read) * SECOND;
+            cache.serversRead(reads.get(read), new StorePosition(1, 40 + read), now, now, "store");
+        }
+        assertEquals(List.of(), cache.servers());
+        cache.serversRead(
+                ServerRegistrations.of(List.of(SERVER)), new StorePosition(2, 40), 13 * SECOND, 13 * SECOND, "store");
+        assertEquals(List.of(), cache.servers(), "a copy of the store lists it");
+        cache.serversRead(overwritten(), new StorePosition(2, 41), 14 * SECOND, 14 * SECOND, "store");
+        assertFalse(cache.servers().contains(SERVER));
+    }
+
+    /** Guards against requests to an overwritten server, which is missing from a list that is read after an outage. */
+    @Test
+    void anOverwrittenServerIsNotTakenForAnExpiredRegistration() {
+        StoreCache cache = newCache("host-1");
+        cache.registrationGrace(now -> true);
+        cache.serversRead(
+                ServerRegistrations.of(List.of(SERVER)),
+                StorePosition.ofRevision(40),
+                10 * SECOND,
+                10 * SECOND,
+                "store");
+        cache.serversRead(overwritten(), StorePosition.ofRevision(50), 11 * SECOND, 11 * SECOND, "store");
+        assertEquals(List.of(SERVER.asLeaving()), cache.servers());
+    }
 }
--- a/src/test/java/org/auburnhoist/gateway/VersionOnlyBinding.java
+++ b/src/test/java/org/auburnhoist/gateway/VersionOnlyBinding.java
@@ -1,5 +1,6 @@
 package org.auburnhoist.gateway;
 
+import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
@@ -11,7 +12,6 @@
 import org.auburnhoist.proxy.RequestHead;
 import org.auburnhoist.proxy.WireRules;
 import org.auburnhoist.store.Entry;
-import org.jspecify.annotations.Nullable;
 
 /** Decodes a configuration that consists only of its version, and no servers. */
 class VersionOnlyBinding implements PlatformBinding {
@@ -42,8 +42,8 @@
     }
 
     @Override
-    public @Nullable UpstreamServer decodeServer(Entry registration) {
-        return null;
+    public UpstreamServer decodeServer(Entry registration) throws IOException {
+        throw new IOException("registration: this binding knows none");
     }
 
     @Override
--- a/src/test/java/org/auburnhoist/platform/DecodersTest.java
+++ b/src/test/java/org/auburnhoist/platform/DecodersTest.java
@@ -78,65 +78,85 @@
         }
     }
 
+    private static final String REGISTRATION = """
+            {"service":"pay","address":"10.0.0.9:8080","zone":"z","version":"v1","slots":2,"state":"ready",\
+            "warmup_left_ms":800,"sequence":4,"born":1781170000000}""";
+
     @Test
-    void aRegistrationDescribesAServer() {
-        String text = "{\"service\":\"pay\",\"address\":\"10.0.0.9:8080\",\"zone\":\"z\",\"version\":\"v1\","
-                + "\"slots\":2,\"state\":\"draining\",\"warmup_left_ms\":800,\"sequence\":4,\"born\":1781170000000}";
-        UpstreamServer server = new RegistrationDecoder("servers/").decode(entry(text));
-        assertEquals(new UpstreamServer("i-1", 1781170000000L, "pay", "10.0.0.9:8080", "z", 2, true, 800), server);
+    void aRegistrationDescribesAServer() throws IOException {
+        assertEquals(
+                new UpstreamServer("i-1", 1781170000000L, "pay", "10.0.0.9:8080", "z", 2, false, 800),
+                decode(REGISTRATION));
+        assertEquals(
+                new UpstreamServer("i-1", 1781170000000L, "pay", "10.0.0.9:8080", "z", 2, true, 800),
+                decode(REGISTRATION.replace("ready", "draining")));
     }
 
+    /** Guards against the use of a server whose entry another writer has replaced by one that lacks fields. */
     @Test
-    void entriesOfOtherWritersAreIgnored() {
-        for (String text : List.of(
-                "garbage",
-                "{}",
-                "[]",
-                "{\"service\":\"pay\",\"address\":\"10.0.0.9:8080\",\"slots\":2,\"state\":\"resting\"}",
-                "{\"service\":\"pay\",\"address\":\"10.0.0.9:8080\",\"slots\":\"2\",\"state\":\"ready\"}",
-                "{\"service\":\"pay\",\"address\":\"10.0.0.9:8080\",\"slots\":0,\"state\":\"ready\"}",
-                "{\"service\":7,\"address\":\"10.0.0.9:8080\",\"slots\":2,\"state\":\"ready\"}",
-                "{\"service\":\"pay\",\"address\":\"nowhere\",\"slots\":2,\"state\":\"ready\"}",
-                "{\"service\":\"pay\",\"address\":\"10.0.0.9:8080\",\"slots\":2,\"state\":\"ready\",\"born\":\"x\"}")) {
-            assertNull(new RegistrationDecoder("servers/").decode(entry(text)), text);
+    void anEntryThatLacksAFieldNamesNoServer() {
+        for (String field : List.of(
+                "service", "address", "zone", "version", "slots", "state", "warmup_left_ms", "sequence", "born")) {
+            assertNamesNoServer(REGISTRATION.replace("\"" + field + "\"", "\"x\""));
         }
+        assertNamesNoServer("{\"service\":\"pay\",\"address\":\"10.0.0.9:8080\",\"slots\":2,\"state\":\"ready\"}");
+    }
+
+    /** Guards against entries of other writers whose fields have another type or are out of range. */
+    @Test
+    void anEntryWithAWrongValueNamesNoServer() {
+        Map<String, List<String>> wrongValues = Map.of(
+                "service", List.of("7", "null", "[\"pay\"]", "\"\""),
+                "address", List.of("7", "\"nowhere\"", "\"10.0.0.9:0\"", "\"10.0.0.9:65536\"", "\"10.0.0.999:80\""),
+                "zone", List.of("7", "null", "{}"),
+                "version", List.of("7", "null", "{}"),
+                "slots", List.of("\"2\"", "0", "-2", "2.5", "10001", "4294967298", "99999999999999999999", "1e999"),
+                "state", List.of("\"resting\"", "7", "true"),
+                "warmup_left_ms", List.of("\"x\"", "-1", "1e999", "-1e999", "99999999999999999999", "null"),
+                "sequence", List.of("\"4\"", "4.5", "-1", "99999999999999999999", "null"),
+                "born", List.of("\"x\"", "5.5", "-1", "99999999999999999999", "null"));
+        wrongValues.forEach((field, values) -> values.forEach(value -> assertNamesNoServer(
+                REGISTRATION.replaceAll("\"" + field + "\":(\"[^\"]*\"|[0-9]+)", "\"" + field + "\":" + value))));
     }
 
     /** Guards against a process that ends, or stops reading the list, because of one entry of another writer. */
     @Test
-    void oddEntriesAreIgnoredAndNeverThrow() {
-        String valid = "{\"service\":\"pay\",\"address\":\"10.0.0.9:8080\",\"slots\":2,\"state\":\"ready\",\"born\":5}";
+    void bytesThatAreNoRegistrationNameNoServer() {
         for (String text : List.of(
+                "",
+                "garbage",
+                "{}",
+                "[]",
+                REGISTRATION + "}",
+                REGISTRATION + REGISTRATION,
+                REGISTRATION.replace("{", "{\"service\":\"look\","),
+                REGISTRATION.replace(":2,", ":" + "9".repeat(5_000) + ","),
+                REGISTRATION.replace("\"born\"", "\"x\":" + "[".repeat(70) + "]".repeat(70) + ",\"born\""),
                 "[".repeat(200_000),
-                "{\"a\":".repeat(100_000),
-                valid.replace("\"born\"", "\"x\":" + "[".repeat(70) + "]".repeat(70) + ",\"born\""),
-                valid.replace(":2,", ":99999999999999999999,"),
-                valid.replace(":2,", ":4294967298,"),
-                valid.replace(":2,", ":2147483647,"),
-                valid.replace(":2,", ":" + "9".repeat(5_000) + ","),
-                valid.replace(":2,", ":1e999,"),
-                valid.replace(":2,", ":-2,"),
-                valid.replace(":5}", ":99999999999999999999}"),
-                valid.replace(":5}", ":5.5}"),
-                valid.replace("8080", "0"),
-                valid.replace("8080", "65536"),
-                valid.replace("8080", "99999999999"),
-                valid.replace("10.0.0.9", "10.0.0.999"))) {
-            assertNull(
-                    new RegistrationDecoder("servers/").decode(entry(text)),
-                    text.substring(0, Math.min(120, text.length())));
+                "{\"a\":".repeat(100_000))) {
+            assertNamesNoServer(text);
         }
         for (String id : List.of("", "i\r\nX-Tenant: a", "i 1", "\u00e9")) {
-            assertNull(new RegistrationDecoder("servers/")
-                    .decode(new Entry("servers/" + id, bytes(valid), StorePosition.ofRevision(3))));
-        }
-        for (String warmUp : List.of("1e999", "99999999999999999999", "-1e999", "9223372036854775807", "\"x\"")) {
-            String text = valid.replace("\"born\"", "\"warmup_left_ms\":" + warmUp + ",\"born\"");
-            UpstreamServer server = new RegistrationDecoder("servers/").decode(entry(text));
-            assertTrue(server != null && server.warmUpMillis() >= 0 && server.warmUpMillis() <= 600_000, text);
+            Entry entry = new Entry("servers/" + id, bytes(REGISTRATION), StorePosition.ofRevision(3));
+            assertThrows(IOException.class, () -> RegistrationDecoder.decode("servers/", entry), id);
         }
     }
 
+    /** Guards against a server that is treated as slow for as long as it says. */
+    @Test
+    void theWarmUpTimeIsBounded() throws IOException {
+        assertEquals(600_000, decode(REGISTRATION.replace(":800", ":86400000")).warmUpMillis());
+        assertEquals(0, decode(REGISTRATION.replace(":800", ":0.5")).warmUpMillis());
+    }
+
+    private static void assertNamesNoServer(String text) {
+        assertThrows(IOException.class, () -> decode(text), text.substring(0, Math.min(240, text.length())));
+    }
+
+    private static UpstreamServer decode(String text) throws IOException {
+        return RegistrationDecoder.decode("servers/", entry(text));
+    }
+
     private static Entry entry(String text) {
         return new Entry("servers/i-1", bytes(text), StorePosition.ofRevision(3));
     }
