Bound the line that the watch of the store of serve keeps

What callers would see: a host that runs out of memory because its store's watch sends a line without end.

Cause: EtcdWatch used the library's reader of lines, which has no limit.

Change: BoundedBody counts the bytes of each line, too. Over 4 MiB the watch fails, its connection is closed, and the next watch reads everything again. A body of any length with shorter lines goes on.

--- a/src/main/java/org/auburnhoist/store/BoundedBody.java
+++ b/src/main/java/org/auburnhoist/store/BoundedBody.java
@@ -10,7 +10,7 @@
 import java.util.concurrent.Flow;
 import org.jspecify.annotations.Nullable;
 
-/** Reads response bodies up to a maximum size; a larger one fails, and its connection is closed. */
+/** Reads response bodies, or their lines, up to a maximum size; a larger one fails, and its connection is closed. */
 final class BoundedBody {
     private BoundedBody() {}
 
@@ -20,19 +20,34 @@
      * @param maxBytes maximum size of the body in bytes
      */
     static BodyHandler<byte[]> ofByteArray(long maxBytes) {
-        return head -> new Subscriber<>(BodyHandlers.ofByteArray().apply(head), maxBytes);
+        return head -> new Subscriber<>(BodyHandlers.ofByteArray().apply(head), maxBytes, false);
+    }
+
+    /**
+     * Returns a handler that passes on the lines of a body, which may have any size in total.
+     *
+     * @param receiver receives the lines
+     * @param maxLineBytes maximum size of a line in bytes
+     */
+    static BodyHandler<Void> ofLines(Flow.Subscriber<String> receiver, long maxLineBytes) {
+        return head ->
+                new Subscriber<>(BodyHandlers.fromLineSubscriber(receiver).apply(head), maxLineBytes, true);
     }
 
     private static final class Subscriber<T> implements BodySubscriber<T> {
         private final BodySubscriber<T> receiver;
         private final long maxBytes;
+        private final boolean eachLine;
+        /** Size so far of the body or the line. */
         private long bytes;
+
         private boolean failed;
         private Flow.@Nullable Subscription subscription;
 
-        Subscriber(BodySubscriber<T> receiver, long maxBytes) {
+        Subscriber(BodySubscriber<T> receiver, long maxBytes, boolean eachLine) {
             this.receiver = receiver;
             this.maxBytes = maxBytes;
+            this.eachLine = eachLine;
         }
 
         @Override
@@ -51,10 +66,7 @@
             if (failed) {
                 return;
             }
-            for (ByteBuffer buffer : buffers) {
-                bytes += buffer.remaining();
-            }
-            if (bytes <= maxBytes) {
+            if (buffers.stream().allMatch(this::isWithinBound)) {
                 receiver.onNext(buffers);
                 return;
             }
@@ -62,7 +74,20 @@
             if (subscription != null) {
                 subscription.cancel();
             }
-            receiver.onError(new IOException("body: expected at most " + maxBytes + " bytes"));
+            receiver.onError(
+                    new IOException((eachLine ? "line" : "body") + ": expected at most " + maxBytes + " bytes"));
+        }
+
+        /** Counts the bytes of a buffer without reading it. */
+        private boolean isWithinBound(ByteBuffer buffer) {
+            if (!eachLine) {
+                bytes += buffer.remaining();
+                return bytes <= maxBytes;
+            }
+            for (int index = buffer.position(); index < buffer.limit() && bytes <= maxBytes; index++) {
+                bytes = buffer.get(index) == '\n' ? 0 : bytes + 1;
+            }
+            return bytes <= maxBytes;
         }
 
         @Override
--- a/src/main/java/org/auburnhoist/store/EtcdWatch.java
+++ b/src/main/java/org/auburnhoist/store/EtcdWatch.java
@@ -3,7 +3,6 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import java.io.IOException;
 import java.net.http.HttpResponse;
-import java.net.http.HttpResponse.BodyHandlers;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
@@ -15,6 +14,8 @@
 /** A watch that reconnects with an exponential back-off until it is closed. */
 final class EtcdWatch implements AutoCloseable {
     private static final String PATH = "/v3/watch";
+    /** Above the JSON form of the largest transaction; a watch that fails reads everything again. */
+    private static final long MAX_LINE_BYTES = 4 << 20;
 
     private final EtcdTransport transport;
     private final String prefix;
@@ -41,7 +42,7 @@
             current = connection;
         }
         CompletableFuture<HttpResponse<Void>> exchange =
-                transport.stream(PATH, EtcdJson.watch(prefix), BodyHandlers.fromLineSubscriber(connection));
+                transport.stream(PATH, EtcdJson.watch(prefix), BoundedBody.ofLines(connection, MAX_LINE_BYTES));
         connection.exchange = exchange;
         CompletableFuture.delayedExecutor(transport.callLimit().toNanos(), TimeUnit.NANOSECONDS, executor)
                 .execute(connection::endUnlessCreated);
--- a/src/test/java/org/auburnhoist/store/EndlessBodyTest.java
+++ b/src/test/java/org/auburnhoist/store/EndlessBodyTest.java
@@ -39,6 +39,50 @@
         }
     }
 
+    /** Guards against a watch that keeps a line of its response, however long. */
+    @Test
+    void aWatchWhoseLineHasNoEndIsCutOff() throws Exception {
+        try (EndlessServer server = new EndlessServer(HEAD, " ".repeat(1 << 16));
+                Store store = EtcdStore.builder()
+                        .endpoint(uri(server))
+                        .callLimit(CALL_LIMIT)
+                        .build();
+                AutoCloseable watch = store.watch("a/", new NoChanges())) {
+            assertTrue(server.awaitClosedByClient(), "sent " + server.sentBytes() + " bytes, none refused");
+        }
+    }
+
+    /** Guards against a watch that fails because all its lines together are longer than one may be. */
+    @Test
+    void aWatchWithManyLinesGoesOn() throws Exception {
+        String line = " ".repeat((1 << 16) - 1) + "\n";
+        try (EndlessServer server = new EndlessServer(HEAD, line);
+                Store store = EtcdStore.builder()
+                        .endpoint(uri(server))
+                        .callLimit(CALL_LIMIT)
+                        .build();
+                AutoCloseable watch = store.watch("a/", new NoChanges())) {
+            assertTrue(server.awaitAllSent(), "sent " + server.sentBytes() + " bytes, then cut off");
+        }
+    }
+
+    private static final class NoChanges implements WatchListener {
+        @Override
+        public void changed(Entry entry) {
+            throw new AssertionError("the response has no event, got " + entry.key());
+        }
+
+        @Override
+        public void deleted(String key) {
+            throw new AssertionError("the response has no event, got " + key);
+        }
+
+        @Override
+        public void resyncRequired() {
+            throw new AssertionError("the response does not say that the watch was created");
+        }
+    }
+
     private static URI uri(EndlessServer server) {
         return URI.create("http://127.0.0.1:" + server.address().getPort());
     }
--- a/src/test/java/org/auburnhoist/support/EndlessServer.java
+++ b/src/test/java/org/auburnhoist/support/EndlessServer.java
@@ -20,6 +20,7 @@
     private final byte[] repeated;
     private final AtomicLong sentBytes = new AtomicLong();
     private final CountDownLatch closedByClient = new CountDownLatch(1);
+    private final CountDownLatch allSent = new CountDownLatch(1);
 
     /** Starts the server, which sends {@code start} and then {@code repeated} for ever on its only connection. */
     public EndlessServer(String start, String repeated) throws IOException {
@@ -41,6 +42,11 @@
         return closedByClient.await(30, TimeUnit.SECONDS);
     }
 
+    /** Waits up to 30 s until all bytes were sent, and returns whether they were. */
+    public boolean awaitAllSent() throws InterruptedException {
+        return allSent.await(30, TimeUnit.SECONDS);
+    }
+
     /** Number of bytes sent so far. */
     public long sentBytes() {
         return sentBytes.get();
@@ -53,7 +59,8 @@
             while (sentBytes.addAndGet(repeated.length) < MAX_BYTES) {
                 socket.getOutputStream().write(repeated);
             }
-            // The client has kept everything so far; the test fails without filling its memory.
+            allSent.countDown();
+            // The client has refused nothing so far; a test that expects it to fails without filling its memory.
             new CountDownLatch(1).await();
         } catch (IOException closed) {
             closedByClient.countDown();
