Accept callers again after a failed accept, and keep descriptors in reserve

Cause: HttpCore's listening reactor ends its thread at the first accept that fails, and closes the listeners. ProxyServer ignored the IOException as normal, and nothing looked at the thread. The bound of callers' connections was a fixed 4,096, above what max_fds 4,100 leaves.

Change: CallerListener sees the end of a reactor's thread, logs accepting-ended with the cause, and opens the addresses again with a new reactor after 1 s, once 32 descriptors are free; the reactor before serves its open connections and is closed after them. Callers get two thirds of max_fds less 200 (2,600 of 4,100); the readiness question has connections of its own. From three quarters of the bound on, connections that have been idle longest (3 s at least) are closed. A host that does not accept, or is at the bound, is not ready.

--- a/src/main/java/org/auburnhoist/gateway/GatewayHost.java
+++ b/src/main/java/org/auburnhoist/gateway/GatewayHost.java
@@ -163,9 +163,9 @@
         closer.close();
     }
 
-    /** Whether this host accepts callers. */
+    /** Whether a new caller would be accepted and served now. */
     boolean isReady() {
-        return joined && !stopping && cache.hasConfiguration();
+        return joined && !stopping && cache.hasConfiguration() && proxy.isAccepting();
     }
 
     private ProxySettings proxySettings(long seed) {
@@ -179,9 +179,10 @@
                 .connectTimeout(CONNECT_TIMEOUT)
                 .upstreamIdleExpiry(UPSTREAM_IDLE_EXPIRY)
                 .callerIdleTimeout(CALLER_IDLE_TIMEOUT)
+                .maxCallerConnections(settings.maxCallerConnections())
                 .wireRules(binding.wireRules());
         if (settings.readinessAddress() != null) {
-            builder.additionalListener(settings.readinessAddress(), queries);
+            builder.reservedListener(settings.readinessAddress(), queries);
         }
         if (settings.directoryAddress() != null) {
             builder.additionalListener(settings.directoryAddress(), queries);
--- a/src/main/java/org/auburnhoist/gateway/GatewaySettings.java
+++ b/src/main/java/org/auburnhoist/gateway/GatewaySettings.java
@@ -22,6 +22,7 @@
  * @param quotaTolerance excess over teams' limits that the deployment tolerates
  * @param retryBudget retries that each service tolerates over all hosts
  * @param floor fraction of the servers that must stay in use
+ * @param maxCallerConnections maximum number of open connections of callers
  * @param firstStart whether the whole fleet starts for the first time
  */
 public record GatewaySettings(
@@ -37,4 +38,5 @@
         FallbackLimiter.Tolerance quotaTolerance,
         RetryBudgetSettings retryBudget,
         FloorSettings floor,
+        int maxCallerConnections,
         boolean firstStart) {}
--- a/src/main/java/org/auburnhoist/platform/BootFile.java
+++ b/src/main/java/org/auburnhoist/platform/BootFile.java
@@ -32,6 +32,11 @@
     /** By the platform's rules, a server is healthy again this many contact intervals after a disturbance. */
     private static final int CONTACTS_UNTIL_HEALTHY = 2;
 
+    /** Descriptors of the virtual machine's files, of which the platform reserves as many. */
+    private static final int FILE_DESCRIPTORS = 200;
+    /** Share of the sockets that callers' connections get; servers, other hosts and the platform get the rest. */
+    private static final double CALLERS_SHARE_OF_SOCKETS = 2.0 / 3;
+
     /**
      * An invalid setting.
      *
@@ -107,6 +112,7 @@
             String name = string("self.node_name");
             String zone = string("self.zone");
             double capacity = number("self.limits.cpu_share", 0.01, 1_000) * number("self.limits.cores", 1, 1_000);
+            int maxDescriptors = (int) optional("self.limits.max_fds", 300, 1e8, 4_100);
             InetSocketAddress front = address("network.listen.front", true);
             InetSocketAddress ready = address("network.listen.ready", false);
             InetSocketAddress directory = address("network.listen.directory", false);
@@ -139,6 +145,7 @@
                     tolerance,
                     new RetryBudgetSettings(retryRatio, retrySlack),
                     new FloorSettings(floorShare, Duration.ofMillis((long) (CONTACTS_UNTIL_HEALTHY * contactMillis))),
+                    (int) ((maxDescriptors - FILE_DESCRIPTORS) * CALLERS_SHARE_OF_SOCKETS),
                     Boolean.TRUE.equals(value("self.bootstrap")));
             return new BootFile(settings, store);
         }
@@ -176,7 +183,10 @@
 
         /** Uses the default for a missing bound, since a deployment omits bounds of rules not in force there. */
         private double bound(String name, double min, double max, double defaultValue) {
-            String place = "terms.bounds." + name;
+            return optional("terms.bounds." + name, min, max, defaultValue);
+        }
+
+        private double optional(String place, double min, double max, double defaultValue) {
             if (value(place) == null) {
                 Event.named("setting-missing")
                         .with("place", place)
--- a/src/main/java/org/auburnhoist/proxy/CallerConnection.java
+++ b/src/main/java/org/auburnhoist/proxy/CallerConnection.java
@@ -1,6 +1,7 @@
 package org.auburnhoist.proxy;
 
 import java.io.IOException;
+import java.net.SocketAddress;
 import java.nio.ByteBuffer;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.SocketChannel;
@@ -29,6 +30,8 @@
 
     private final IOSession session;
     private final ProxyServer server;
+    private volatile @Nullable CallerConnectionFactory factory;
+    private volatile @Nullable SocketAddress localAddress;
     private final ReadPauser readPauser = new ReadPauser();
     private volatile @Nullable IOEventHandler handler;
     private volatile boolean wakeRequested;
@@ -57,8 +60,9 @@
         this.stateSinceNanos = server.now();
     }
 
-    void setHandler(IOEventHandler value) {
+    void setHandler(IOEventHandler value, CallerConnectionFactory builder) {
         handler = value;
+        factory = builder;
     }
 
     ReadPauser readPauser() {
@@ -73,6 +77,23 @@
         return session;
     }
 
+    /** Whether a factory has built this connection. */
+    boolean isOf(CallerConnectionFactory other) {
+        return factory == other;
+    }
+
+    /** The address on which the connection was accepted, also after it was closed. */
+    @Nullable
+    SocketAddress localAddress() {
+        return localAddress;
+    }
+
+    /** Time since the last response, or the opening, of a connection without a request; -1 if there is one. */
+    synchronized long idleNanos(long now) {
+        boolean idle = !closing && !headStarted && !exchangeReserved && runningExchanges.isEmpty();
+        return idle ? now - stateSinceNanos : -1;
+    }
+
     /** Whether the head of a further request may be read now. */
     synchronized boolean mayReadHead() {
         if (runningExchanges.isEmpty()) {
@@ -328,6 +349,7 @@
 
     @Override
     public void connected(IOSession ignored) throws IOException {
+        localAddress = session.getLocalAddress();
         if (server.connectionOpened(this)) {
             handler().connected(session);
         } else {
--- a/src/main/java/org/auburnhoist/proxy/CallerConnectionFactory.java
+++ b/src/main/java/org/auburnhoist/proxy/CallerConnectionFactory.java
@@ -32,7 +32,7 @@
     @Override
     public IOEventHandler createHandler(ProtocolIOSession session, @Nullable Object attachment) {
         CallerConnection connection = new CallerConnection(session, server);
-        connection.setHandler(new ServerHttp1IOEventHandler(new Duplexer(session, connection)));
+        connection.setHandler(new ServerHttp1IOEventHandler(new Duplexer(session, connection)), this);
         return connection;
     }
 
--- a/src/main/java/org/auburnhoist/proxy/ProxyServer.java
+++ b/src/main/java/org/auburnhoist/proxy/ProxyServer.java
@@ -1,29 +1,23 @@
 package org.auburnhoist.proxy;
 
 import java.io.IOException;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
 import java.nio.channels.ClosedSelectorException;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.ExecutionException;
 import java.util.concurrent.Future;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.ThreadFactory;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
-import org.apache.hc.core5.concurrent.FutureCallback;
-import org.apache.hc.core5.http.nio.command.ShutdownCommand;
 import org.apache.hc.core5.io.CloseMode;
-import org.apache.hc.core5.reactor.DefaultListeningIOReactor;
-import org.apache.hc.core5.reactor.IOReactorConfig;
-import org.apache.hc.core5.reactor.ListenerEndpoint;
-import org.apache.hc.core5.util.TimeValue;
 import org.auburnhoist.support.Event;
 import org.jspecify.annotations.Nullable;
 
@@ -40,16 +34,22 @@
 public final class ProxyServer implements AutoCloseable {
     /** Interval at which the timeouts of all connections are checked. */
     private static final long CHECK_INTERVAL_MILLIS = 500;
-    /** Select calls return on events; the interval bounds only how late expired sessions are detected. */
-    private static final long SELECT_INTERVAL_MILLIS = 500;
+    /** Connections of the platform, which asks at one reserved address on few connections. */
+    private static final int MAX_RESERVED_CONNECTIONS = 64;
+    /** Share of the bound of callers' connections from which on idle ones are closed, to keep room for new ones. */
+    private static final double CROWDED = 0.75;
+    /** Callers usually send their next request sooner than this after a response. */
+    private static final long MIN_IDLE_NANOS = TimeUnit.SECONDS.toNanos(3);
 
     private final ProxySettings settings;
     private final RequestPolicy policy;
     private final UpstreamPool pool;
-    private final DefaultListeningIOReactor reactor;
+    private final CallerListener listener;
     private final ScheduledThreadPoolExecutor timer;
     private final Map<Integer, RequestPolicy> additionalPolicies = new ConcurrentHashMap<>();
     private final Set<CallerConnection> connections = ConcurrentHashMap.newKeySet();
+    private final AtomicInteger callers = new AtomicInteger();
+    private final AtomicInteger reserved = new AtomicInteger();
     private final AtomicLong requestIds = new AtomicLong();
     private final Object inProgressLock = new Object();
     private int inProgress;
@@ -63,23 +63,8 @@
         timer = new ScheduledThreadPoolExecutor(1, threadFactory("proxy-timer"));
         timer.setRemoveOnCancelPolicy(true);
         pool = new UpstreamPool(settings);
-        IOReactorConfig config = IOReactorConfig.custom()
-                .setIoThreadCount(settings.callerThreads)
-                .setTcpNoDelay(true)
-                .setSoReuseAddress(true)
-                .setSelectInterval(TimeValue.ofMilliseconds(SELECT_INTERVAL_MILLIS))
-                .build();
-        reactor = new DefaultListeningIOReactor(
-                new CallerConnectionFactory(this),
-                config,
-                threadFactory("caller-io"),
-                threadFactory("caller-accept"),
-                null,
-                ProxyServer::logIoFailure,
-                null,
-                ShutdownCommand.GRACEFUL_IMMEDIATE_CALLBACK);
-        reactor.start();
-        address = listen();
+        listener = listen();
+        address = listener.addresses().get(0);
         Future<?> unused = timer.scheduleWithFixedDelay(
                 this::checkTimeouts, CHECK_INTERVAL_MILLIS, CHECK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
     }
@@ -131,35 +116,12 @@
     public void stopAccepting() {
         stopping = true;
         refusing = true;
-        Set<ListenerEndpoint> open = reactor.getEndpoints();
-        open.forEach(endpoint -> endpoint.close(CloseMode.GRACEFUL));
-        if (!open.isEmpty()) {
-            wakeAcceptor();
-        }
+        listener.stopAccepting();
     }
 
-    /**
-     * Lets the acceptor's selector run, since the system closes a listening socket only then. Otherwise it would accept
-     * one more connection, which wakes the selector and is reset.
-     */
-    private void wakeAcceptor() {
-        Future<?> unused = reactor.listen(
-                new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), new FutureCallback<ListenerEndpoint>() {
-                    @Override
-                    public void completed(ListenerEndpoint endpoint) {
-                        endpoint.close(CloseMode.IMMEDIATE);
-                    }
-
-                    @Override
-                    public void failed(Exception cause) {
-                        logIoFailure(cause);
-                    }
-
-                    @Override
-                    public void cancelled() {
-                        // The reactor is closing, and its selector with it.
-                    }
-                });
+    /** Whether a new caller is accepted at present. */
+    public boolean isAccepting() {
+        return listener.isAccepting() && callers.get() < settings.maxCallerConnections;
     }
 
     /**
@@ -190,7 +152,7 @@
     public boolean close(Duration limit) {
         stopAccepting();
         boolean finished = awaitNoRequests(limit);
-        reactor.close(finished ? CloseMode.GRACEFUL : CloseMode.IMMEDIATE);
+        listener.close(finished ? CloseMode.GRACEFUL : CloseMode.IMMEDIATE);
         pool.close();
         timer.shutdownNow();
         return finished;
@@ -215,21 +177,19 @@
         }
     }
 
-    private InetSocketAddress listen() throws IOException {
+    private CallerListener listen() throws IOException {
+        List<InetSocketAddress> addresses = new ArrayList<>();
+        addresses.add(settings.listenAddress);
+        settings.additionalListeners.forEach((further, furtherPolicy) -> {
+            addresses.add(further);
+            additionalPolicies.put(further.getPort(), furtherPolicy);
+        });
         try {
-            ListenerEndpoint endpoint = reactor.listen(settings.listenAddress).get();
-            for (Map.Entry<InetSocketAddress, RequestPolicy> further : settings.additionalListeners.entrySet()) {
-                reactor.listen(further.getKey()).get();
-                additionalPolicies.put(further.getKey().getPort(), further.getValue());
-            }
-            return (InetSocketAddress) endpoint.getAddress();
-        } catch (ExecutionException cause) {
-            close();
-            throw new IOException("listenAddress: could not listen on " + settings.listenAddress, cause.getCause());
-        } catch (InterruptedException cause) {
-            Thread.currentThread().interrupt();
-            close();
-            throw new IOException("listen: interrupted", cause);
+            return CallerListener.open(this, addresses);
+        } catch (IOException cause) {
+            pool.close();
+            timer.shutdownNow();
+            throw cause;
         }
     }
 
@@ -238,11 +198,31 @@
             long now = now();
             connections.forEach(connection -> connection.checkTimeouts(now));
             pool.closeIdle(now);
+            makeRoom(now);
+            listener.closeUnused(factory -> connections.stream().anyMatch(connection -> connection.isOf(factory)));
         } catch (RuntimeException | Error cause) {
             logFailure("time-check-failed", cause);
         }
     }
 
+    /** Closes the connections that have been idle longest if new callers would soon find no room. */
+    private void makeRoom(long now) {
+        long excess = callers.get() - (long) (settings.maxCallerConnections * CROWDED);
+        if (excess <= 0) {
+            return;
+        }
+        record Idle(CallerConnection connection, long nanos) {}
+        List<CallerConnection> longest = connections.stream()
+                .filter(connection -> !isReserved(connection))
+                .map(connection -> new Idle(connection, connection.idleNanos(now)))
+                .filter(idle -> idle.nanos() >= MIN_IDLE_NANOS)
+                .sorted(Comparator.comparingLong(Idle::nanos).reversed())
+                .limit(excess)
+                .map(Idle::connection)
+                .toList();
+        longest.forEach(CallerConnection::closeIfIdle);
+    }
+
     /** Addresses of upstream servers to which an idle connection is open. */
     public Set<String> idleUpstreams() {
         return pool.idleAddresses(now());
@@ -254,7 +234,7 @@
 
     /** The policy of the address on which a connection was accepted. */
     RequestPolicy policy(@Nullable SocketAddress local) {
-        return local instanceof InetSocketAddress address && address.getPort() != this.address.getPort()
+        return local instanceof InetSocketAddress address
                 ? additionalPolicies.getOrDefault(address.getPort(), policy)
                 : policy;
     }
@@ -285,14 +265,25 @@
     }
 
     boolean connectionOpened(CallerConnection connection) {
-        if (connections.size() >= settings.maxCallerConnections) {
+        boolean isReserved = isReserved(connection);
+        AtomicInteger count = isReserved ? reserved : callers;
+        int max = isReserved ? MAX_RESERVED_CONNECTIONS : settings.maxCallerConnections;
+        if (count.incrementAndGet() > max) {
+            count.decrementAndGet();
             return false;
         }
         return connections.add(connection);
     }
 
     void connectionClosed(CallerConnection connection) {
-        connections.remove(connection);
+        if (connections.remove(connection)) {
+            (isReserved(connection) ? reserved : callers).decrementAndGet();
+        }
+    }
+
+    private boolean isReserved(CallerConnection connection) {
+        return connection.localAddress() instanceof InetSocketAddress local
+                && settings.reservedPorts.contains(local.getPort());
     }
 
     void exchangeStarted() {
--- a/src/main/java/org/auburnhoist/proxy/ProxySettings.java
+++ b/src/main/java/org/auburnhoist/proxy/ProxySettings.java
@@ -3,8 +3,10 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * Immutable settings of a {@link ProxyServer}.
@@ -37,6 +39,7 @@
     final Duration answerIdleTimeout;
     final WireRules wireRules;
     final Map<InetSocketAddress, RequestPolicy> additionalListeners;
+    final Set<Integer> reservedPorts;
 
     private ProxySettings(Builder builder) {
         listenAddress = builder.listenAddress;
@@ -58,6 +61,7 @@
         answerIdleTimeout = builder.answerIdleTimeout;
         wireRules = builder.wireRules;
         additionalListeners = Map.copyOf(builder.additionalListeners);
+        reservedPorts = Set.copyOf(builder.reservedPorts);
     }
 
     /** Creates a builder with the defaults, which listen on a free port of the loopback interface. */
@@ -86,6 +90,7 @@
         private Duration answerIdleTimeout = Duration.ofSeconds(30);
         private WireRules wireRules = new StandardWireRules();
         private final Map<InetSocketAddress, RequestPolicy> additionalListeners = new LinkedHashMap<>();
+        private final Set<Integer> reservedPorts = new HashSet<>();
 
         private Builder() {}
 
@@ -198,6 +203,15 @@
             return this;
         }
 
+        /**
+         * Adds an address to listen on whose connections are not counted as callers', so that its few users are served
+         * whatever the number of callers.
+         */
+        public Builder reservedListener(InetSocketAddress address, RequestPolicy policy) {
+            reservedPorts.add(address.getPort());
+            return additionalListener(address, policy);
+        }
+
         /** Builds the settings. */
         public ProxySettings build() {
             return new ProxySettings(this);
--- a/src/test/java/org/auburnhoist/gateway/SlotFleet.java
+++ b/src/test/java/org/auburnhoist/gateway/SlotFleet.java
@@ -184,6 +184,7 @@
                 new FallbackLimiter.Tolerance(5, 0.1, 20),
                 new RetryBudgetSettings(retryRatio, retrySlack),
                 new FloorSettings(0.7, Duration.ofSeconds(6)),
+                1_000,
                 true);
     }
 
--- a/src/test/java/org/auburnhoist/platform/DecodersTest.java
+++ b/src/test/java/org/auburnhoist/platform/DecodersTest.java
@@ -202,6 +202,26 @@
         assertNotNull(boot.settings().directoryAddress());
     }
 
+    /** Guards against a host whose callers take the descriptors that it needs for servers, hosts and the platform. */
+    @Test
+    void callersGetTwoThirdsOfTheSocketsThatTheProcessMayOpen() throws Exception {
+        assertEquals(2_600, BootFile.parse(BOOT).settings().maxCallerConnections());
+        assertEquals(
+                200,
+                BootFile.parse(BOOT.replace("cores: 2", "cores: 2, max_fds: 500"))
+                        .settings()
+                        .maxCallerConnections());
+        assertEquals(
+                List.of("self.limits.max_fds"),
+                assertThrows(
+                                BootFile.InvalidBootFileException.class,
+                                () -> BootFile.parse(BOOT.replace("cores: 2", "cores: 2, max_fds: 200")))
+                        .findings()
+                        .stream()
+                        .map(BootFile.BootFinding::place)
+                        .toList());
+    }
+
     /** Guards against hosts that fail to start because a deployment omits the bounds of rules not in force there. */
     @Test
     void missingBoundsHaveDefaultValues() throws Exception {
--- a/src/test/java/org/auburnhoist/platform/PlatformHostTest.java
+++ b/src/test/java/org/auburnhoist/platform/PlatformHostTest.java
@@ -111,6 +111,7 @@
                 new FallbackLimiter.Tolerance(5, 0.1, 20),
                 new RetryBudgetSettings(0.2, 60),
                 new FloorSettings(0.7, Duration.ofSeconds(6)),
+                1_000,
                 true);
     }
 
