Supervise the parts of a host that serve callers, and ask them for readiness

Change: parts report progress to a Supervisor with an injected time. Timers and the control thread report in tasks that run anyway. HttpCore runs no tasks on its threads, so that once a second each reactor is asked for a connection to an address that can't be valid, which its thread reads and lets fail. Requests make no reports. HttpCore's metrics listener was not used: it counts all connections at each turn of its loop.

A part that has ended makes the host not ready at once, one without progress after 5 s; the process ends with code 6 and a line that names the part 5 s after its end or after 60 s without progress. A check counts 2 s at most, so that a process that was frozen is not ended for that. A planned stop ends the checks.

Not covered: the threads between hosts, an acceptor that is stuck rather than ended (its end is seen), and serve.

--- a/src/main/java/org/auburnhoist/cli/ExitCode.java
+++ b/src/main/java/org/auburnhoist/cli/ExitCode.java
@@ -13,7 +13,9 @@
     /** The store or another service did not answer; nothing was changed. */
     UNAVAILABLE(4, "the store or another service did not answer; nothing was changed"),
     /** The program failed; what it did before is not known. */
-    FAULT(5, "fault of the program; what it did before is not known");
+    FAULT(5, "fault of the program; what it did before is not known"),
+    /** A part of a running host ended or made no progress. */
+    PART_STOPPED(6, "a part of a running host has stopped; the last log line names it");
 
     private final int status;
     private final String meaning;
--- a/src/main/java/org/auburnhoist/cli/ServePlatformCommand.java
+++ b/src/main/java/org/auburnhoist/cli/ServePlatformCommand.java
@@ -6,6 +6,8 @@
 import org.auburnhoist.platform.BootFile;
 import org.auburnhoist.platform.PlatformHost;
 import org.auburnhoist.support.Event;
+import org.auburnhoist.support.LogFormatter;
+import org.auburnhoist.support.Supervisor;
 import sun.misc.Signal;
 
 /** Runs an entry host on the users' platform until it is stopped. */
@@ -35,7 +37,8 @@
         return StopSignal.runTask(context, () -> {
             try {
                 BootFile boot = BootFile.read(file);
-                PlatformHost host = PlatformHost.start(boot);
+                PlatformHost host =
+                        PlatformHost.start(boot, new Supervisor(part -> endProcess(), System.nanoTime()).start());
                 Signal.handle(new Signal("HUP"), signal -> revalidate(file, boot));
                 StopSignal.await(() -> stopAndClose(host));
                 return ExitCode.DONE;
@@ -46,6 +49,12 @@
         });
     }
 
+    /** Halts, because a planned stop needs the part that has stopped. The supervisor has logged which one it is. */
+    private static void endProcess() {
+        LogFormatter.flush();
+        Runtime.getRuntime().halt(ExitCode.PART_STOPPED.status());
+    }
+
     /** Closes the host too, because the virtual machine waits for threads that are in a selector when it halts. */
     private static void stopAndClose(PlatformHost host) {
         host.stop().join();
--- a/src/main/java/org/auburnhoist/gateway/GatewayHost.java
+++ b/src/main/java/org/auburnhoist/gateway/GatewayHost.java
@@ -44,13 +44,15 @@
 import org.auburnhoist.support.Closer;
 import org.auburnhoist.support.Event;
 import org.auburnhoist.support.LogFormatter;
+import org.auburnhoist.support.Supervisor;
+import org.auburnhoist.support.WatchedPart;
 import org.jspecify.annotations.Nullable;
 
 /**
  * An entry host of a fleet on a platform.
  *
  * <pre>{@code
- * GatewayHost host = GatewayHost.start(settings, binding, store);
+ * GatewayHost host = GatewayHost.start(settings, binding, store, supervisor);
  * ...
  * host.stop().join();   // planned stop: drains the requests in progress
  * }</pre>
@@ -70,6 +72,8 @@
     private final GatewaySettings settings;
     private final PlatformBinding binding;
     private final Store store;
+    private final Supervisor supervisor;
+    private final WatchedPart controlProgress;
     private final Closer closer;
     private final HostId self;
     private final ControlThread control;
@@ -91,11 +95,14 @@
     private record JoinedComponents(
             FleetSync sync, SlotBroker slots, QuotaBroker quotas, PeerCalls peers, RequestPolicy policy) {}
 
-    private GatewayHost(GatewaySettings settings, PlatformBinding binding, Store store, Closer closer)
+    private GatewayHost(
+            GatewaySettings settings, PlatformBinding binding, Store store, Supervisor supervisor, Closer closer)
             throws IOException {
         this.settings = settings;
         this.binding = binding;
         this.store = store;
+        this.supervisor = supervisor;
+        this.controlProgress = supervisor.watch("control");
         this.closer = closer;
         SecureRandom secure = new SecureRandom();
         this.self = new HostId(settings.name(), secure.nextLong());
@@ -125,12 +132,14 @@
      * @param settings the host's settings
      * @param binding adapter to the names and encodings of the platform
      * @param store the platform's store; the caller closes it
+     * @param supervisor receives the progress of the host's parts
      * @throws IOException if an address is not available
      */
-    public static GatewayHost start(GatewaySettings settings, PlatformBinding binding, Store store) throws IOException {
+    public static GatewayHost start(
+            GatewaySettings settings, PlatformBinding binding, Store store, Supervisor supervisor) throws IOException {
         Closer closer = new Closer();
         try {
-            GatewayHost host = new GatewayHost(settings, binding, store, closer);
+            GatewayHost host = new GatewayHost(settings, binding, store, supervisor, closer);
             host.begin();
             return host;
         } catch (IOException | RuntimeException cause) {
@@ -142,6 +151,8 @@
     /** Begins a planned stop; completes when the last request has finished and the host is closed. */
     public CompletableFuture<Void> stop() {
         stopping = true;
+        // From here on parts end as planned, and the platform ends a stop that takes too long.
+        supervisor.close();
         return new GatewayShutdown(settings, control, this::leave, lease::end, proxy)
                 .begin()
                 .thenRun(this::close);
@@ -159,13 +170,14 @@
     /** Stops at once without draining, as in a crash. */
     @Override
     public void close() {
+        supervisor.close();
         poller.close();
         closer.close();
     }
 
     /** Whether a new caller would be accepted and served now. */
     boolean isReady() {
-        return joined && !stopping && cache.hasConfiguration() && proxy.isAccepting();
+        return joined && !stopping && cache.hasConfiguration() && proxy.isAccepting() && supervisor.isHealthy();
     }
 
     private ProxySettings proxySettings(long seed) {
@@ -179,6 +191,7 @@
                 .connectTimeout(CONNECT_TIMEOUT)
                 .upstreamIdleExpiry(UPSTREAM_IDLE_EXPIRY)
                 .callerIdleTimeout(CALLER_IDLE_TIMEOUT)
+                .supervisor(supervisor)
                 .maxCallerConnections(settings.maxCallerConnections())
                 .wireRules(binding.wireRules());
         if (settings.readinessAddress() != null) {
@@ -269,6 +282,7 @@
     }
 
     private void tick(long nowNanos) {
+        controlProgress.progressed();
         JoinedComponents components = joinedComponents;
         if (components == null) {
             return;
--- a/src/main/java/org/auburnhoist/platform/KvStore.java
+++ b/src/main/java/org/auburnhoist/platform/KvStore.java
@@ -21,6 +21,7 @@
 import org.auburnhoist.store.Store;
 import org.auburnhoist.store.WatchListener;
 import org.auburnhoist.store.WriteResult;
+import org.auburnhoist.support.Supervisor;
 import org.jspecify.annotations.Nullable;
 
 /** Client of the platform's key-value store. */
@@ -41,7 +42,11 @@
     private final KvTransport transport;
 
     KvStore(InetSocketAddress address) {
-        this.transport = new KvTransport(address);
+        this(address, Supervisor.withoutChecks());
+    }
+
+    KvStore(InetSocketAddress address, Supervisor supervisor) {
+        this.transport = new KvTransport(address, supervisor);
     }
 
     @Override
--- a/src/main/java/org/auburnhoist/platform/KvTransport.java
+++ b/src/main/java/org/auburnhoist/platform/KvTransport.java
@@ -40,6 +40,9 @@
 import org.apache.hc.core5.reactor.IOSessionListener;
 import org.apache.hc.core5.reactor.ssl.TransportSecurityLayer;
 import org.apache.hc.core5.util.Timeout;
+import org.auburnhoist.proxy.ReactorProbe;
+import org.auburnhoist.support.Supervisor;
+import org.auburnhoist.support.WatchedPart;
 import org.jspecify.annotations.Nullable;
 
 /** Sends JSON calls to the platform's store over pooled, persistent connections. */
@@ -63,6 +66,8 @@
     private static final int MAX_BODY_BYTES = 4 << 20;
     /** Header of all responses with the number of the store's era. */
     private static final String ERA = "Store-Era";
+    /** Interval at which the timer reports that it runs. */
+    private static final long PROGRESS_INTERVAL_MILLIS = 500;
     /** Status of a call without a response. */
     private static final int NO_RESPONSE = 0;
 
@@ -86,7 +91,7 @@
         }
     }
 
-    KvTransport(InetSocketAddress address) {
+    KvTransport(InetSocketAddress address, Supervisor supervisor) {
         // Without the textual address the library would do a reverse DNS lookup.
         this.host =
                 new HttpHost("http", address.getAddress(), address.getAddress().getHostAddress(), address.getPort());
@@ -115,7 +120,12 @@
             thread.setDaemon(true);
             return thread;
         });
+        WatchedPart timerProgress = supervisor.watch("store-timer");
+        Future<?> unused = timer.scheduleWithFixedDelay(
+                timerProgress::progressed, 0, PROGRESS_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
         requester.start();
+        ReactorProbe probe = new ReactorProbe(supervisor.watch("store-io"));
+        supervisor.addProbe(() -> probe.ask(requester));
     }
 
     /** Disables TLS, which the store does not use; the library's default loads all certificates at each start. */
--- a/src/main/java/org/auburnhoist/platform/PlatformHost.java
+++ b/src/main/java/org/auburnhoist/platform/PlatformHost.java
@@ -4,6 +4,7 @@
 import java.util.concurrent.CompletableFuture;
 import org.auburnhoist.gateway.GatewayHost;
 import org.auburnhoist.support.Closer;
+import org.auburnhoist.support.Supervisor;
 
 /** A gateway host that runs on the platform. */
 public final class PlatformHost implements AutoCloseable {
@@ -16,15 +17,27 @@
     }
 
     /**
-     * Starts a host.
+     * Starts a host whose parts nobody checks.
      *
      * @throws IOException if a listen address is not available
      */
     public static PlatformHost start(BootFile boot) throws IOException {
+        return start(boot, Supervisor.withoutChecks());
+    }
+
+    /**
+     * Starts a host.
+     *
+     * @param supervisor receives the progress of the host's parts; it is closed with the host
+     * @throws IOException if a listen address is not available
+     */
+    public static PlatformHost start(BootFile boot, Supervisor supervisor) throws IOException {
         Closer closer = new Closer();
         try {
-            KvStore store = closer.register(new KvStore(boot.storeAddress()));
-            GatewayHost host = closer.register(GatewayHost.start(boot.settings(), new KvBinding(), store));
+            KvStore store = closer.register(new KvStore(boot.storeAddress(), supervisor));
+            GatewayHost host = closer.register(GatewayHost.start(boot.settings(), new KvBinding(), store, supervisor));
+            // Closed first, since the planned end of the other parts is no fault.
+            closer.register(supervisor);
             return new PlatformHost(closer, host);
         } catch (IOException | RuntimeException cause) {
             closer.close();
--- a/src/main/java/org/auburnhoist/proxy/CallerListener.java
+++ b/src/main/java/org/auburnhoist/proxy/CallerListener.java
@@ -23,6 +23,7 @@
 import org.apache.hc.core5.reactor.ListenerEndpoint;
 import org.apache.hc.core5.util.TimeValue;
 import org.auburnhoist.support.Event;
+import org.auburnhoist.support.WatchedPart;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -50,8 +51,13 @@
     private @Nullable Acceptor current;
     private boolean stopped;
 
+    private final WatchedPart progress;
+    private final ReactorProbe probe;
+
     private CallerListener(ProxyServer server) {
         this.server = server;
+        this.progress = server.settings().supervisor.watch("caller-io");
+        this.probe = new ReactorProbe(progress);
     }
 
     /**
@@ -64,6 +70,7 @@
         Acceptor opened = listener.openAcceptor(addresses);
         listener.addresses = opened.addresses();
         listener.use(opened);
+        server.settings().supervisor.addProbe(listener::probe);
         return listener;
     }
 
@@ -109,6 +116,19 @@
         unused.forEach(acceptor -> acceptor.reactor.close(CloseMode.IMMEDIATE));
     }
 
+    private void probe() {
+        Acceptor acceptor;
+        synchronized (lock) {
+            acceptor = current;
+        }
+        if (acceptor == null || acceptor.ended) {
+            // The listener replaces it, and the server says meanwhile that it does not accept.
+            progress.progressed();
+        } else {
+            probe.ask(acceptor.reactor);
+        }
+    }
+
     /** Closes all connections and ends the threads. */
     void close(CloseMode mode) {
         stopAccepting();
--- a/src/main/java/org/auburnhoist/proxy/ProxyServer.java
+++ b/src/main/java/org/auburnhoist/proxy/ProxyServer.java
@@ -19,6 +19,7 @@
 import java.util.concurrent.atomic.AtomicLong;
 import org.apache.hc.core5.io.CloseMode;
 import org.auburnhoist.support.Event;
+import org.auburnhoist.support.WatchedPart;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -50,6 +51,7 @@
     private final Set<CallerConnection> connections = ConcurrentHashMap.newKeySet();
     private final AtomicInteger callers = new AtomicInteger();
     private final AtomicInteger reserved = new AtomicInteger();
+    private final WatchedPart timerProgress;
     private final AtomicLong requestIds = new AtomicLong();
     private final Object inProgressLock = new Object();
     private int inProgress;
@@ -60,6 +62,7 @@
     private ProxyServer(ProxySettings settings, RequestPolicy policy) throws IOException {
         this.settings = settings;
         this.policy = policy;
+        timerProgress = settings.supervisor.watch("proxy-timer");
         timer = new ScheduledThreadPoolExecutor(1, threadFactory("proxy-timer"));
         timer.setRemoveOnCancelPolicy(true);
         pool = new UpstreamPool(settings);
@@ -194,6 +197,7 @@
     }
 
     private void checkTimeouts() {
+        timerProgress.progressed();
         try {
             long now = now();
             connections.forEach(connection -> connection.checkTimeouts(now));
--- a/src/main/java/org/auburnhoist/proxy/ProxySettings.java
+++ b/src/main/java/org/auburnhoist/proxy/ProxySettings.java
@@ -7,6 +7,7 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Set;
+import org.auburnhoist.support.Supervisor;
 
 /**
  * Immutable settings of a {@link ProxyServer}.
@@ -40,6 +41,7 @@
     final WireRules wireRules;
     final Map<InetSocketAddress, RequestPolicy> additionalListeners;
     final Set<Integer> reservedPorts;
+    final Supervisor supervisor;
 
     private ProxySettings(Builder builder) {
         listenAddress = builder.listenAddress;
@@ -62,6 +64,7 @@
         wireRules = builder.wireRules;
         additionalListeners = Map.copyOf(builder.additionalListeners);
         reservedPorts = Set.copyOf(builder.reservedPorts);
+        supervisor = builder.supervisor;
     }
 
     /** Creates a builder with the defaults, which listen on a free port of the loopback interface. */
@@ -91,6 +94,7 @@
         private WireRules wireRules = new StandardWireRules();
         private final Map<InetSocketAddress, RequestPolicy> additionalListeners = new LinkedHashMap<>();
         private final Set<Integer> reservedPorts = new HashSet<>();
+        private Supervisor supervisor = Supervisor.withoutChecks();
 
         private Builder() {}
 
@@ -212,6 +216,12 @@
             return additionalListener(address, policy);
         }
 
+        /** Receives the progress of the threads; by default nobody checks it. */
+        public Builder supervisor(Supervisor value) {
+            supervisor = value;
+            return this;
+        }
+
         /** Builds the settings. */
         public ProxySettings build() {
             return new ProxySettings(this);
--- a/src/main/java/org/auburnhoist/proxy/UpstreamPool.java
+++ b/src/main/java/org/auburnhoist/proxy/UpstreamPool.java
@@ -12,6 +12,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.Future;
+import java.util.concurrent.ThreadFactory;
 import org.apache.hc.core5.concurrent.FutureCallback;
 import org.apache.hc.core5.http.HttpHost;
 import org.apache.hc.core5.io.CloseMode;
@@ -20,6 +21,7 @@
 import org.apache.hc.core5.reactor.IOSession;
 import org.apache.hc.core5.util.TimeValue;
 import org.apache.hc.core5.util.Timeout;
+import org.auburnhoist.support.WatchedPart;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -62,15 +64,26 @@
                 .setTcpNoDelay(true)
                 .setSelectInterval(TimeValue.ofMilliseconds(SELECT_INTERVAL_MILLIS))
                 .build();
+        WatchedPart progress = settings.supervisor.watch("upstream-io");
+        ThreadFactory threads = ProxyServer.threadFactory("upstream-io");
         reactor = new DefaultConnectingIOReactor(
                 new UpstreamConnectionFactory(settings, this),
                 config,
-                ProxyServer.threadFactory("upstream-io"),
+                task -> threads.newThread(() -> {
+                    try {
+                        task.run();
+                    } finally {
+                        // After a planned close nobody asks any more.
+                        progress.ended();
+                    }
+                }),
                 null,
                 ProxyServer::logIoFailure,
                 null,
                 null);
         reactor.start();
+        ReactorProbe probe = new ReactorProbe(progress);
+        settings.supervisor.addProbe(() -> probe.ask(reactor));
     }
 
     /** Idle limit of connections to servers that announce no keep-alive timeout. */
--- a/src/test/java/org/auburnhoist/platform/PlatformHostTest.java
+++ b/src/test/java/org/auburnhoist/platform/PlatformHostTest.java
@@ -97,7 +97,7 @@
                 + rate + ",\"burst_size\":" + rate + "}]}";
     }
 
-    private static GatewaySettings settings(String name) throws Exception {
+    static GatewaySettings settings(String name) throws Exception {
         return new GatewaySettings(
                 name,
                 "a",
