Set the handlers of SIGHUP and SIGTERM before a host starts

A SIGHUP during the start ended the process, and a SIGTERM ended it at once (143) without its planned stop, also when it had begun to listen.

Cause: both handlers were set after the host had been started.

Change: the handler of SIGHUP is the first statement of Main; a signal that comes before the host runs is kept, and the settings are checked when it does. The hook of SIGTERM is set before the settings are read; it waits until the host has started, or could not be, and then begins the planned stop. serve uses the same hook. Before Main runs, the virtual machine's defaults still hold.

--- a/src/main/java/org/auburnhoist/cli/DemoCommand.java
+++ b/src/main/java/org/auburnhoist/cli/DemoCommand.java
@@ -53,14 +53,14 @@
                 SERVICE_TIME,
                 Duration.ofSeconds(10),
                 1);
-        return StopSignal.runTask(context, () -> {
+        return StopSignal.runTask(context, signal -> {
             try (LocalFleet fleet = LocalFleet.start(ExampleConfiguration.files(example), options)) {
                 if (!fleet.awaitReady(READY_TIMEOUT)) {
                     context.err().println("the hosts did not become ready within " + READY_TIMEOUT.toSeconds() + " s");
                     return ExitCode.UNAVAILABLE;
                 }
                 printInstructions(example, fleet, context);
-                StopSignal.await(fleet::close);
+                signal.await(fleet::close);
                 return ExitCode.DONE;
             }
         });
--- a/src/main/java/org/auburnhoist/cli/Main.java
+++ b/src/main/java/org/auburnhoist/cli/Main.java
@@ -21,6 +21,10 @@
      * @param arguments the command line
      */
     public static void main(String[] arguments) {
+        if (arguments.length > 0 && arguments[0].equals(ServePlatformCommand.NAME)) {
+            // First of all, because the platform may send SIGHUP at any time.
+            HangupSignal.hold();
+        }
         System.setProperty(ProcessLogManager.PROPERTY, ProcessLogManager.class.getName());
         LogFormatter.install();
         CommandContext context = new CommandContext(
--- a/src/main/java/org/auburnhoist/cli/ServeCommand.java
+++ b/src/main/java/org/auburnhoist/cli/ServeCommand.java
@@ -13,7 +13,6 @@
 import org.auburnhoist.host.HostSettings;
 import org.auburnhoist.peer.PeerSettings;
 import org.auburnhoist.store.Store;
-import org.auburnhoist.support.LogFormatter;
 
 /** Runs an entry host until it is stopped. */
 final class ServeCommand implements Command {
@@ -104,23 +103,16 @@
             context.err().println("store: " + opened.getLeft());
             return ExitCode.UNAVAILABLE;
         }
-        return StopSignal.runTask(context, () -> {
+        return StopSignal.runTask(context, signal -> {
             try (Store store = opened.get()) {
                 HostProcess process = HostProcess.start(hostSettings(settings), store);
-                Runtime.getRuntime().addShutdownHook(new Thread(() -> stopAndExit(process), "planned-stop"));
+                signal.handle(() -> process.stop().join());
                 process.awaitStop();
                 return ExitCode.DONE;
             }
         });
     }
 
-    /** Ends the process with status 0, because a planned stop is not a failure; the default after SIGTERM is 143. */
-    private static void stopAndExit(HostProcess process) {
-        process.stop().join();
-        LogFormatter.flush();
-        Runtime.getRuntime().halt(ExitCode.DONE.status());
-    }
-
     private static HostSettings hostSettings(Settings settings) {
         return HostSettings.builder(settings.get(HOST_NAME), settings.get(DATA_CENTRE))
                 .callerAddress(settings.get(LISTEN).get(0))
--- a/src/main/java/org/auburnhoist/cli/ServePlatformCommand.java
+++ b/src/main/java/org/auburnhoist/cli/ServePlatformCommand.java
@@ -8,17 +8,18 @@
 import org.auburnhoist.support.Event;
 import org.auburnhoist.support.LogFormatter;
 import org.auburnhoist.support.Supervisor;
-import sun.misc.Signal;
 
 /** Runs an entry host on the users' platform until it is stopped. */
 final class ServePlatformCommand implements Command {
+    static final String NAME = "serve-platform";
+
     private static final Setting<Path> NODE_FILE = Setting.path(
                     "node-file", "settings file that the platform gives this process")
             .asRequired();
 
     @Override
     public String name() {
-        return "serve-platform";
+        return NAME;
     }
 
     @Override
@@ -34,13 +35,13 @@
     @Override
     public ExitCode run(Settings settings, CommandContext context) {
         Path file = settings.get(NODE_FILE);
-        return StopSignal.runTask(context, () -> {
+        return StopSignal.runTask(context, signal -> {
             try {
                 BootFile boot = BootFile.read(file);
                 PlatformHost host =
                         PlatformHost.start(boot, new Supervisor(part -> endProcess(), System.nanoTime()).start());
-                Signal.handle(new Signal("HUP"), signal -> revalidate(file, boot));
-                StopSignal.await(() -> stopAndClose(host));
+                HangupSignal.handle(() -> revalidate(file, boot));
+                signal.await(() -> stopAndClose(host));
                 return ExitCode.DONE;
             } catch (BootFile.InvalidBootFileException invalid) {
                 invalid.findings().forEach(finding -> context.err().println(finding.describe()));
--- a/src/main/java/org/auburnhoist/cli/StoreEmulatorCommand.java
+++ b/src/main/java/org/auburnhoist/cli/StoreEmulatorCommand.java
@@ -37,11 +37,11 @@
     @Override
     public ExitCode run(Settings settings, CommandContext context) {
         int port = settings.get(LISTEN).get(0).getPort();
-        return StopSignal.runTask(context, () -> {
+        return StopSignal.runTask(context, signal -> {
             try (StoreEmulator emulator = StoreEmulator.builder().port(port).start()) {
                 context.out().println("emulated store on " + emulator.address().getAuthority());
                 context.out().flush();
-                StopSignal.await(emulator::close);
+                signal.await(emulator::close);
                 return ExitCode.DONE;
             }
         });
--- a/src/main/java/org/auburnhoist/cli/UpstreamEmulatorCommand.java
+++ b/src/main/java/org/auburnhoist/cli/UpstreamEmulatorCommand.java
@@ -81,11 +81,11 @@
     private static ExitCode run(List<UpstreamSpec> specs, CommandContext context) {
         UpstreamEmulator.Builder builder = UpstreamEmulator.builder();
         specs.forEach(builder::server);
-        return StopSignal.runTask(context, () -> {
+        return StopSignal.runTask(context, signal -> {
             try (UpstreamEmulator emulator = builder.start()) {
                 context.out().println(emulator.servers().size() + " emulated servers");
                 context.out().flush();
-                StopSignal.await(emulator::close);
+                signal.await(emulator::close);
                 return ExitCode.DONE;
             }
         });
