--- a/src/main/java/org/auburnhoist/cli/ServePlatformCommand.java
+++ b/src/main/java/org/auburnhoist/cli/ServePlatformCommand.java
@@ -6,17 +6,20 @@
 import org.auburnhoist.platform.BootFile;
 import org.auburnhoist.platform.PlatformHost;
 import org.auburnhoist.support.Event;
-import sun.misc.Signal;
+import org.auburnhoist.support.LogFormatter;
+import org.auburnhoist.support.Supervisor;
 
 /** Runs an entry host on the users' platform until it is stopped. */
 final class ServePlatformCommand implements Command {
+    static final String NAME = "serve-platform";
+
     private static final Setting<Path> NODE_FILE = Setting.path(
                     "node-file", "settings file that the platform gives this process")
             .asRequired();
 
     @Override
     public String name() {
-        return "serve-platform";
+        return NAME;
     }
 
     @Override
@@ -32,12 +35,13 @@
     @Override
     public ExitCode run(Settings settings, CommandContext context) {
         Path file = settings.get(NODE_FILE);
-        return StopSignal.runTask(context, () -> {
+        return StopSignal.runTask(context, signal -> {
             try {
                 BootFile boot = BootFile.read(file);
-                PlatformHost host = PlatformHost.start(boot);
-                Signal.handle(new Signal("HUP"), signal -> revalidate(file, boot));
-                StopSignal.await(() -> stopAndClose(host));
+                PlatformHost host =
+                        PlatformHost.start(boot, new Supervisor(part -> endProcess(), System.nanoTime()).start());
+                HangupSignal.handle(() -> revalidate(file, boot));
+                signal.await(() -> stopAndClose(host));
                 return ExitCode.DONE;
             } catch (BootFile.InvalidBootFileException invalid) {
                 invalid.findings().forEach(finding -> context.err().println(finding.describe()));
@@ -46,6 +50,12 @@
         });
     }
 
+    /** Halts, because a planned stop needs the part that has stopped. The supervisor has logged which one it is. */
+    private static void endProcess() {
+        LogFormatter.flush();
+        Runtime.getRuntime().halt(ExitCode.PART_STOPPED.status());
+    }
+
     /** Closes the host too, because the virtual machine waits for threads that are in a selector when it halts. */
     private static void stopAndClose(PlatformHost host) {
         host.stop().join();
--- a/src/main/java/org/auburnhoist/proxy/ProxySettings.java
+++ b/src/main/java/org/auburnhoist/proxy/ProxySettings.java
@@ -3,8 +3,11 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.Set;
+import org.auburnhoist.support.Supervisor;
 
 /**
  * Immutable settings of a {@link ProxyServer}.
@@ -37,6 +40,8 @@
     final Duration answerIdleTimeout;
     final WireRules wireRules;
     final Map<InetSocketAddress, RequestPolicy> additionalListeners;
+    final Set<Integer> reservedPorts;
+    final Supervisor supervisor;
 
     private ProxySettings(Builder builder) {
         listenAddress = builder.listenAddress;
@@ -58,6 +63,8 @@
         answerIdleTimeout = builder.answerIdleTimeout;
         wireRules = builder.wireRules;
         additionalListeners = Map.copyOf(builder.additionalListeners);
+        reservedPorts = Set.copyOf(builder.reservedPorts);
+        supervisor = builder.supervisor;
     }
 
     /** Creates a builder with the defaults, which listen on a free port of the loopback interface. */
@@ -86,6 +93,8 @@
         private Duration answerIdleTimeout = Duration.ofSeconds(30);
         private WireRules wireRules = new StandardWireRules();
         private final Map<InetSocketAddress, RequestPolicy> additionalListeners = new LinkedHashMap<>();
+        private final Set<Integer> reservedPorts = new HashSet<>();
+        private Supervisor supervisor = Supervisor.withoutChecks();
 
         private Builder() {}
 
@@ -198,6 +207,21 @@
             return this;
         }
 
+        /**
+         * Adds an address to listen on whose connections are not counted as callers', so that its few users are served
+         * whatever the number of callers.
+         */
+        public Builder reservedListener(InetSocketAddress address, RequestPolicy policy) {
+            reservedPorts.add(address.getPort());
+            return additionalListener(address, policy);
+        }
+
+        /** Receives the progress of the threads; by default nobody checks it. */
+        public Builder supervisor(Supervisor value) {
+            supervisor = value;
+            return this;
+        }
+
         /** Builds the settings. */
         public ProxySettings build() {
             return new ProxySettings(this);
