Keep one record of the crashes by a request at all hosts

Cause: the quarantine was a field of the dispatcher of a service, and of no use to any other host. A new dispatcher counted from zero.

A host has one quarantine for all services, asks it before it asks for a slot, and compares it with the coordinator's after a report (the hash once a second, the copy only if the hashes differ). So the record is at all hosts about a second after a crash, and outlives each of them. Copies of a crash merge to the suspects that are in both: a request that has completed anywhere stays cleared, in any order of merges. Requests that wait while they are quarantined are refused as well.

A decoder of an earlier release closes the connection on trailing bytes and on messages of a new kind, so a copy travels as a ChunkAnswer, which hosts on a platform acknowledge without using it.

--- a/src/main/java/org/auburnhoist/core/dispatch/PriorityDispatcher.java
+++ b/src/main/java/org/auburnhoist/core/dispatch/PriorityDispatcher.java
@@ -35,7 +35,7 @@
     private static final double NO_SHARE_RETRY_SECONDS = 0.3;
 
     private final PriorityRequestQueue queue = new PriorityRequestQueue();
-    private final Quarantine quarantine = new Quarantine();
+    private final Quarantine quarantine;
     private final GrantTable grants;
     private final ServiceTimeEstimator serviceTimes;
     private final UnservedShare unservedShare = new UnservedShare();
@@ -43,8 +43,14 @@
     private final ServerLimits limits = new ServerLimits();
     private long lastCleanupNanos;
 
-    /** Creates a dispatcher without servers. */
+    /** Creates a dispatcher without servers that knows of no crash. */
     public PriorityDispatcher(PriorityDispatcherSettings settings, RandomGenerator random) {
+        this(settings, new Quarantine(), random);
+    }
+
+    /** Creates a dispatcher without servers that records crashes in the quarantine of its host. */
+    public PriorityDispatcher(PriorityDispatcherSettings settings, Quarantine quarantine, RandomGenerator random) {
+        this.quarantine = quarantine;
         this.grants = new GrantTable(random.nextLong());
         this.serviceTimes = new ServiceTimeEstimator(settings.initialHoldTime());
         this.serverSelector = new ServerSelector(settings.floor(), grants, serviceTimes, unservedShare, limits, random);
@@ -89,7 +95,7 @@
         long deadline = nowNanos + Math.max(0, request.deadlineMillis()) * NANOS_PER_MILLI;
         WaitingRequest waiting = new WaitingRequest(request, requestingHost, replyToken, deadline);
         request.scheduling().serverLimits().forEach(report -> limits.recordReport(report, nowNanos));
-        long quarantined = quarantine.remainingNanos(request.fingerprint(), nowNanos);
+        long quarantined = quarantinedNanos(waiting, nowNanos);
         if (quarantined > 0) {
             decisions.add(refuse(replyToken, SlotVerdict.QUARANTINED, quarantined / NANOS_PER_MILLI + 1));
             return decisions;
@@ -113,6 +119,9 @@
             return decisions;
         }
         observe(grant, release, nowNanos);
+        if (release.outcome() == AttemptOutcome.CONNECTION_LOST) {
+            refuseQuarantined(decisions, nowNanos);
+        }
         serverSelector.recordNotice(grant.server(), requestingHost, release.notice(), nowNanos);
         limits.recordAnswer(grant.server(), release.notice().limit(), grant.grantedNanos(), nowNanos);
         grantWaiting(decisions, nowNanos);
@@ -174,6 +183,7 @@
         List<SlotDecision> decisions = new ArrayList<>();
         quarantine.removeExpired(nowNanos);
         grants.removeIf(grant -> nowNanos - grant.expiresNanos() >= 0);
+        refuseQuarantined(decisions, nowNanos);
         queue.removeIf(waiting -> cannotBeAnswered(waiting.request(), nowNanos))
                 .forEach(waiting -> refuseOverloaded(waiting.request(), 0, decisions, nowNanos));
         grantWaiting(decisions, nowNanos);
@@ -181,6 +191,22 @@
         return decisions;
     }
 
+    /** Refuses waiting requests that have been quarantined since they arrived. */
+    private void refuseQuarantined(List<SlotDecision> decisions, long nowNanos) {
+        if (quarantine.size() == 0) {
+            return;
+        }
+        queue.removeIf(waiting -> quarantinedNanos(waiting.request(), nowNanos) > 0)
+                .forEach(waiting -> decisions.add(refuse(
+                        waiting.request().replyToken(),
+                        SlotVerdict.QUARANTINED,
+                        quarantinedNanos(waiting.request(), nowNanos) / NANOS_PER_MILLI + 1)));
+    }
+
+    private long quarantinedNanos(WaitingRequest waiting, long nowNanos) {
+        return quarantine.remainingNanos(waiting.request().fingerprint(), nowNanos);
+    }
+
     /** Refuses requests that have missed their target while limits are used up by those that have not. */
     private void refuseOvertaken(List<SlotDecision> decisions, long nowNanos) {
         if (limits.limitedCount() > 0 && queue.hasTimelyRequest(serviceTimes.holdSeconds(), nowNanos)) {
--- a/src/main/java/org/auburnhoist/core/dispatch/Quarantine.java
+++ b/src/main/java/org/auburnhoist/core/dispatch/Quarantine.java
@@ -1,10 +1,13 @@
 package org.auburnhoist.core.dispatch;
 
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import org.jspecify.annotations.Nullable;
@@ -15,31 +18,54 @@
  * <p>When a server crashes, each request in flight on it becomes a suspect of that crash. A request that later
  * completes with a response is no longer a suspect of any crash. A fingerprint is quarantined if it is the only common
  * suspect of at least 3 crashes on at least 2 servers.
+ *
+ * <p>A host has one quarantine for all services, so that it outlives their dispatchers, and merges the records of other
+ * hosts into it. Records of the same crash are merged to the requests that are suspects in both, so that the result
+ * does not depend on the order of merges. Not thread-safe.
  */
 public final class Quarantine {
     /** Minimum number of crashes after which a request is quarantined. */
     public static final int MIN_CRASHES = 3;
 
+    /** Maximum number of crashes in a record; the earliest are forgotten first. */
+    public static final int MAX_CRASHES_KEPT = 64;
+    /** Maximum number of requests held back; those that would be accepted first are forgotten first. */
+    public static final int MAX_HELD = 64;
+    /** A crash with more suspects is not told to other hosts: parts of it could put the blame on the wrong request. */
+    public static final int MAX_SUSPECTS_TOLD = 32;
+
     private static final int MIN_SERVERS = 2;
-    private static final int MAX_CRASHES_KEPT = 64;
-    private static final long RETENTION_NANOS = 600_000_000_000L;
+    private static final long NANOS_PER_MILLI = 1_000_000L;
+    private static final long RETENTION_NANOS = 600_000 * NANOS_PER_MILLI;
+    /** What ends within this time is not taken from other hosts, which would return what this host removes. */
+    private static final long EXPIRY_MARGIN_NANOS = 5_000 * NANOS_PER_MILLI;
+    /** Two dispatchers may each report the same crash within this time. */
+    private static final long SAME_CRASH_NANOS = 1_000 * NANOS_PER_MILLI;
 
     /** A crash of a server. */
     private static final class Crash {
+        final long id;
         final String server;
         final long atNanos;
         final Set<Long> suspects;
         final Set<Long> grants;
 
-        Crash(String server, long atNanos, Set<Long> suspects, Set<Long> grants) {
+        Crash(long id, String server, long atNanos, Set<Long> suspects, Set<Long> grants) {
+            this.id = id;
             this.server = server;
             this.atNanos = atNanos;
             this.suspects = suspects;
             this.grants = grants;
         }
+
+        boolean isTold() {
+            return suspects.size() <= MAX_SUSPECTS_TOLD;
+        }
     }
 
+    /** In the order in which they happened. */
     private final Deque<Crash> crashes = new ArrayDeque<>();
+
     private final Map<Long, Long> quarantinedUntil = new HashMap<>();
 
     /**
@@ -62,7 +88,7 @@
             suspects.add(grant.fingerprint());
             grants.add(grant.id());
         }
-        crashes.addLast(new Crash(lost.server(), nowNanos, suspects, grants));
+        crashes.addLast(new Crash(lost.id(), lost.server(), nowNanos, suspects, grants));
         if (crashes.size() > MAX_CRASHES_KEPT) {
             crashes.removeFirst();
         }
@@ -85,17 +111,26 @@
 
     private void quarantineIfConclusive(long fingerprint, long nowNanos) {
         int count = 0;
-        Set<String> servers = new HashSet<>();
+        Map<String, Long> lastOfServer = new HashMap<>();
         Set<Long> common = null;
         for (Crash crash : crashes) {
             if (crash.suspects.contains(fingerprint)) {
-                count++;
-                servers.add(crash.server);
+                Long last = lastOfServer.put(crash.server, crash.atNanos);
+                count += last == null || crash.atNanos - last > SAME_CRASH_NANOS ? 1 : 0;
                 common = intersection(common, crash.suspects);
             }
         }
-        if (count >= MIN_CRASHES && servers.size() >= MIN_SERVERS && common != null && common.size() == 1) {
-            quarantinedUntil.put(fingerprint, nowNanos + RETENTION_NANOS);
+        if (count >= MIN_CRASHES && lastOfServer.size() >= MIN_SERVERS && common != null && common.size() == 1) {
+            hold(fingerprint, nowNanos + RETENTION_NANOS);
+        }
+    }
+
+    private void hold(long fingerprint, long untilNanos) {
+        quarantinedUntil.put(fingerprint, untilNanos);
+        if (quarantinedUntil.size() > MAX_HELD) {
+            quarantinedUntil.entrySet().stream()
+                    .min(Comparator.comparingLong(entry -> entry.getValue() - untilNanos))
+                    .ifPresent(first -> quarantinedUntil.remove(first.getKey()));
         }
     }
 
@@ -135,6 +170,80 @@
         return quarantinedUntil.size();
     }
 
+    /** Returns what other hosts have to know, with at most {@link #MAX_CRASHES_KEPT} crashes. */
+    public CrashRecord record(long nowNanos) {
+        removeExpired(nowNanos);
+        List<CrashRecord.Crash> told = crashes.stream()
+                .filter(Crash::isTold)
+                .map(crash -> new CrashRecord.Crash(
+                        crash.id,
+                        crash.server,
+                        (nowNanos - crash.atNanos) / NANOS_PER_MILLI,
+                        crash.suspects.stream().sorted().toList()))
+                .toList();
+        List<CrashRecord.HeldRequest> held = quarantinedUntil.keySet().stream()
+                .sorted()
+                .map(fingerprint -> new CrashRecord.HeldRequest(
+                        fingerprint, remainingNanos(fingerprint, nowNanos) / NANOS_PER_MILLI))
+                .toList();
+        return new CrashRecord(told, held);
+    }
+
+    /** Hash of the record without its times; equal for hosts that know the same. */
+    public long recordHash(long nowNanos) {
+        removeExpired(nowNanos);
+        long hash = 0;
+        for (Crash crash : crashes) {
+            hash += crash.isTold() ? mixed(crash.id) ^ mixed(1 + crash.suspects.hashCode()) : 0;
+        }
+        for (long fingerprint : quarantinedUntil.keySet()) {
+            hash += mixed(fingerprint + 1);
+        }
+        return hash;
+    }
+
+    private static long mixed(long value) {
+        long product = value * 0x9e3779b97f4a7c15L;
+        return (product ^ (product >>> 29)) * 0xbf58476d1ce4e5b9L;
+    }
+
+    /** Adds what another host knows, as of now. */
+    public void merge(CrashRecord other, long nowNanos) {
+        Set<Long> affected = new HashSet<>();
+        for (CrashRecord.Crash told : other.crashes()) {
+            Crash known = crashes.stream()
+                    .filter(crash -> crash.id == told.id())
+                    .findFirst()
+                    .orElse(null);
+            long ageNanos = told.ageMillis() * NANOS_PER_MILLI;
+            if (known != null) {
+                known.suspects.retainAll(Set.copyOf(told.suspects()));
+                affected.addAll(known.suspects);
+            } else if (ageNanos < RETENTION_NANOS - EXPIRY_MARGIN_NANOS) {
+                Set<Long> suspects = new HashSet<>(told.suspects());
+                insert(new Crash(told.id(), told.server(), nowNanos - ageNanos, suspects, Set.of(told.id())));
+                affected.addAll(suspects);
+            }
+        }
+        for (CrashRecord.HeldRequest told : other.held()) {
+            long remainingNanos = Math.min(RETENTION_NANOS, told.remainingMillis() * NANOS_PER_MILLI);
+            if (remainingNanos > remainingNanos(told.fingerprint(), nowNanos) + EXPIRY_MARGIN_NANOS) {
+                hold(told.fingerprint(), nowNanos + remainingNanos);
+            }
+        }
+        affected.stream()
+                .filter(suspect -> remainingNanos(suspect, nowNanos) == 0)
+                .forEach(suspect -> quarantineIfConclusive(suspect, nowNanos));
+    }
+
+    private void insert(Crash crash) {
+        List<Crash> ordered = new ArrayList<>(crashes);
+        ordered.add(crash);
+        ordered.sort(Comparator.comparingLong(entry -> entry.atNanos - crash.atNanos));
+        crashes.clear();
+        crashes.addAll(ordered.subList(Math.max(0, ordered.size() - MAX_CRASHES_KEPT), ordered.size()));
+    }
+
     /** Removes crashes and quarantines that have expired. */
     void removeExpired(long nowNanos) {
         crashes.removeIf(crash -> nowNanos - crash.atNanos > RETENTION_NANOS);
--- a/src/main/java/org/auburnhoist/gateway/FleetSync.java
+++ b/src/main/java/org/auburnhoist/gateway/FleetSync.java
@@ -44,6 +44,7 @@
     private final FleetView fleet;
     private final StoreCache cache;
     private final HostCalls peers;
+    private final FleetRecordExchange crashes;
     private final BooleanSupplier ready;
     private final RandomGenerator random;
     private final String selfName;
@@ -58,6 +59,7 @@
             FleetView fleet,
             StoreCache cache,
             HostCalls peers,
+            FleetRecordExchange crashes,
             String selfName,
             BooleanSupplier ready,
             RandomGenerator random,
@@ -65,6 +67,7 @@
         this.fleet = fleet;
         this.cache = cache;
         this.peers = peers;
+        this.crashes = crashes;
         this.ready = ready;
         this.random = random;
         this.selfName = selfName;
@@ -140,6 +143,7 @@
                             && answered.message() instanceof StatusDigest digest) {
                         fleet.recordAnswer(name, nowNanos);
                         cache.digestReceived(digest, name, nowNanos, now);
+                        crashes.tick(coordinator, now);
                         if (digest.storeAgeMillis() < 0 || digest.storeAgeMillis() > MAX_STORE_AGE_MILLIS) {
                             coordinatorSelector.skipUntil(name, now + SUSPECT_NANOS);
                         }
--- a/src/main/java/org/auburnhoist/gateway/GatewayHost.java
+++ b/src/main/java/org/auburnhoist/gateway/GatewayHost.java
@@ -89,7 +89,12 @@
 
     /** The components that need the fleet's secret. */
     private record JoinedComponents(
-            FleetSync sync, SlotBroker slots, QuotaBroker quotas, PeerCalls peers, RequestPolicy policy) {}
+            FleetSync sync,
+            FleetRecordExchange crashes,
+            SlotBroker slots,
+            QuotaBroker quotas,
+            PeerCalls peers,
+            RequestPolicy policy) {}
 
     private GatewayHost(GatewaySettings settings, PlatformBinding binding, Store store, Closer closer)
             throws IOException {
@@ -237,9 +242,10 @@
         QuotaBroker quotas = new QuotaBroker(fleet, cache, peers, control, settings, lease::isHeld, random, startNanos);
         GatewayComponents gatewayComponents =
                 new GatewayComponents(settings, control, cache, slots, notices, quotas, metrics, proxy::idleUpstreams);
-        FleetSync sync = new FleetSync(fleet, cache, peers, settings.name(), this::isReady, random, now);
+        FleetRecordExchange crashes = new FleetRecordExchange(new CrashFleetRecord(slots.quarantine()), peers);
+        FleetSync sync = new FleetSync(fleet, cache, peers, crashes, settings.name(), this::isReady, random, now);
         joinedComponents = new JoinedComponents(
-                sync, slots, quotas, peers, new GatewayPolicy(binding, gatewayComponents, random.nextLong()));
+                sync, crashes, slots, quotas, peers, new GatewayPolicy(binding, gatewayComponents, random.nextLong()));
         entries.entries().stream()
                 .filter(entry -> entry.key().equals(GatewayKeys.memberKey(settings.name())))
                 .forEach(entry -> {
@@ -341,6 +347,8 @@
             answer.complete(new Acknowledgement(true));
         } else if (request instanceof StatusReport report) {
             answer.complete(components.sync().handleReport(from, report, nowNanos));
+        } else if (components.crashes().handles(request)) {
+            answer.complete(components.crashes().handle(request, from, nowNanos));
         } else {
             // A probe needs only some answer.
             answer.complete(new Acknowledgement(request instanceof PullRequest));
--- a/src/main/java/org/auburnhoist/gateway/SlotBroker.java
+++ b/src/main/java/org/auburnhoist/gateway/SlotBroker.java
@@ -13,6 +13,7 @@
 import org.auburnhoist.core.dispatch.LimitShares;
 import org.auburnhoist.core.dispatch.PriorityDispatcher;
 import org.auburnhoist.core.dispatch.PriorityDispatcherSettings;
+import org.auburnhoist.core.dispatch.Quarantine;
 import org.auburnhoist.core.membership.FleetMember;
 import org.auburnhoist.core.membership.FleetView;
 import org.auburnhoist.core.message.AttemptOutcome;
@@ -60,6 +61,7 @@
     private final RandomGenerator random;
     private final RetryBudgets budgets;
     private final LimitShares limitShares;
+    private final Quarantine quarantine = new Quarantine();
     private final Map<String, ServiceDispatch> dispatches = new HashMap<>();
     private final Map<String, ServiceDispatch> localDispatches = new HashMap<>();
     private final Map<Long, PendingRequest> pending = new HashMap<>();
@@ -137,8 +139,19 @@
         budgets.requestStarted(service, nowNanos);
     }
 
+    /** What this host knows of requests that crash servers, whoever dispatches their services. */
+    Quarantine quarantine() {
+        return quarantine;
+    }
+
     /** Requests a slot; the handler receives the result. */
     void acquire(SlotRequest request, long nowNanos, BiConsumer<SlotResult, Long> handler) {
+        long quarantined = quarantine.remainingNanos(request.fingerprint(), nowNanos);
+        if (quarantined > 0) {
+            long millis = Duration.ofNanos(quarantined).toMillis() + 1;
+            handler.accept(new SlotResult(null, new SlotAnswer(SlotVerdict.QUARANTINED, "", 0, millis)), nowNanos);
+            return;
+        }
         budgets.updateHostCount(fleet.members().size());
         if (!budgets.tryAttempt(request.service(), request.scheduling().attempt(), nowNanos)) {
             SlotAnswer refused = new SlotAnswer(SlotVerdict.OVERLOADED, "", 0, BUDGET_RETRY_MILLIS);
@@ -292,7 +305,7 @@
         PriorityDispatcherSettings dispatcherSettings =
                 new PriorityDispatcherSettings(settings.floor(), INITIAL_HOLD_TIME);
         ServiceDispatch created =
-                new ServiceDispatch(service, new PriorityDispatcher(dispatcherSettings, random), nowNanos);
+                new ServiceDispatch(service, new PriorityDispatcher(dispatcherSettings, quarantine, random), nowNanos);
         created.updateServers(cache.serversOf(service), nowNanos);
         return created;
     }
--- a/src/test/java/org/auburnhoist/gateway/RegistrationFleet.java
+++ b/src/test/java/org/auburnhoist/gateway/RegistrationFleet.java
@@ -12,6 +12,7 @@
 import java.util.function.Consumer;
 import org.auburnhoist.core.HostId;
 import org.auburnhoist.core.StorePosition;
+import org.auburnhoist.core.dispatch.Quarantine;
 import org.auburnhoist.core.membership.CoordinatorSelector;
 import org.auburnhoist.core.message.Acknowledgement;
 import org.auburnhoist.core.message.Message;
@@ -60,7 +61,8 @@
         @Override
         void started() {
             cache = new StoreCache(new RegistrationBinding(), fleet, () -> {}, () -> {}, () -> {});
-            sync = new FleetSync(fleet, cache, this, name, () -> true, random.split(), network.nowNanos());
+            FleetRecordExchange crashes = new FleetRecordExchange(new CrashFleetRecord(new Quarantine()), this);
+            sync = new FleetSync(fleet, cache, this, crashes, name, () -> true, random.split(), network.nowNanos());
             poller = new StorePoller(
                     new SimulatedStore(this),
                     this,
--- a/src/test/java/org/auburnhoist/gateway/SlotFleet.java
+++ b/src/test/java/org/auburnhoist/gateway/SlotFleet.java
@@ -17,6 +17,7 @@
 import org.auburnhoist.core.dispatch.RetryBudgetSettings;
 import org.auburnhoist.core.dispatch.RetryState;
 import org.auburnhoist.core.limit.FallbackLimiter;
+import org.auburnhoist.core.membership.CoordinatorSelector;
 import org.auburnhoist.core.membership.FleetMember;
 import org.auburnhoist.core.message.Acknowledgement;
 import org.auburnhoist.core.message.AttemptOutcome;
@@ -41,6 +42,9 @@
     private static final int MAX_ATTEMPTS = 3;
     static final long TARGET_MILLIS = 2_000;
     private static final long SERVER_START_MILLIS = 5;
+    private static final long CRASHING = 77;
+    private static final long CRASH_NANOS = 2 * MILLI;
+    private static final long CONTACT_NANOS = 3 * SECOND;
 
     private final SplittableRandom random;
     private final Load load;
@@ -67,6 +71,17 @@
     /** Number of requests that a server accepted in the end. */
     int served;
 
+    /**
+     * An attempt of the crashing request that reached a server.
+     *
+     * @param arrivedNanos when its caller sent it
+     * @param crashedNanos when it crashed the server
+     */
+    record Crash(long arrivedNanos, long crashedNanos) {}
+
+    /** Attempts of the crashing request that reached a server. */
+    final List<Crash> crashes = new ArrayList<>();
+
     /**
      * Load of the fleet.
      *
@@ -106,13 +121,30 @@
     private final class Host extends VirtualNetwork.Node {
         SlotBroker broker;
         ServerNotices notices;
+        FleetRecordExchange exchange;
+        CoordinatorSelector coordinators;
+        long startedNanos;
 
         Host() {
             network.super();
             broker = broker();
+            exchange = exchange();
+            coordinators = new CoordinatorSelector(fleet, name);
             notices = new ServerNotices();
         }
 
+        private FleetRecordExchange exchange() {
+            return new FleetRecordExchange(new CrashFleetRecord(broker.quarantine()), this);
+        }
+
+        /** Stands for the answer to a report to the coordinator, after which the records are compared. */
+        void reportAnswered() {
+            FleetMember coordinator = coordinators.coordinator(now());
+            if (!coordinator.id().equals(id)) {
+                exchange.tick(coordinator, now());
+            }
+        }
+
         private SlotBroker broker() {
             StoreCache cache = new StoreCache(new VersionOnlyBinding(), fleet, () -> {}, () -> {}, () -> {});
             cache.serversRead(servers, StorePosition.ofRevision(1), now(), now(), "store");
@@ -130,7 +162,10 @@
 
         @Override
         void started() {
+            startedNanos = now();
             broker = broker();
+            exchange = exchange();
+            coordinators = new CoordinatorSelector(fleet, name);
             notices = new ServerNotices();
         }
 
@@ -141,6 +176,8 @@
             } else if (request instanceof SlotRelease release) {
                 broker.handleRelease(release, from, now());
                 reply.accept(new Acknowledgement(true));
+            } else if (exchange.handles(request)) {
+                reply.accept(exchange.handle(request, from, now()));
             } else {
                 reply.accept(new Acknowledgement(true));
             }
@@ -268,6 +305,9 @@
                 }
             }
         }
+        for (Host host : hosts) {
+            host.schedule(Duration.ofMillis(host.number * 37L % 500), now -> host.reportAnswered());
+        }
         network.at(atNanos + REPORT_NANOS, this::reportAll);
     }
 
@@ -287,6 +327,34 @@
         network.at(nextArrival(), this::arrive);
     }
 
+    /** Sends a request that crashes each server that runs it, again and again, to hosts that are in touch. */
+    void sendCrashingRequest(double second, double intervalSeconds) {
+        network.at((long) (second * SECOND), now -> {
+            List<Host> inTouch = hosts.stream()
+                    .filter(host -> host.running
+                            && now - host.startedNanos > CONTACT_NANOS
+                            && !network.isPartitionedOrWasRecently(host.name))
+                    .toList();
+            if (!inTouch.isEmpty()) {
+                Host host = inTouch.get(random.nextInt(inTouch.size()));
+                host.broker.requestStarted(SERVICE, now);
+                attempt(new Request(host, host.id, new RetryState(1, false), now + 6 * SECOND, CRASHING));
+            }
+            sendCrashingRequest(now / 1e9 + intervalSeconds * (0.5 + random.nextDouble()), intervalSeconds);
+        });
+    }
+
+    /** Attempts that reached a server although they arrived over three seconds after the third crash. */
+    long lateCrashes() {
+        if (crashes.size() < 3) {
+            return 0;
+        }
+        long third = crashes.stream().map(Crash::crashedNanos).sorted().toList().get(2);
+        return crashes.stream()
+                .filter(crash -> crash.arrivedNanos() > third + CONTACT_NANOS)
+                .count();
+    }
+
     private record Request(Host host, HostId process, RetryState retryState, long deadlineNanos, long fingerprint) {
         boolean isLost() {
             return !host.running || !host.id.equals(process);
@@ -334,7 +402,13 @@
         }
         long sentNanos = now();
         Host host = request.host();
-        Reply reply = upstreams.receive(slot.server(), host.id, sentNanos);
+        boolean crashing = request.fingerprint() == CRASHING;
+        if (crashing) {
+            crashes.add(new Crash(request.deadlineNanos() - 6 * SECOND, sentNanos + CRASH_NANOS));
+        }
+        Reply reply = crashing
+                ? new Reply(AttemptOutcome.CONNECTION_LOST, CRASH_NANOS, ServerNotice.NONE)
+                : upstreams.receive(slot.server(), host.id, sentNanos);
         network.at(sentNanos + reply.delayNanos(), now -> {
             if (request.isLost()) {
                 return;
