Count a server that falls silent against the requests that it had

Cause: only CONNECTION_LOST was held against a request. After TIMEOUT nothing looked at the server's entry.

A silence counts if the server answered nothing in the second half of the attempt nor later and its entry vanishes, or shows a later start, within 15 s without an announced leaving. So a cut path (the entry stays) and a slow server (it answers others) do not count; the log gives the reason. Servers that fall silent within 2 s of each other count once. Three are required, as for crashes, and the first such hold lasts two minutes; then a complete response clears the request, and another lost server holds it for ten.

--- a/src/main/java/org/auburnhoist/core/dispatch/CrashRecord.java
+++ b/src/main/java/org/auburnhoist/core/dispatch/CrashRecord.java
@@ -21,9 +21,10 @@
      * @param id identifies the crash in the whole fleet
      * @param server the server's ID
      * @param ageMillis time since the crash was noticed
+     * @param silent whether the server fell silent instead of breaking its connections
      * @param suspects fingerprints of the requests that may have caused it; empty if all of them completed since
      */
-    public record Crash(long id, String server, long ageMillis, List<Long> suspects) {
+    public record Crash(long id, String server, long ageMillis, boolean silent, List<Long> suspects) {
         /** Copies the list. */
         public Crash {
             suspects = List.copyOf(suspects);
--- a/src/main/java/org/auburnhoist/core/dispatch/PriorityDispatcher.java
+++ b/src/main/java/org/auburnhoist/core/dispatch/PriorityDispatcher.java
@@ -34,8 +34,16 @@
     /** Retry delay while this dispatcher has no share of the limits; the caller may find another host. */
     private static final double NO_SHARE_RETRY_SECONDS = 0.3;
 
+    /** Outcomes in which a server answered, so that it is not silent. */
+    private static final Set<AttemptOutcome> ANSWERS =
+            Set.of(AttemptOutcome.SUCCESS, AttemptOutcome.SERVER_ERROR, AttemptOutcome.SHED, AttemptOutcome.REJECTED);
+    /** Bounds the memory if nothing reads what was found out. */
+    private static final int MAX_SILENCES_KEPT = 100;
+
     private final PriorityRequestQueue queue = new PriorityRequestQueue();
     private final Quarantine quarantine;
+    private final SilentServers silentServers = new SilentServers();
+    private final List<ServerSilence> silences = new ArrayList<>();
     private final GrantTable grants;
     private final ServiceTimeEstimator serviceTimes;
     private final UnservedShare unservedShare = new UnservedShare();
@@ -61,6 +69,8 @@
         serverSelector.updateServers(registered, nowNanos);
         limits.updateServers(registered);
         List<SlotDecision> decisions = new ArrayList<>();
+        silentServers.updateServers(registered, nowNanos).forEach(finding -> recordFinding(finding, nowNanos));
+        refuseQuarantined(decisions, nowNanos);
         grantWaiting(decisions, nowNanos);
         return decisions;
     }
@@ -119,7 +129,7 @@
             return decisions;
         }
         observe(grant, release, nowNanos);
-        if (release.outcome() == AttemptOutcome.CONNECTION_LOST) {
+        if (release.outcome() == AttemptOutcome.CONNECTION_LOST || release.outcome() == AttemptOutcome.TIMEOUT) {
             refuseQuarantined(decisions, nowNanos);
         }
         serverSelector.recordNotice(grant.server(), requestingHost, release.notice(), nowNanos);
@@ -135,6 +145,11 @@
         } else if (outcome == AttemptOutcome.SUCCESS || outcome == AttemptOutcome.SERVER_ERROR) {
             quarantine.completed(grant.fingerprint(), nowNanos);
         }
+        if (outcome == AttemptOutcome.TIMEOUT) {
+            recordFinding(silentServers.timedOut(grant, grants.onServer(grant.server()), nowNanos), nowNanos);
+        } else if (ANSWERS.contains(outcome)) {
+            recordFinding(silentServers.answered(grant.server(), nowNanos), nowNanos);
+        }
         Observation observation = new Observation(
                 grant.server(),
                 grant.trafficClass(),
@@ -152,6 +167,29 @@
         }
     }
 
+    private void recordFinding(SilentServers.@Nullable Finding finding, long nowNanos) {
+        if (finding == null) {
+            return;
+        }
+        if (finding.silent()) {
+            quarantine.fellSilent(finding.grants(), nowNanos);
+        }
+        if (silences.size() < MAX_SILENCES_KEPT) {
+            silences.add(new ServerSilence(
+                    finding.server(),
+                    finding.silent(),
+                    finding.reason(),
+                    finding.grants().size()));
+        }
+    }
+
+    /** Returns what was found out about servers that did not answer since the last call. */
+    public List<ServerSilence> drainSilences() {
+        List<ServerSilence> drained = List.copyOf(silences);
+        silences.clear();
+        return drained;
+    }
+
     /** The server of a grant in use, or an empty string. */
     public String serverOf(long grantId) {
         return grants.serverOf(grantId);
@@ -182,6 +220,7 @@
         lastCleanupNanos = nowNanos;
         List<SlotDecision> decisions = new ArrayList<>();
         quarantine.removeExpired(nowNanos);
+        silentServers.removeExpired(nowNanos).forEach(finding -> recordFinding(finding, nowNanos));
         grants.removeIf(grant -> nowNanos - grant.expiresNanos() >= 0);
         refuseQuarantined(decisions, nowNanos);
         queue.removeIf(waiting -> cannotBeAnswered(waiting.request(), nowNanos))
--- a/src/main/java/org/auburnhoist/core/dispatch/Quarantine.java
+++ b/src/main/java/org/auburnhoist/core/dispatch/Quarantine.java
@@ -37,6 +37,10 @@
     private static final int MIN_SERVERS = 2;
     private static final long NANOS_PER_MILLI = 1_000_000L;
     private static final long RETENTION_NANOS = 600_000 * NANOS_PER_MILLI;
+    /** Servers that fall silent within this time have another cause, such as loss of power; entries expire in turn. */
+    private static final long COMMON_CAUSE_NANOS = 2_000 * NANOS_PER_MILLI;
+    /** Time for which a request is held back if silent servers are a part of the first evidence against it. */
+    private static final long SILENCE_HOLD_NANOS = 120_000 * NANOS_PER_MILLI;
     /** What ends within this time is not taken from other hosts, which would return what this host removes. */
     private static final long EXPIRY_MARGIN_NANOS = 5_000 * NANOS_PER_MILLI;
     /** Two dispatchers may each report the same crash within this time. */
@@ -49,8 +53,10 @@
         final long atNanos;
         final Set<Long> suspects;
         final Set<Long> grants;
+        final boolean silent;
 
-        Crash(long id, String server, long atNanos, Set<Long> suspects, Set<Long> grants) {
+        Crash(long id, String server, long atNanos, Set<Long> suspects, Set<Long> grants, boolean silent) {
+            this.silent = silent;
             this.id = id;
             this.server = server;
             this.atNanos = atNanos;
@@ -80,19 +86,38 @@
         if (recorded) {
             return;
         }
+        List<Grant> lostGrants = new ArrayList<>(inFlight);
+        lostGrants.add(0, lost);
+        addCrash(lostGrants, false, nowNanos);
+    }
+
+    /**
+     * Records that a server fell silent, which counts as a crash.
+     *
+     * @param had all grants that it had, at least one
+     * @param nowNanos the current time
+     */
+    void fellSilent(Collection<Grant> had, long nowNanos) {
+        boolean recorded =
+                crashes.stream().anyMatch(crash -> had.stream().anyMatch(grant -> crash.grants.contains(grant.id())));
+        if (!recorded) {
+            addCrash(had, true, nowNanos);
+        }
+    }
+
+    private void addCrash(Collection<Grant> had, boolean silent, long nowNanos) {
+        Grant first = had.iterator().next();
         Set<Long> suspects = new HashSet<>();
         Set<Long> grants = new HashSet<>();
-        suspects.add(lost.fingerprint());
-        grants.add(lost.id());
-        for (Grant grant : inFlight) {
+        for (Grant grant : had) {
             suspects.add(grant.fingerprint());
             grants.add(grant.id());
         }
-        crashes.addLast(new Crash(lost.id(), lost.server(), nowNanos, suspects, grants));
+        crashes.addLast(new Crash(first.id(), first.server(), nowNanos, suspects, grants, silent));
         if (crashes.size() > MAX_CRASHES_KEPT) {
             crashes.removeFirst();
         }
-        suspects.forEach(suspect -> quarantineIfConclusive(suspect, nowNanos));
+        Set.copyOf(suspects).forEach(suspect -> quarantineIfConclusive(suspect, nowNanos));
     }
 
     /** Removes a request that completed with a response as a suspect. */
@@ -112,16 +137,27 @@
     private void quarantineIfConclusive(long fingerprint, long nowNanos) {
         int count = 0;
         Map<String, Long> lastOfServer = new HashMap<>();
+        @Nullable Crash lastSilent = null;
+        long latestNanos = nowNanos;
         Set<Long> common = null;
         for (Crash crash : crashes) {
             if (crash.suspects.contains(fingerprint)) {
+                latestNanos = crash.atNanos;
                 Long last = lastOfServer.put(crash.server, crash.atNanos);
-                count += last == null || crash.atNanos - last > SAME_CRASH_NANOS ? 1 : 0;
+                boolean sameCrash = last != null && crash.atNanos - last <= SAME_CRASH_NANOS;
+                boolean commonCause =
+                        crash.silent && lastSilent != null && crash.atNanos - lastSilent.atNanos <= COMMON_CAUSE_NANOS;
+                lastSilent = crash.silent ? crash : lastSilent;
+                count += sameCrash || commonCause ? 0 : 1;
                 common = intersection(common, crash.suspects);
             }
         }
         if (count >= MIN_CRASHES && lastOfServer.size() >= MIN_SERVERS && common != null && common.size() == 1) {
-            hold(fingerprint, nowNanos + RETENTION_NANOS);
+            // One trial after the shorter time lets an innocent request go; if it fails too, there are more crashes.
+            long holdNanos = lastSilent != null && count == MIN_CRASHES ? SILENCE_HOLD_NANOS : RETENTION_NANOS;
+            if (latestNanos + holdNanos - nowNanos > 0) {
+                hold(fingerprint, latestNanos + holdNanos);
+            }
         }
     }
 
@@ -179,6 +215,7 @@
                         crash.id,
                         crash.server,
                         (nowNanos - crash.atNanos) / NANOS_PER_MILLI,
+                        crash.silent,
                         crash.suspects.stream().sorted().toList()))
                 .toList();
         List<CrashRecord.HeldRequest> held = quarantinedUntil.keySet().stream()
@@ -221,7 +258,8 @@
                 affected.addAll(known.suspects);
             } else if (ageNanos < RETENTION_NANOS - EXPIRY_MARGIN_NANOS) {
                 Set<Long> suspects = new HashSet<>(told.suspects());
-                insert(new Crash(told.id(), told.server(), nowNanos - ageNanos, suspects, Set.of(told.id())));
+                insert(new Crash(
+                        told.id(), told.server(), nowNanos - ageNanos, suspects, Set.of(told.id()), told.silent()));
                 affected.addAll(suspects);
             }
         }
--- a/src/main/java/org/auburnhoist/gateway/CrashFleetRecord.java
+++ b/src/main/java/org/auburnhoist/gateway/CrashFleetRecord.java
@@ -35,7 +35,10 @@
         try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
             packer.packArrayHeader(record.crashes().size());
             for (CrashRecord.Crash crash : record.crashes()) {
-                packer.packLong(crash.id()).packString(crash.server()).packLong(crash.ageMillis());
+                packer.packLong(crash.id())
+                        .packString(crash.server())
+                        .packLong(crash.ageMillis())
+                        .packBoolean(crash.silent());
                 packer.packArrayHeader(crash.suspects().size());
                 for (long suspect : crash.suspects()) {
                     packer.packLong(suspect);
@@ -68,8 +71,8 @@
             List<CrashRecord.Crash> crashes = new ArrayList<>();
             int crashCount = readLength(in, "crashes", Quarantine.MAX_CRASHES_KEPT);
             for (int index = 0; index < crashCount; index++) {
-                crashes.add(
-                        new CrashRecord.Crash(in.unpackLong(), in.unpackString(), in.unpackLong(), readSuspects(in)));
+                crashes.add(new CrashRecord.Crash(
+                        in.unpackLong(), in.unpackString(), in.unpackLong(), in.unpackBoolean(), readSuspects(in)));
             }
             List<CrashRecord.HeldRequest> held = new ArrayList<>();
             int heldCount = readLength(in, "held", Quarantine.MAX_HELD);
--- a/src/main/java/org/auburnhoist/gateway/ServiceDispatch.java
+++ b/src/main/java/org/auburnhoist/gateway/ServiceDispatch.java
@@ -9,6 +9,7 @@
 import org.auburnhoist.core.dispatch.FloorStatus;
 import org.auburnhoist.core.dispatch.LimitChange;
 import org.auburnhoist.core.dispatch.PriorityDispatcher;
+import org.auburnhoist.core.dispatch.ServerSilence;
 import org.auburnhoist.core.dispatch.SlotDecision;
 import org.auburnhoist.core.message.AttemptOutcome;
 import org.auburnhoist.core.message.SlotAnswer;
@@ -71,10 +72,12 @@
 
     void updateServers(List<UpstreamServer> registered, long nowNanos) {
         deliver(dispatcher.updateServers(registered, nowNanos), nowNanos);
+        logSilences();
     }
 
     void tick(long nowNanos) {
         deliver(dispatcher.tick(nowNanos), nowNanos);
+        logSilences();
     }
 
     boolean isActive() {
@@ -85,6 +88,7 @@
         String server = dispatcher.serverOf(release.grantId());
         deliver(dispatcher.release(release, requester, nowNanos), nowNanos);
         logLimitChanges();
+        logSilences();
         boolean failed = release.outcome() != AttemptOutcome.SUCCESS
                 && release.outcome() != AttemptOutcome.ABANDONED
                 && release.outcome() != AttemptOutcome.WITHHELD;
@@ -100,6 +104,18 @@
         }
     }
 
+    private void logSilences() {
+        for (ServerSilence silence : dispatcher.drainSilences()) {
+            Event.named("server-without-answer")
+                    .with("service", service)
+                    .with("server", silence.server())
+                    .with("counted_as_crash", silence.silent())
+                    .with("reason", silence.reason())
+                    .with("requests", silence.requests())
+                    .log();
+        }
+    }
+
     private void logLimitChanges() {
         for (LimitChange change : dispatcher.drainLimitChanges()) {
             Event.named("dispatch-limit-changed")
