--- a/src/test/java/org/auburnhoist/gateway/GatewayShutdownTest.java
+++ b/src/test/java/org/auburnhoist/gateway/GatewayShutdownTest.java
@@ -76,6 +76,7 @@
                 new FallbackLimiter.Tolerance(5, 0.1, 20),
                 new RetryBudgetSettings(0.2, 60),
                 new FloorSettings(0.7, Duration.ofSeconds(6)),
+                2_600,
                 true);
     }
 }
--- a/src/test/java/org/auburnhoist/proxy/FailedAcceptTest.java
+++ b/src/test/java/org/auburnhoist/proxy/FailedAcceptTest.java
@@ -55,14 +55,14 @@
         assertTrue(await(() -> callerThreads(before).size() == started), () -> "threads: " + callerThreads(before));
     }
 
-    // A host that stops would open its listener again and accept callers that it does not serve.
+    /** A host that stops would open its listener again and accept callers that it does not serve. */
     @Test
     void aHostThatStopsDoesNotListenAgain() throws Exception {
         upstream = RawUpstream.responding(OK);
         Set<Thread> before = threads();
         start(lookups(upstream.address())).close();
         failAccept(before);
-        proxy.stopAccepting();
+        proxy.stopAccepting(System.nanoTime());
         long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(3);
         while (System.nanoTime() - end < 0) {
             assertFalse(isServed());
