--- a/src/test/java/org/auburnhoist/gateway/FleetCrashCountTest.java
+++ b/src/test/java/org/auburnhoist/gateway/FleetCrashCountTest.java
@@ -40,6 +40,18 @@
         assertEquals(3, fleet.crashes.size());
     }
 
+    /** Guards against a record that costs more than the reports with which it goes. */
+    @ParameterizedTest
+    @CsvSource({"36, 2", "94, 3", "143, 4"})
+    void recordTakesAtMostTwoMessagesEachSecondOfAHost(int hosts, long seed) {
+        SlotFleet fleet = fleet(hosts, seed);
+        fleet.runUntil(38);
+        int before = fleet.recordMessages;
+        fleet.runUntil(48);
+        int afterCrashes = fleet.recordMessages - before;
+        assertTrue(afterCrashes <= 2 * 10 * hosts, () -> "messages in ten seconds: " + afterCrashes);
+    }
+
     @ParameterizedTest
     @CsvSource({"3, 1", "3, 2", "36, 1", "36, 2", "94, 3", "143, 4"})
     void dispatchersKilledInSuccession(int hosts, long seed) {
--- a/src/test/java/org/auburnhoist/gateway/SlotFleet.java
+++ b/src/test/java/org/auburnhoist/gateway/SlotFleet.java
@@ -21,6 +21,7 @@
 import org.auburnhoist.core.membership.FleetMember;
 import org.auburnhoist.core.message.Acknowledgement;
 import org.auburnhoist.core.message.AttemptOutcome;
+import org.auburnhoist.core.message.ChunkAnswer;
 import org.auburnhoist.core.message.Message;
 import org.auburnhoist.core.message.SchedulingParameters;
 import org.auburnhoist.core.message.ServerNotice;
@@ -68,6 +69,12 @@
 
     final List<Wait> waits = new ArrayList<>();
 
+    /** Messages in which hosts compared their records of crashes, with answers. */
+    int recordMessages;
+
+    /** Bytes of hashes and copies in these messages, without frames and headers. */
+    long recordBytes;
+
     /** Number of requests that a server accepted in the end. */
     int served;
 
@@ -177,13 +184,20 @@
                 broker.handleRelease(release, from, now());
                 reply.accept(new Acknowledgement(true));
             } else if (exchange.handles(request)) {
-                reply.accept(exchange.handle(request, from, now()));
+                ChunkAnswer answer = exchange.handle(request, from, now());
+                recordMessages += 2;
+                recordBytes += bytes(request) + bytes(answer);
+                reply.accept(answer);
             } else {
                 reply.accept(new Acknowledgement(true));
             }
         }
     }
 
+    private static long bytes(Message message) {
+        return message instanceof ChunkAnswer chunk ? chunk.digest().length() + chunk.content().length : 0;
+    }
+
     /** Creates a fleet of which the servers reject a fraction of the requests. */
     SlotFleet(Load load, long seed) {
         this(load, null, seed);
