Let responses that are being sent at the end of a planned stop go on

Change: the stop waits up to 0.3 s for such responses, and goes on at once when there are none.

The scheduler of GatewayShutdownTest is shared as ManualScheduler.

--- a/src/main/java/org/auburnhoist/host/CallerDrain.java
+++ b/src/main/java/org/auburnhoist/host/CallerDrain.java
@@ -11,11 +11,16 @@
 public final class CallerDrain {
     /** Time for callers to receive the last responses and to close their connections. */
     private static final Duration LINGER_TIME = Duration.ofMillis(100);
+    /** Time for responses that are being sent to end. */
+    private static final Duration TRANSFER_TIME = Duration.ofMillis(300);
+
+    private static final Duration CHECK_INTERVAL = Duration.ofMillis(20);
 
     private CallerDrain() {}
 
     /**
-     * Answers the requests that are left, and closes the connections without a request.
+     * Answers the requests that are left, lets responses that are being sent go on for a short time, and closes the
+     * connections without a request.
      *
      * @param proxy the server, which accepts no further requests
      * @param control runs {@code next}
@@ -34,6 +39,16 @@
                     .with("sent", request.sent())
                     .warn();
         }
-        control.schedule(LINGER_TIME, now -> next.accept(left.size()));
+        control.execute(now ->
+                awaitResponses(proxy, control, now + TRANSFER_TIME.toNanos(), now, () -> next.accept(left.size())));
+    }
+
+    private static void awaitResponses(
+            ProxyServer proxy, ControlScheduler control, long endNanos, long nowNanos, Runnable next) {
+        if (proxy.unfinishedRequests().isEmpty() || nowNanos - endNanos >= 0) {
+            control.schedule(LINGER_TIME, now -> next.run());
+        } else {
+            control.schedule(CHECK_INTERVAL, now -> awaitResponses(proxy, control, endNanos, now, next));
+        }
     }
 }
--- a/src/test/java/org/auburnhoist/gateway/GatewayShutdownTest.java
+++ b/src/test/java/org/auburnhoist/gateway/GatewayShutdownTest.java
@@ -5,20 +5,16 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.time.Duration;
-import java.util.ArrayDeque;
-import java.util.ArrayList;
-import java.util.Deque;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
-import java.util.function.LongConsumer;
 import org.auburnhoist.core.Refusal;
 import org.auburnhoist.core.dispatch.FloorSettings;
 import org.auburnhoist.core.dispatch.RetryBudgetSettings;
 import org.auburnhoist.core.limit.FallbackLimiter;
-import org.auburnhoist.host.ControlScheduler;
 import org.auburnhoist.proxy.Admission;
 import org.auburnhoist.proxy.ProxyServer;
 import org.auburnhoist.proxy.ProxySettings;
+import org.auburnhoist.support.ManualScheduler;
 import org.junit.jupiter.api.Test;
 
 /** Guards against planned stops whose phases begin late on a busy machine. */
@@ -26,23 +22,6 @@
     private static final Duration STOP_LIMIT = Duration.ofSeconds(6);
     private static final InetSocketAddress ANY_PORT = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
 
-    /** Keeps the tasks, which the test runs at times of its own. */
-    private static final class ManualScheduler implements ControlScheduler {
-        private final Deque<LongConsumer> tasks = new ArrayDeque<>();
-        private final List<Duration> delays = new ArrayList<>();
-
-        @Override
-        public void execute(LongConsumer task) {
-            tasks.add(task);
-        }
-
-        @Override
-        public void schedule(Duration delay, LongConsumer task) {
-            delays.add(delay);
-            tasks.add(task);
-        }
-    }
-
     /** A host whose control thread is late would accept requests that it cannot finish before its process ends. */
     @Test
     void theTimeInWhichRequestsAreAcceptedIsCountedFromTheSignal() throws Exception {
@@ -54,10 +33,10 @@
             GatewayShutdown shutdown = new GatewayShutdown(settings(), control, now -> {}, () -> {}, proxy);
             Duration late = Duration.ofMillis(700);
             shutdown.begin(0);
-            control.tasks.remove().accept(late.toNanos());
+            control.runNext(late.toNanos());
             assertEquals(
                     List.of(StopTimes.within(STOP_LIMIT).accepting().minus(late)),
-                    control.delays,
+                    control.delays(),
                     "time until requests are refused");
         }
     }
