Let the test of early signals not inherit an ignored SIGHUP

Cause: a process whose parent ignores SIGHUP ignores it as well, and Java then sets no handler for it. The product is unchanged: a platform that ignores SIGHUP for its processes does not send it.

--- a/src/test/java/org/auburnhoist/platform/EarlySignalProcessTest.java
+++ b/src/test/java/org/auburnhoist/platform/EarlySignalProcessTest.java
@@ -49,7 +49,10 @@
                         store.address().getPort());
         pipe = folder.resolve("node.yaml");
         run("mkfifo", pipe.toString());
+        // A process whose parent ignores SIGHUP, as under nohup, ignores it too, and Java then sets no handler.
         ProcessBuilder builder = new ProcessBuilder(
+                        "env",
+                        "--default-signal=HUP",
                         Path.of(System.getProperty("java.home"), "bin", "java").toString(),
                         "-Xmx96m",
                         "-XX:TieredStopAtLevel=1",
@@ -69,7 +72,7 @@
         closer.close();
     }
 
-    // The default of SIGHUP ended the process: the platform sends it whenever the settings have changed.
+    /** The default of SIGHUP ended the process: the platform sends it whenever the settings have changed. */
     @Test
     void aChangeOfTheSettingsDuringTheStartIsCheckedWhenTheHostRuns() throws Exception {
         try (OutputStream output = Files.newOutputStream(pipe)) {
@@ -86,7 +89,7 @@
         assertEquals(0, process.exitValue(), () -> log());
     }
 
-    // A host that has begun to listen, and ends without its planned stop, would cut the requests that it has read.
+    /** A host that has begun to listen, and ends without its planned stop, would cut the requests that it has read. */
     @Test
     void aStopDuringTheStartIsAPlannedStop() throws Exception {
         try (OutputStream output = Files.newOutputStream(pipe)) {
@@ -99,7 +102,7 @@
         awaitLog("event=host-stopped");
     }
 
-    // A start that fails must not wait for ever for the end of a planned stop.
+    /** A start that fails must not wait for ever for the end of a planned stop. */
     @Test
     void aStopDuringAStartThatFailsEndsTheProcess() throws Exception {
         try (OutputStream output = Files.newOutputStream(pipe)) {
